--- /dev/null
+++ b/crates/banyannotch/src/clock.rs
@@ -0,0 +1,39 @@
+//! Time as plain microseconds, so that policies can be run with any time.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Microseconds in a millisecond.
+pub const US_PER_MS: u64 = 1_000;
+
+/// Source of time for the threads; policies get the time as an argument instead.
+pub trait Clock: Clone + Send + 'static {
+    /// Microseconds since the clock's origin; never goes back.
+    fn now_us(&self) -> u64;
+
+    /// Milliseconds since the Unix epoch, for times that cross processes.
+    fn unix_ms(&self) -> u64;
+}
+
+/// The machine's clocks. All copies share one origin, so times can cross threads.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl SystemClock {
+    /// Creates a clock whose origin is now.
+    pub fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+}
+
+impl Clock for SystemClock {
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn unix_ms(&self) -> u64 {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/configuration/mod.rs
@@ -0,0 +1,29 @@
+//! Accepts configuration records from the log in log order and keeps the one that is in force.
+//!
+//! An accepted configuration never reverts. See "Configuration" in `docs/design.md`.
+
+mod document;
+mod error;
+
+pub use document::{Document, Model, Objective, Preset, PresetName, Presets, Service, Team};
+pub use error::{DocumentError, Result};
+
+use crate::ids::ConfigVersion;
+
+/// The configuration in force: a document, the active preset, and the version of the record that made it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Version; higher replaces lower and never the other way round.
+    pub version: ConfigVersion,
+    /// What the operator published.
+    pub document: Document,
+    /// The one preset that is active.
+    pub preset: PresetName,
+}
+
+impl Configuration {
+    /// Returns the settings of the active preset.
+    pub fn active(&self) -> &Preset {
+        self.document.presets.get(self.preset)
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/engine/client.rs
@@ -0,0 +1,127 @@
+//! Client of the endpoints' protocol.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use super::{
+    CacheEvents, CacheName, CallAnswer, CallRequest, EngineLoad, Order, Refusal, ServiceLoad, StepAnswer,
+    StepRequest,
+};
+use crate::http::{Answer, CallError, Client};
+use crate::pipeline::Address;
+
+/// Result of a call to an endpoint.
+pub type Result<T> = std::result::Result<T, StepError>;
+
+/// Why an endpoint gave no result.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum StepError {
+    /// The endpoint said that nothing ran.
+    #[error("the endpoint refused: {}", .0.error)]
+    Refused(Refusal),
+    /// The endpoint answered with another status.
+    #[error("the endpoint answered status {status}")]
+    Status {
+        /// HTTP status.
+        status: u16,
+    },
+    /// There was no answer.
+    #[error(transparent)]
+    Call(#[from] CallError),
+}
+
+/// Client of one thread for all endpoints.
+#[derive(Clone)]
+pub struct EndpointClient {
+    http: Client,
+}
+
+impl EndpointClient {
+    /// Creates the client over an HTTP client of the same thread.
+    pub fn new(http: Client) -> Self {
+        Self { http }
+    }
+
+    /// Runs one step of a stage.
+    ///
+    /// # Errors
+    /// Returns [`StepError`]; only a refusal and [`CallError::NotSent`] mean that the step did not run.
+    pub async fn step(&self, address: Address, step: &StepRequest, limit_ms: u64) -> Result<StepAnswer> {
+        self.post(address, "/v1/step", step, limit_ms).await
+    }
+
+    /// Frees a cache; freeing an unknown cache is no error.
+    ///
+    /// # Errors
+    /// Returns [`StepError`] when the endpoint did not confirm.
+    pub async fn cancel(&self, address: Address, cache: CacheName, limit_ms: u64) -> Result<()> {
+        let answer = self.http.post(address, "/v1/cancel", &cache, limit_ms).await?;
+        accepted(&answer).map(|_| ())
+    }
+
+    /// Calls a plain service.
+    ///
+    /// # Errors
+    /// Returns [`StepError`]; only a refusal and [`CallError::NotSent`] mean that the call did not run.
+    pub async fn call(&self, address: Address, call: &CallRequest, limit_ms: u64) -> Result<CallAnswer> {
+        self.post(address, "/v1/call", call, limit_ms).await
+    }
+
+    /// Fetches an engine's load report.
+    ///
+    /// # Errors
+    /// Returns [`StepError`] when there is no report in time.
+    pub async fn engine_load(&self, address: Address, limit_ms: u64) -> Result<EngineLoad> {
+        self.get(address, "/v1/load", limit_ms).await
+    }
+
+    /// Fetches a plain service's load report.
+    ///
+    /// # Errors
+    /// Returns [`StepError`] when there is no report in time.
+    pub async fn service_load(&self, address: Address, limit_ms: u64) -> Result<ServiceLoad> {
+        self.get(address, "/v1/load", limit_ms).await
+    }
+
+    /// Fetches an engine's cache events from a sequence number on.
+    ///
+    /// # Errors
+    /// Returns [`StepError`] when there is no answer in time.
+    pub async fn cache_events(&self, address: Address, from: u64, limit_ms: u64) -> Result<CacheEvents> {
+        self.get(address, &format!("/v1/cache-events?from={from}"), limit_ms).await
+    }
+
+    /// Sends an order.
+    ///
+    /// # Errors
+    /// Returns [`StepError`]; without an answer the order may have been taken.
+    pub async fn order(&self, address: Address, order: &Order, limit_ms: u64) -> Result<()> {
+        let answer = self.http.post(address, "/v1/orders", order, limit_ms).await?;
+        accepted(&answer).map(|_| ())
+    }
+
+    async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        address: Address,
+        path: &str,
+        body: &B,
+        limit_ms: u64,
+    ) -> Result<T> {
+        let answer = self.http.post(address, path, body, limit_ms).await?;
+        Ok(accepted(&answer)?.json()?)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, address: Address, path: &str, limit_ms: u64) -> Result<T> {
+        let answer = self.http.get(address, path, limit_ms).await?;
+        Ok(accepted(&answer)?.json()?)
+    }
+}
+
+fn accepted(answer: &Answer) -> Result<&Answer> {
+    match answer.status {
+        200 => Ok(answer),
+        409 => Err(StepError::Refused(answer.json()?)),
+        status => Err(StepError::Status { status }),
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/http/body.rs
@@ -0,0 +1,88 @@
+//! Response bodies as one concrete type, so that no boxed body is needed.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::body::{BodySize, MessageBody};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+/// Body of a response.
+#[derive(Debug)]
+pub enum Body {
+    /// The whole body.
+    Full(Bytes),
+    /// Parts that arrive over time.
+    Events(EventStream),
+}
+
+/// Parts of a body from a channel, with a notice when the connection drops it.
+#[derive(Debug)]
+pub struct EventStream {
+    parts: mpsc::UnboundedReceiver<Bytes>,
+    end: Option<StreamEnd>,
+    taken: mpsc::UnboundedSender<usize>,
+}
+
+/// Dropped together with the stream, so that its owner can see that nobody reads any more.
+#[derive(Debug)]
+pub struct StreamEnd(#[allow(dead_code)] tokio::sync::oneshot::Sender<()>);
+
+impl StreamEnd {
+    /// Creates the notice and the future that completes when it is dropped.
+    pub fn new() -> (Self, tokio::sync::oneshot::Receiver<()>) {
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        (Self(sender), receiver)
+    }
+}
+
+impl EventStream {
+    /// Creates the stream. `taken` hears 1 for each part that the connection takes.
+    pub fn new(
+        parts: mpsc::UnboundedReceiver<Bytes>,
+        end: StreamEnd,
+        taken: mpsc::UnboundedSender<usize>,
+    ) -> Self {
+        Self { parts, end: Some(end), taken }
+    }
+}
+
+impl MessageBody for Body {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        match self {
+            Self::Full(bytes) => BodySize::Sized(bytes.len() as u64),
+            Self::Events(_) => BodySize::Stream,
+        }
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Bytes, Self::Error>>> {
+        match self.get_mut() {
+            Self::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Full(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            Self::Events(stream) => stream.poll_part(context).map(|part| part.map(Ok)),
+        }
+    }
+}
+
+impl EventStream {
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        let part = std::task::ready!(self.parts.poll_recv(context));
+        match part {
+            Some(part) => {
+                // The owner may have gone at the end of the answer; it then needs no count.
+                let _ = self.taken.send(1);
+                Poll::Ready(Some(part))
+            }
+            None => {
+                self.end = None;
+                Poll::Ready(None)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/http/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP plumbing shared by all listeners and clients: size limits, read timeouts and typed errors.
+//!
+//! Sizes and timeouts are those of "Protocols" in `docs/design.md`.
+
+mod body;
+mod client;
+mod error;
+mod server;
+#[cfg(test)]
+mod tests;
+
+pub use body::{Body, EventStream, StreamEnd};
+pub use client::{Answer, Client, ClientSettings};
+pub use error::{CallError, InputError, Result};
+pub use server::{Handler, Request, Response, ServerSettings, empty, json, read_body, read_json, serve};
--- /dev/null
+++ b/crates/banyannotch/src/http/server.rs
@@ -0,0 +1,156 @@
+//! Accepts connections on one thread and passes requests to a handler.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::time::Duration;
+
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{HttpService, StatusCode};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+
+use super::{Body, InputError, Result};
+
+/// A request that a listener received.
+pub type Request = actix_http::Request;
+
+/// A response to it.
+pub type Response = actix_http::Response<Body>;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerSettings {
+    /// Longest time to read a request head, and again to read its body.
+    pub read_timeout_ms: u64,
+    /// How long an idle connection is kept.
+    pub keep_alive_ms: u64,
+    /// Largest body.
+    pub body_limit_bytes: usize,
+    /// Most connections at one time; further ones are closed at once.
+    pub connection_limit: usize,
+}
+
+impl Default for ServerSettings {
+    fn default() -> Self {
+        Self {
+            read_timeout_ms: 5_000,
+            keep_alive_ms: 75_000,
+            body_limit_bytes: 1 << 20,
+            connection_limit: 4_096,
+        }
+    }
+}
+
+/// Answers requests.
+pub trait Handler: Clone + 'static {
+    /// Answers one request. Failures are responses too.
+    fn handle(&self, request: Request) -> impl Future<Output = Response>;
+}
+
+/// Serves a listener until the task is dropped.
+pub async fn serve<H: Handler>(listener: TcpListener, settings: ServerSettings, handler: H) {
+    let factory = HttpService::<tokio::net::TcpStream, _, _>::build()
+        .keep_alive(Duration::from_millis(settings.keep_alive_ms))
+        .client_request_timeout(Duration::from_millis(settings.read_timeout_ms))
+        .h1(fn_service(move |request: Request| {
+            let handler = handler.clone();
+            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        })
+        .into_factory())
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        log::error!("event=listener_failed reason=service_not_created");
+        return;
+    };
+    let service = std::rc::Rc::new(service);
+    let open = std::rc::Rc::new(());
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Descriptors can run out for a moment; without the pause the loop would spin.
+                log::warn!("event=accept_failed error={error:?}");
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if std::rc::Rc::strong_count(&open) > settings.connection_limit {
+            log::warn!(
+                "event=connection_refused reason=connection_limit limit={}",
+                settings.connection_limit
+            );
+            continue;
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("event=nodelay_failed error={error:?}");
+        }
+        let connection = service.call(stream);
+        let open = std::rc::Rc::clone(&open);
+        actix_rt::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=connection_ended error={error:?}");
+            }
+            drop(open);
+        });
+    }
+}
+
+/// Reads a whole body within the limits.
+///
+/// # Errors
+/// Returns [`InputError`] when the body is too large, too slow or truncated.
+pub async fn read_body(request: &mut Request, settings: &ServerSettings) -> Result<Bytes> {
+    let limit_ms = settings.read_timeout_ms;
+    actix_rt::time::timeout(Duration::from_millis(limit_ms), collect(request, settings.body_limit_bytes))
+        .await
+        .map_err(|_| InputError::TooSlow { limit_ms })?
+}
+
+async fn collect(request: &mut Request, limit_bytes: usize) -> Result<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| InputError::Truncated)?;
+        if body.len() + part.len() > limit_bytes {
+            return Err(InputError::TooLarge { limit_bytes });
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+/// Reads a JSON body within the limits.
+///
+/// # Errors
+/// Returns [`InputError`] when the body cannot be read or is not the expected JSON.
+pub async fn read_json<T: DeserializeOwned>(request: &mut Request, settings: &ServerSettings) -> Result<T> {
+    let body = read_body(request, settings).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Creates a JSON response.
+pub fn json<T: Serialize>(status: u16, value: &T) -> Response {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => with_type(status, "application/json", Bytes::from(bytes)),
+        Err(error) => {
+            log::error!("event=response_not_encoded error={error}");
+            empty(500)
+        }
+    }
+}
+
+/// Creates a response without a body.
+pub fn empty(status: u16) -> Response {
+    with_type(status, "application/json", Bytes::new())
+}
+
+fn with_type(status: u16, content_type: &'static str, bytes: Bytes) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = actix_http::Response::with_body(status, Body::Full(bytes));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/banyannotch/src/http/tests.rs
@@ -0,0 +1,105 @@
+//! Guards against unbounded bodies, unread truncation, and a failure after sending that passes as "not sent".
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{
+    CallError, Client, ClientSettings, Handler, Request, Response, ServerSettings, read_json, serve,
+};
+
+#[derive(Clone)]
+struct Echo(ServerSettings);
+
+impl Handler for Echo {
+    async fn handle(&self, mut request: Request) -> Response {
+        match read_json::<Value>(&mut request, &self.0).await {
+            Ok(value) => super::json(200, &value),
+            Err(error) => super::json(error.status(), &json!({ "error": error.to_string() })),
+        }
+    }
+}
+
+fn small() -> ServerSettings {
+    ServerSettings { read_timeout_ms: 200, body_limit_bytes: 64, ..ServerSettings::default() }
+}
+
+async fn listen() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(serve(listener, small(), Echo(small())));
+    address
+}
+
+async fn raw(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut answer = Vec::new();
+    // The server may reset the connection after it answered; what came before counts.
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    answer.lines().filter(|line| !line.starts_with("date")).collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn bad_bodies_get_typed_answers() {
+    actix_rt::System::new().block_on(async {
+        let address = listen().await;
+        let cases = [
+            (
+                "malformed",
+                "POST / HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: 3\r\n\r\n{a}"
+                    .to_owned(),
+            ),
+            (
+                "oversized",
+                format!(
+                    "POST / HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: 70\r\n\r\n{}",
+                    "1".repeat(70)
+                ),
+            ),
+            (
+                "slow",
+                "POST / HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: 9\r\n\r\n{"
+                    .to_owned(),
+            ),
+            ("no http", "hello\r\n\r\n".to_owned()),
+        ];
+        let mut report = String::new();
+        for (name, request) in cases {
+            report.push_str(&format!("## {name}\n{}\n", raw(address, &request).await));
+        }
+        insta::assert_snapshot!(report);
+    });
+}
+
+#[test]
+fn failures_of_calls_say_whether_anything_was_sent() {
+    actix_rt::System::new().block_on(async {
+        let client = Client::new(ClientSettings::default());
+        let answer = client.post(listen().await, "/", &json!({"a": 1}), 1_000).await.expect("an answer");
+        assert_eq!((answer.status, answer.json::<Value>().expect("JSON")), (200, json!({"a": 1})));
+
+        let unused = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = unused.local_addr().expect("an address");
+        drop(unused);
+        let refused = client.post(address, "/", &json!({}), 1_000).await;
+        assert!(matches!(refused, Err(CallError::NotSent(_))), "{refused:?}");
+
+        let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = silent.local_addr().expect("an address");
+        let timed_out = client.post(address, "/", &json!({}), 100).await;
+        assert_eq!(timed_out, Err(CallError::TimedOut { limit_ms: 100 }));
+
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = silent.accept().await {
+                let mut buffer = [0; 16];
+                let _ = stream.read(&mut buffer).await;
+            }
+        });
+        let broken = client.post(address, "/", &json!({}), 1_000).await;
+        assert!(matches!(broken, Err(CallError::Broken(_))), "{broken:?}");
+    });
+}
--- /dev/null
+++ b/crates/banyannotch/src/intake/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/banyannotch/src/lib.rs
@@ -0,0 +1,27 @@
+//! Router for model pipelines that span several machines, and for plain services beside them.
+//!
+//! The library holds all logic; the daemons are thin. Each duty is one folder with its own state, messages, policy,
+//! thread and tests. See `docs/design.md` for the whole picture and `docs/glossary.md` for the terms.
+
+pub mod admission;
+pub mod clock;
+pub mod configuration;
+pub mod duty;
+pub mod engine;
+pub mod entry;
+pub mod execution;
+pub mod http;
+pub mod ids;
+pub mod intake;
+pub mod ledger;
+pub mod membership;
+pub mod peers;
+pub mod pipeline;
+pub mod placement;
+pub mod platform;
+pub mod random;
+pub mod request;
+pub mod ring;
+pub mod routing;
+pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/crates/banyannotch/src/platform/client.rs
@@ -0,0 +1,105 @@
+//! HTTP clients of the platform.
+
+use thiserror::Error;
+
+use super::{Appended, InstanceList, Instances, LogService, Records};
+use crate::http::{Answer, CallError, Client};
+use crate::ids::LogOffset;
+use crate::pipeline::Address;
+
+/// Result of a call to the platform.
+pub type Result<T> = std::result::Result<T, LogError>;
+
+/// Why the platform gave no result.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum LogError {
+    /// The service takes no more appends at the moment; nothing was appended.
+    #[error("the log service is over its rate")]
+    RateLimited,
+    /// The service is down; nothing was appended.
+    #[error("the log service is down")]
+    Down,
+    /// The service answered with another status.
+    #[error("the platform answered status {status}")]
+    Status {
+        /// HTTP status.
+        status: u16,
+    },
+    /// There was no answer. After [`CallError::NotSent`] nothing was appended, otherwise it is unknown.
+    #[error(transparent)]
+    Call(#[from] CallError),
+}
+
+impl LogError {
+    /// Returns whether an append that failed this way may have taken effect.
+    pub fn may_have_happened(&self) -> bool {
+        match self {
+            Self::RateLimited | Self::Down => false,
+            Self::Status { .. } => true,
+            Self::Call(error) => !matches!(error, CallError::NotSent(_)),
+        }
+    }
+}
+
+/// Client of the log service.
+#[derive(Clone)]
+pub struct HttpLog {
+    http: Client,
+    address: Address,
+}
+
+/// Client of the instance list.
+#[derive(Clone)]
+pub struct HttpInstanceList {
+    http: Client,
+    address: Address,
+}
+
+/// How long a read may take beyond the wait that it asks for.
+const READ_MARGIN_MS: u64 = 2_000;
+
+impl HttpLog {
+    /// Creates the client over an HTTP client of the same thread.
+    pub fn new(http: Client, address: Address) -> Self {
+        Self { http, address }
+    }
+}
+
+impl LogService for HttpLog {
+    async fn append(&self, stream: &str, record: &[u8], limit_ms: u64) -> Result<LogOffset> {
+        let path = format!("/v1/streams/{stream}/records");
+        let body = bytes::Bytes::copy_from_slice(record);
+        let answer = self.http.post_bytes(self.address, &path, body, limit_ms).await?;
+        let appended: Appended = accepted(&answer)?.json()?;
+        Ok(appended.offset)
+    }
+
+    async fn read(&self, stream: &str, from: LogOffset, max: u32, wait_ms: u64) -> Result<Records> {
+        let path = format!("/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
+        let answer = self.http.get(self.address, &path, wait_ms + READ_MARGIN_MS).await?;
+        Ok(accepted(&answer)?.json()?)
+    }
+}
+
+impl HttpInstanceList {
+    /// Creates the client over an HTTP client of the same thread.
+    pub fn new(http: Client, address: Address) -> Self {
+        Self { http, address }
+    }
+}
+
+impl InstanceList for HttpInstanceList {
+    async fn instances(&self, limit_ms: u64) -> Result<Instances> {
+        let answer = self.http.get(self.address, "/v1/instances", limit_ms).await?;
+        Ok(accepted(&answer)?.json()?)
+    }
+}
+
+fn accepted(answer: &Answer) -> Result<&Answer> {
+    match answer.status {
+        200 => Ok(answer),
+        429 => Err(LogError::RateLimited),
+        503 => Err(LogError::Down),
+        status => Err(LogError::Status { status }),
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/ring/link.rs
@@ -0,0 +1,126 @@
+//! The two ends of a ring.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::{Doorbell, Full, Result};
+
+/// Sending end. Items that find the ring full wait in a bounded queue of the sender until [`Sender::flush`].
+#[derive(Debug)]
+pub struct Sender<T> {
+    producer: rtrb::Producer<T>,
+    receiver_bell: Doorbell,
+    sender_bell: Doorbell,
+    starved: Arc<AtomicBool>,
+    held: VecDeque<T>,
+    held_limit: usize,
+}
+
+/// Receiving end.
+#[derive(Debug)]
+pub struct Receiver<T> {
+    consumer: rtrb::Consumer<T>,
+    sender_bell: Doorbell,
+    starved: Arc<AtomicBool>,
+}
+
+/// Creates a ring of `capacity` items; the sender may hold back up to `held_limit` more.
+pub fn link<T>(
+    capacity: usize,
+    held_limit: usize,
+    sender_bell: &Doorbell,
+    receiver_bell: &Doorbell,
+) -> (Sender<T>, Receiver<T>) {
+    let (producer, consumer) = rtrb::RingBuffer::new(capacity);
+    let starved = Arc::new(AtomicBool::new(false));
+    let sender = Sender {
+        producer,
+        receiver_bell: receiver_bell.clone(),
+        sender_bell: sender_bell.clone(),
+        starved: Arc::clone(&starved),
+        held: VecDeque::new(),
+        held_limit,
+    };
+    let receiver = Receiver { consumer, sender_bell: sender_bell.clone(), starved };
+    (sender, receiver)
+}
+
+impl<T> Sender<T> {
+    /// Sends one item without blocking.
+    ///
+    /// # Errors
+    /// Returns [`Full`] with the item when neither the ring nor the sender's queue has room.
+    pub fn send(&mut self, item: T) -> Result<(), T> {
+        self.flush();
+        if self.held.is_empty() {
+            match self.producer.push(item) {
+                Ok(()) => self.receiver_bell.ring(),
+                Err(rtrb::PushError::Full(item)) => return self.hold(item),
+            }
+            return Ok(());
+        }
+        self.hold(item)
+    }
+
+    /// Moves held items into the ring. The run loop calls this after each wake-up.
+    pub fn flush(&mut self) {
+        let mut moved = false;
+        while let Some(item) = self.held.pop_front() {
+            if let Err(rtrb::PushError::Full(item)) = self.producer.push(item) {
+                self.held.push_front(item);
+                break;
+            }
+            moved = true;
+        }
+        if moved {
+            self.receiver_bell.ring();
+        }
+        if !self.held.is_empty() {
+            self.ask_for_room();
+        }
+    }
+
+    /// Returns how many items wait in the sender's queue.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns whether the receiving thread has ended.
+    pub fn is_abandoned(&self) -> bool {
+        self.producer.is_abandoned()
+    }
+
+    fn hold(&mut self, item: T) -> Result<(), T> {
+        if self.held.len() >= self.held_limit {
+            return Err(Full(item));
+        }
+        self.held.push_back(item);
+        self.ask_for_room();
+        Ok(())
+    }
+
+    fn ask_for_room(&mut self) {
+        self.starved.store(true, Ordering::SeqCst);
+        // The receiver may have emptied the ring before the flag was set, and would then ring nobody.
+        if !self.producer.is_full() {
+            self.sender_bell.ring();
+        }
+    }
+}
+
+impl<T> Receiver<T> {
+    /// Takes the oldest item, if there is one.
+    pub fn receive(&mut self) -> Option<T> {
+        let item = self.consumer.pop().ok();
+        if item.is_some() && self.starved.swap(false, Ordering::SeqCst) {
+            self.sender_bell.ring();
+        }
+        item
+    }
+
+    /// Returns how many items wait in the ring.
+    pub fn waiting(&self) -> usize {
+        self.consumer.slots()
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
