--- /dev/null
+++ b/crates/banyannotch/src/admission/runtime.rs
@@ -0,0 +1,86 @@
+//! Thread of admission: rings in, rings out. Nothing is decided here.
+
+use super::{Action, Admission, Event};
+use crate::clock::Clock;
+use crate::duty::{self, Ports, Supervisor};
+use crate::intake;
+use crate::request::{Outcome, Reply};
+use crate::ring::{Doorbell, Receiver, Sender};
+use crate::routing;
+use crate::telemetry::{Decision, Note};
+
+/// Rings of the duty.
+#[derive(Debug)]
+pub struct Links {
+    /// Wakes the thread.
+    pub bell: Doorbell,
+    /// From intake, execution, routing and configuration.
+    pub inbound: Vec<Receiver<Event>>,
+    /// To intake.
+    pub intake: Sender<intake::Event>,
+    /// To routing.
+    pub routing: Sender<routing::Event>,
+    /// To telemetry.
+    pub telemetry: Sender<Note>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// Returns the error of the operating system when no thread can be created.
+pub fn spawn<C: Clock>(
+    supervisor: &Supervisor,
+    clock: C,
+    links: Links,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let own = supervisor.clone();
+    supervisor.spawn("admission", move || async move {
+        let bell = links.bell.clone();
+        duty::run(clock, bell, Admission::default(), AdmissionPorts { links, supervisor: own }).await;
+    })
+}
+
+struct AdmissionPorts {
+    links: Links,
+    supervisor: Supervisor,
+}
+
+impl Ports for AdmissionPorts {
+    type Event = Event;
+    type Action = Action;
+
+    fn receive(&mut self, events: &mut Vec<Event>) {
+        for ring in &mut self.links.inbound {
+            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
+        }
+    }
+
+    fn perform(&mut self, _now_us: u64, action: Action) {
+        match action {
+            Action::Place(submission) => {
+                let event = routing::Event::Place(submission);
+                self.links.routing.send_or_fail(event, "admission_routing", &self.supervisor);
+            }
+            Action::Refuse { request, reason } => {
+                metrics::counter!("banyannotch_requests_total", "outcome" => "not_run").increment(1);
+                let reply = Reply::Ended { request, outcome: Outcome::NotRun(reason) };
+                let event = intake::Event::Reply(reply);
+                self.links.intake.send_or_fail(event, "admission_intake", &self.supervisor);
+            }
+            Action::Cancel(request) => {
+                let event = routing::Event::Cancel(request);
+                self.links.routing.send_or_fail(event, "admission_routing", &self.supervisor);
+            }
+            Action::Decide(decision) => {
+                metrics::gauge!("banyannotch_in_flight").set(f64::from(decision.in_flight));
+                Note::Decision(Decision::Admission(decision)).send(&mut self.links.telemetry);
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        self.links.intake.flush();
+        self.links.routing.flush();
+        self.links.telemetry.flush();
+    }
+}
--- a/crates/banyannotch/src/configuration/mod.rs
+++ b/crates/banyannotch/src/configuration/mod.rs
@@ -4,9 +4,15 @@
 
 mod document;
 mod error;
+mod messages;
+mod policy;
+mod runtime;
 
 pub use document::{Document, Model, Objective, Preset, PresetName, Presets, Service, Team};
 pub use error::{DocumentError, Result};
+pub use messages::{Action, Change, ChangeRecord, Decision, Event, Refused, STREAM};
+pub use policy::Acceptance;
+pub use runtime::{Links, spawn};
 
 use crate::ids::ConfigVersion;
 
--- a/crates/banyannotch/src/duty.rs
+++ b/crates/banyannotch/src/duty.rs
@@ -144,6 +144,11 @@
         self.ended.wait().await;
     }
 
+    /// Reports a failure that the process cannot go on with.
+    pub fn fail(&self) {
+        self.ended.ring();
+    }
+
     /// Starts the thread of a duty with its own single-threaded system.
     ///
     /// # Errors
--- a/crates/banyannotch/src/entry/mod.rs
+++ b/crates/banyannotch/src/entry/mod.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Puts an entry together: binds the listeners, creates the rings, starts one thread for each duty.
+//!
+//! See "Code structure" in `docs/design.md`.
+
+mod error;
+mod wiring;
+
+pub use error::{EntryError, Result};
+pub use wiring::{Addresses, Entry};
--- /dev/null
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -0,0 +1,248 @@
+//! The rings and threads of an entry.
+
+use std::net::TcpListener;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+
+use super::{EntryError, Result};
+use crate::clock::{Clock, SystemClock};
+use crate::duty::Supervisor;
+use crate::pipeline::Address;
+use crate::random::mix;
+use crate::ring::{Doorbell, Receiver, Sender, link};
+use crate::settings::Settings;
+use crate::telemetry::Note;
+use crate::{admission, configuration, execution, intake, ledger, membership, peers, routing, telemetry};
+
+/// Items of a ring.
+const RING_ITEMS: usize = 1_024;
+
+/// Items that a sender may hold back. It covers the credit of all requests that can be in flight, so that a ring is
+/// full only when its receiver hangs.
+const HELD_ITEMS: usize = 1 << 19;
+
+/// Requests that intake may hold back before it refuses; admission would not finish more in time.
+const HELD_REQUESTS: usize = 4_096;
+
+/// Decisions that a duty may hold back before they are lost and counted.
+const HELD_NOTES: usize = 1 << 14;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    addresses: Addresses,
+    supervisor: Supervisor,
+    drained: Doorbell,
+    stop: Sender<intake::Event>,
+}
+
+/// Where an entry listens; ports that the settings leave open are filled in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: Address,
+    /// For other entries.
+    pub peers: Address,
+    /// For operators.
+    pub operators: Address,
+}
+
+/// Wake-ups of the duties' threads.
+#[derive(Debug, Default)]
+struct Bells {
+    intake: Doorbell,
+    admission: Doorbell,
+    routing: Doorbell,
+    execution: Doorbell,
+    ledger: Doorbell,
+    configuration: Doorbell,
+    membership: Doorbell,
+    peers: Doorbell,
+    telemetry: Doorbell,
+}
+
+/// Creates rings into one duty and collects their receiving ends.
+struct Inbox<E> {
+    bell: Doorbell,
+    receivers: Vec<Receiver<E>>,
+}
+
+impl<E> Inbox<E> {
+    fn new(bell: &Doorbell) -> Self {
+        Self { bell: bell.clone(), receivers: Vec::new() }
+    }
+
+    fn ring_from(&mut self, sender_bell: &Doorbell, held_limit: usize) -> Sender<E> {
+        let (sender, receiver) = link(RING_ITEMS, held_limit, sender_bell, &self.bell);
+        self.receivers.push(receiver);
+        sender
+    }
+}
+
+impl Entry {
+    /// Starts an entry. Its threads run until the process ends.
+    ///
+    /// # Errors
+    /// Returns [`EntryError`] when a listener or thread cannot be had.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let clock = SystemClock::start();
+        let supervisor = Supervisor::default();
+        let drained = Doorbell::default();
+        let bells = Bells::default();
+        let (callers, callers_address) = listen("callers", settings.callers)?;
+        let (operators, operators_address) = listen("operators", settings.operators)?;
+        let (_peers, peers_address) = listen("peers", settings.peers)?;
+        let metrics = PrometheusBuilder::new()
+            .install_recorder()
+            .map_err(|error| EntryError::Metrics(error.to_string()))?;
+
+        let mut to_intake = Inbox::new(&bells.intake);
+        let mut to_admission = Inbox::new(&bells.admission);
+        let mut to_routing = Inbox::new(&bells.routing);
+        let mut to_execution = Inbox::new(&bells.execution);
+        let mut to_ledger = Inbox::new(&bells.ledger);
+        let mut to_membership = Inbox::new(&bells.membership);
+        let mut to_peers = Inbox::new(&bells.peers);
+        let mut to_telemetry: Inbox<Note> = Inbox::new(&bells.telemetry);
+
+        let intake_links = intake::Links {
+            bell: bells.intake.clone(),
+            inbound: Vec::new(),
+            admission: to_admission.ring_from(&bells.intake, HELD_REQUESTS),
+            execution: to_execution.ring_from(&bells.intake, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.intake, HELD_NOTES),
+            drained: drained.clone(),
+        };
+        let admission_links = admission::Links {
+            bell: bells.admission.clone(),
+            inbound: Vec::new(),
+            intake: to_intake.ring_from(&bells.admission, HELD_ITEMS),
+            routing: to_routing.ring_from(&bells.admission, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.admission, HELD_NOTES),
+        };
+        let routing_links = routing::Links {
+            bell: bells.routing.clone(),
+            inbound: Vec::new(),
+            execution: to_execution.ring_from(&bells.routing, HELD_ITEMS),
+            admission: to_admission.ring_from(&bells.routing, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.routing, HELD_NOTES),
+        };
+        let execution_links = execution::Links {
+            bell: bells.execution.clone(),
+            inbound: Vec::new(),
+            intake: to_intake.ring_from(&bells.execution, HELD_ITEMS),
+            admission: to_admission.ring_from(&bells.execution, HELD_ITEMS),
+            routing: to_routing.ring_from(&bells.execution, HELD_ITEMS),
+            ledger: to_ledger.ring_from(&bells.execution, HELD_ITEMS),
+            membership: to_membership.ring_from(&bells.execution, HELD_ITEMS),
+            peers: to_peers.ring_from(&bells.execution, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.execution, HELD_NOTES),
+        };
+        let ledger_links = ledger::Links {
+            bell: bells.ledger.clone(),
+            inbound: Vec::new(),
+            execution: to_execution.ring_from(&bells.ledger, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.ledger, HELD_NOTES),
+        };
+        let configuration_links = configuration::Links {
+            bell: bells.configuration.clone(),
+            intake: to_intake.ring_from(&bells.configuration, HELD_ITEMS),
+            admission: to_admission.ring_from(&bells.configuration, HELD_ITEMS),
+            routing: to_routing.ring_from(&bells.configuration, HELD_ITEMS),
+            peers: to_peers.ring_from(&bells.configuration, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.configuration, HELD_NOTES),
+        };
+        let membership_links = membership::Links {
+            bell: bells.membership.clone(),
+            inbound: Vec::new(),
+            routing: to_routing.ring_from(&bells.membership, HELD_ITEMS),
+            peers: to_peers.ring_from(&bells.membership, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from(&bells.membership, HELD_NOTES),
+        };
+        let telemetry_intake = to_intake.ring_from(&bells.telemetry, HELD_ITEMS);
+        let stop = to_intake.ring_from(&Doorbell::default(), HELD_ITEMS);
+
+        let seed = start_seed(&settings, &clock);
+        let s = &supervisor;
+        telemetry::spawn(
+            s,
+            clock,
+            telemetry::Links {
+                bell: bells.telemetry.clone(),
+                inbound: to_telemetry.receivers,
+                intake: telemetry_intake,
+            },
+            operators,
+            metrics,
+            (settings.instance.to_string(), settings.zone.clone()),
+        )?;
+        peers::spawn(s, peers::Links { bell: bells.peers.clone(), inbound: to_peers.receivers })?;
+        ledger::spawn(s, ledger::Links { inbound: to_ledger.receivers, ..ledger_links })?;
+        execution::spawn(
+            s,
+            clock,
+            execution::Links { inbound: to_execution.receivers, ..execution_links },
+            settings.execution,
+            mix(seed ^ 1),
+        )?;
+        routing::spawn(
+            s,
+            clock,
+            routing::Links { inbound: to_routing.receivers, ..routing_links },
+            mix(seed ^ 2),
+        )?;
+        admission::spawn(s, clock, admission::Links { inbound: to_admission.receivers, ..admission_links })?;
+        membership::spawn(
+            s,
+            clock,
+            membership::Links { inbound: to_membership.receivers, ..membership_links },
+            settings.membership,
+            settings.instance_list,
+        )?;
+        configuration::spawn(s, clock, configuration_links, settings.log)?;
+        intake::spawn(
+            s,
+            clock,
+            intake::Links { inbound: to_intake.receivers, ..intake_links },
+            callers,
+            settings.intake,
+            mix(seed ^ 3),
+        )?;
+        let addresses =
+            Addresses { callers: callers_address, peers: peers_address, operators: operators_address };
+        Ok(Self { addresses, supervisor, drained, stop })
+    }
+
+    /// Returns where the entry listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Begins a graceful shutdown: takes no more requests after a notice and finishes those in flight.
+    pub fn drain(&mut self) {
+        self.stop.send_or_fail(intake::Event::Drain, "daemon_intake", &self.supervisor);
+    }
+
+    /// Waits until all requests of a draining entry have been answered.
+    pub async fn drained(&self) {
+        self.drained.wait().await;
+    }
+
+    /// Waits until a duty's thread has ended, after which the entry cannot keep its promises.
+    pub async fn failed(&self) {
+        self.supervisor.wait().await;
+    }
+}
+
+/// Different at each start, so that identifiers of two starts never meet.
+fn start_seed<C: Clock>(settings: &Settings, clock: &C) -> u64 {
+    let name = settings.instance.as_str().bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+    mix(name ^ clock.unix_ms()) ^ mix(u64::from(std::process::id()))
+}
+
+fn listen(port: &'static str, address: Address) -> Result<(TcpListener, Address)> {
+    let failed = |source| EntryError::Listen { port, address, source };
+    let listener = TcpListener::bind(address).map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
--- /dev/null
+++ b/crates/banyannotch/src/execution/runtime.rs
@@ -0,0 +1,297 @@
+//! Thread of execution: rings in, steps and calls out. Nothing is decided here.
+
+use std::time::Duration;
+
+use super::error::{CallFault, StepFault};
+use super::{
+    Action, CallOrder, CallReport, Event, Execution, ExecutionSettings, Progress, StepInput, StepOrder,
+    StepOutput, StepReport, StepResult,
+};
+use crate::clock::Clock;
+use crate::duty::{self, Mailbox, Ports, Supervisor};
+use crate::engine::{
+    CacheName, CallRequest, EndpointClient, Input, Output, StepAnswer, StepError, StepRequest,
+};
+use crate::http::{CallError, Client, ClientSettings};
+use crate::pipeline::Target;
+use crate::ring::{Doorbell, Receiver, Sender};
+use crate::routing::Observation;
+use crate::telemetry::{Decision, Note};
+use crate::{admission, intake, ledger, membership, peers, routing};
+
+/// How long freeing a cache may take.
+const RELEASE_LIMIT_MS: u64 = 1_000;
+
+/// Observations that are collected before routing is woken for them.
+const OBSERVATION_BATCH: usize = 64;
+
+/// Rings of the duty.
+#[derive(Debug)]
+pub struct Links {
+    /// Wakes the thread.
+    pub bell: Doorbell,
+    /// From routing, intake, the ledger and the peers.
+    pub inbound: Vec<Receiver<Event>>,
+    /// To intake.
+    pub intake: Sender<intake::Event>,
+    /// To admission.
+    pub admission: Sender<admission::Event>,
+    /// To routing.
+    pub routing: Sender<routing::Event>,
+    /// To the ledger.
+    pub ledger: Sender<ledger::Event>,
+    /// To membership.
+    pub membership: Sender<membership::Event>,
+    /// To the peers.
+    pub peers: Sender<peers::Event>,
+    /// To telemetry.
+    pub telemetry: Sender<Note>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// Returns the error of the operating system when no thread can be created.
+pub fn spawn<C: Clock>(
+    supervisor: &Supervisor,
+    clock: C,
+    links: Links,
+    settings: ExecutionSettings,
+    seed: u64,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let own = supervisor.clone();
+    supervisor.spawn("execution", move || async move {
+        let bell = links.bell.clone();
+        let probe_limit_ms = settings.probe_timeout_ms;
+        let client = EndpointClient::new(Client::new(ClientSettings::default()));
+        let mailbox = Mailbox::new(&bell);
+        let ports = ExecutionPorts {
+            links,
+            client,
+            mailbox,
+            probe_limit_ms,
+            supervisor: own,
+            observations: Vec::new(),
+        };
+        duty::run(clock, bell, Execution::new(settings, seed), ports).await;
+    })
+}
+
+struct ExecutionPorts {
+    links: Links,
+    client: EndpointClient,
+    mailbox: Mailbox<Event>,
+    probe_limit_ms: u64,
+    supervisor: Supervisor,
+    observations: Vec<Observation>,
+}
+
+impl Ports for ExecutionPorts {
+    type Event = Event;
+    type Action = Action;
+
+    fn receive(&mut self, events: &mut Vec<Event>) {
+        self.mailbox.take_into(events);
+        for ring in &mut self.links.inbound {
+            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
+        }
+    }
+
+    fn perform(&mut self, _now_us: u64, action: Action) {
+        match action {
+            Action::Step(order) => self.step(*order),
+            Action::Call(order) => self.call(*order),
+            Action::Release { address, cache } => {
+                let client = self.client.clone();
+                actix_rt::spawn(async move {
+                    if let Err(error) = client.cancel(address, CacheName { cache }, RELEASE_LIMIT_MS).await {
+                        log::debug!("event=release_failed cache={cache} error={error}");
+                    }
+                });
+            }
+            Action::Probe(target) => self.probe(target),
+            Action::Reply(reply) => {
+                self.links.intake.send_or_fail(
+                    intake::Event::Reply(reply),
+                    "execution_intake",
+                    &self.supervisor,
+                );
+            }
+            Action::Reroute(reroute) => {
+                let event = routing::Event::Reroute(reroute);
+                self.links.routing.send_or_fail(event, "execution_routing", &self.supervisor);
+            }
+            Action::Finished(finished) => {
+                let event = routing::Event::Finished(finished.request);
+                self.links.routing.send_or_fail(event, "execution_routing", &self.supervisor);
+                let event = admission::Event::Finished(finished);
+                self.links.admission.send_or_fail(event, "execution_admission", &self.supervisor);
+            }
+            Action::Observed(observation) => {
+                self.observations.push(observation);
+                if self.observations.len() >= OBSERVATION_BATCH {
+                    let event = routing::Event::Observed(std::mem::take(&mut self.observations));
+                    self.links.routing.send_or_fail(event, "execution_routing", &self.supervisor);
+                }
+            }
+            Action::Failed { endpoint, refused } => {
+                let event = membership::Event::Failed { endpoint, refused };
+                self.links.membership.send_or_fail(event, "execution_membership", &self.supervisor);
+            }
+            Action::Ledger(event) => {
+                self.links.ledger.send_or_fail(event, "execution_ledger", &self.supervisor);
+            }
+            Action::Announce(suspicions) => {
+                let event = peers::Event::Suspected(suspicions);
+                self.links.peers.send_or_fail(event, "execution_peers", &self.supervisor);
+            }
+            Action::Decide(decision) => {
+                count(&decision);
+                Note::Decision(Decision::Execution(decision)).send(&mut self.links.telemetry);
+            }
+            Action::Violated { invariant, request } => {
+                metrics::counter!("banyannotch_invariant_violations_total", "invariant" => invariant.name())
+                    .increment(1);
+                log::error!("event=invariant_violated invariant={} request={request}", invariant.name());
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        self.links.intake.flush();
+        self.links.admission.flush();
+        self.links.routing.flush();
+        self.links.ledger.flush();
+        self.links.membership.flush();
+        self.links.peers.flush();
+        self.links.telemetry.flush();
+    }
+}
+
+impl ExecutionPorts {
+    fn step(&self, order: StepOrder) {
+        let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
+        actix_rt::spawn(async move {
+            let address = order.target.address;
+            let limit_ms = order.limit_ms;
+            let wire = to_wire(order);
+            let answer = client.step(address, &wire, limit_ms).await;
+            let result = match answer {
+                Ok(answer) => check_echo(&wire, answer),
+                Err(error) => Err(step_fault(error)),
+            };
+            let report =
+                StepReport { request: wire.request, cache: wire.cache, position: wire.position, result };
+            mailbox.put(Event::Stepped(report));
+        });
+    }
+
+    fn call(&self, order: CallOrder) {
+        let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
+        actix_rt::spawn(async move {
+            let result = match serde_json::from_str(&order.payload) {
+                Ok(payload) => {
+                    let wire = CallRequest { operation: order.operation, payload, key: order.key };
+                    let answer = client.call(order.target.address, &wire, order.limit_ms).await;
+                    answer.map(|answer| answer.result.to_string()).map_err(|error| call_fault(&error))
+                }
+                // Intake lets only JSON pass; without it nothing is sent.
+                Err(_) => Err(CallFault::Refused),
+            };
+            mailbox.put(Event::Called(CallReport { request: order.request, attempt: order.attempt, result }));
+        });
+    }
+
+    fn probe(&self, target: Target) {
+        let (client, mailbox, limit_ms) = (self.client.clone(), self.mailbox.clone(), self.probe_limit_ms);
+        actix_rt::spawn(async move {
+            let progress = match client.engine_load(target.address, limit_ms).await {
+                Ok(load) if load.incarnation == target.endpoint.incarnation => {
+                    Progress::Batches(load.batches)
+                }
+                // Another incarnation at this address means that the one that was asked for has ended.
+                Ok(_) => Progress::Refused,
+                Err(StepError::Call(CallError::NotSent(_))) => Progress::Refused,
+                Err(StepError::Call(CallError::BadAnswer(_))) => Progress::Batches(0),
+                Err(_) => Progress::Silent,
+            };
+            mailbox.put(Event::Probed { endpoint: target.endpoint, progress });
+        });
+    }
+}
+
+fn to_wire(order: StepOrder) -> StepRequest {
+    let input = match order.input {
+        StepInput::Prompt { prompt, tokens } => Input::Prompt { prompt, tokens },
+        StepInput::Token(token) => Input::Tokens { tokens: vec![token] },
+        StepInput::Hidden(hidden) => Input::Hidden { hidden },
+    };
+    StepRequest {
+        cache: order.cache,
+        request: order.request,
+        attempt: order.attempt,
+        model: order.model,
+        version: order.version,
+        layers: order.layers,
+        position: order.position,
+        input,
+        priority: order.priority,
+    }
+}
+
+/// Refuses an answer that belongs to another step.
+fn check_echo(step: &StepRequest, answer: StepAnswer) -> std::result::Result<StepResult, StepFault> {
+    let same = step.cache == answer.cache
+        && step.request == answer.request
+        && step.attempt == answer.attempt
+        && step.layers == answer.layers
+        && step.position == answer.position;
+    if !same {
+        metrics::counter!("banyannotch_foreign_answers_total").increment(1);
+        return Err(StepFault::BadAnswer);
+    }
+    let output = match answer.output {
+        Output::Hidden(hidden) => StepOutput::Hidden(hidden),
+        Output::Token(token) => StepOutput::Token { id: token.id, text: token.text, end: token.end },
+    };
+    Ok(StepResult { count: answer.count, output })
+}
+
+fn step_fault(error: StepError) -> StepFault {
+    match error {
+        StepError::Refused(refusal) => StepFault::Refused { reason: refusal.error },
+        StepError::Status { .. } => StepFault::BadAnswer,
+        StepError::Call(CallError::NotSent(_)) => StepFault::NotSent,
+        StepError::Call(CallError::Broken(_)) => StepFault::Broken,
+        StepError::Call(CallError::TimedOut { .. }) => StepFault::TimedOut,
+        StepError::Call(CallError::BadAnswer(_)) => StepFault::BadAnswer,
+    }
+}
+
+fn call_fault(error: &StepError) -> CallFault {
+    match error {
+        StepError::Refused(_) => CallFault::Refused,
+        StepError::Status { .. } => CallFault::Failed,
+        StepError::Call(CallError::NotSent(_)) => CallFault::NotSent,
+        StepError::Call(CallError::Broken(_) | CallError::BadAnswer(_)) => CallFault::Broken,
+        StepError::Call(CallError::TimedOut { .. }) => CallFault::TimedOut,
+    }
+}
+
+fn count(decision: &super::Decision) {
+    match decision {
+        super::Decision::Ended { outcome, .. } => {
+            metrics::counter!("banyannotch_requests_total", "outcome" => *outcome).increment(1);
+        }
+        super::Decision::Recovered { method, stalled_us, .. } => {
+            metrics::counter!("banyannotch_recoveries_total", "method" => method.name()).increment(1);
+            let stalled_s = Duration::from_micros(*stalled_us).as_secs_f64();
+            metrics::histogram!("banyannotch_recovery_stall_seconds").record(stalled_s);
+        }
+        super::Decision::Fault { .. } => metrics::counter!("banyannotch_faults_total").increment(1),
+        super::Decision::Quarantined { .. } => {
+            metrics::counter!("banyannotch_quarantined_total").increment(1);
+        }
+        super::Decision::Dispatched { .. } => {}
+    }
+}
--- a/crates/banyannotch/src/http/body.rs
+++ b/crates/banyannotch/src/http/body.rs
@@ -22,7 +22,7 @@
 pub struct EventStream {
     parts: mpsc::UnboundedReceiver<Bytes>,
     end: Option<StreamEnd>,
-    taken: mpsc::UnboundedSender<usize>,
+    taken: mpsc::UnboundedSender<u32>,
 }
 
 /// Dropped together with the stream, so that its owner can see that nobody reads any more.
@@ -42,7 +42,7 @@
     pub fn new(
         parts: mpsc::UnboundedReceiver<Bytes>,
         end: StreamEnd,
-        taken: mpsc::UnboundedSender<usize>,
+        taken: mpsc::UnboundedSender<u32>,
     ) -> Self {
         Self { parts, end: Some(end), taken }
     }
--- a/crates/banyannotch/src/http/mod.rs
+++ b/crates/banyannotch/src/http/mod.rs
@@ -12,4 +12,7 @@
 pub use body::{Body, EventStream, StreamEnd};
 pub use client::{Answer, Client, ClientSettings};
 pub use error::{CallError, InputError, Result};
-pub use server::{Handler, Request, Response, ServerSettings, empty, json, read_body, read_json, serve};
+pub use server::{
+    Handler, Request, Response, ServerSettings, empty, events, json, listener_from_std, read_body, read_json,
+    serve, text,
+};
--- a/crates/banyannotch/src/http/server.rs
+++ b/crates/banyannotch/src/http/server.rs
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 
-use super::{Body, InputError, Result};
+use super::{Body, EventStream, InputError, Result};
 
 /// A request that a listener received.
 pub type Request = actix_http::Request;
@@ -143,6 +143,27 @@
     }
 }
 
+/// Creates a plain text response.
+pub fn text(status: u16, body: String) -> Response {
+    with_type(status, "text/plain; charset=utf-8", Bytes::from(body))
+}
+
+/// Creates a response whose server-sent events arrive over time.
+pub fn events(stream: EventStream) -> Response {
+    let mut response = actix_http::Response::with_body(StatusCode::OK, Body::Events(stream));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response
+}
+
+/// Takes over a listener that was bound before the thread started.
+///
+/// # Errors
+/// Returns the error of the operating system.
+pub fn listener_from_std(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 /// Creates a response without a body.
 pub fn empty(status: u16) -> Response {
     with_type(status, "application/json", Bytes::new())
--- /dev/null
+++ b/crates/banyannotch/src/intake/front.rs
@@ -0,0 +1,313 @@
+//! The HTTP front end: decodes requests, encodes answers. It decides nothing.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use actix_http::HttpMessage;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{CallerRequest, CallerWork, Event};
+use crate::duty::Mailbox;
+use crate::http::{
+    EventStream, Handler, InputError, Request, Response, ServerSettings, StreamEnd, events,
+    json as json_response, read_json,
+};
+use crate::ids::RequestId;
+use crate::request::{Completion, Failure, NotRun, Outcome};
+use crate::table::Table;
+
+/// Body of `POST /v1/generate`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GenerateBody {
+    model: String,
+    prompt: String,
+    max_tokens: Option<u32>,
+    deadline_ms: Option<u64>,
+    priority: Option<u8>,
+    request_id: Option<String>,
+}
+
+/// Body of `POST /v1/call`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallBody {
+    service: String,
+    operation: String,
+    #[serde(default)]
+    payload: Value,
+    deadline_ms: Option<u64>,
+    priority: Option<u8>,
+    #[serde(default)]
+    idempotent: bool,
+    key: Option<String>,
+    key_time_ms: Option<u64>,
+    request_id: Option<String>,
+}
+
+/// Response of a request: nothing sent yet, or a stream that has begun.
+#[derive(Debug)]
+enum Channel {
+    Head(oneshot::Sender<Response>),
+    Stream(mpsc::UnboundedSender<Bytes>),
+}
+
+/// State that the handler shares with the ports of the thread.
+#[derive(Debug)]
+pub(super) struct Front {
+    channels: RefCell<Table<RequestId, Channel>>,
+    mailbox: Mailbox<Event>,
+    id_prefix: u128,
+    next_id: Cell<u64>,
+    ready: Cell<bool>,
+}
+
+/// Handles callers' HTTP requests.
+#[derive(Clone, Debug)]
+pub(super) struct FrontHandler {
+    pub front: Rc<Front>,
+    pub settings: ServerSettings,
+}
+
+impl Handler for FrontHandler {
+    async fn handle(&self, mut request: Request) -> Response {
+        let path = request.path().to_owned();
+        match (request.method().as_str(), path.as_str()) {
+            ("GET", "/healthz") => json_response(200, &json!({ "status": "ok" })),
+            ("GET", "/readyz") => {
+                let ready = self.front.ready.get();
+                json_response(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
+            }
+            ("POST", "/v1/generate" | "/v1/call") => {
+                let token_sha256 = token_hash(&request);
+                match self.decode(&path, &mut request, token_sha256).await {
+                    Ok(arrived) => self.front.submit(arrived).await,
+                    Err(error) => {
+                        log::info!("event=rejected path={path} reason=\"{error}\"");
+                        json_response(error.status(), &rejected("malformed", &error.to_string()))
+                    }
+                }
+            }
+            _ => json_response(404, &rejected("unknown_path", "allowed: POST /v1/generate, POST /v1/call")),
+        }
+    }
+}
+
+impl FrontHandler {
+    async fn decode(
+        &self,
+        path: &str,
+        request: &mut Request,
+        token_sha256: String,
+    ) -> std::result::Result<CallerRequest, InputError> {
+        let id = self.front.new_id();
+        if path == "/v1/generate" {
+            let body: GenerateBody = read_json(request, &self.settings).await?;
+            return Ok(CallerRequest {
+                request: id,
+                token_sha256,
+                deadline_ms: body.deadline_ms,
+                priority: body.priority,
+                reference: body.request_id,
+                work: CallerWork::Generate {
+                    model: body.model,
+                    prompt: body.prompt,
+                    max_tokens: body.max_tokens,
+                },
+            });
+        }
+        let body: CallBody = read_json(request, &self.settings).await?;
+        Ok(CallerRequest {
+            request: id,
+            token_sha256,
+            deadline_ms: body.deadline_ms,
+            priority: body.priority,
+            reference: body.request_id,
+            work: CallerWork::Call {
+                service: body.service,
+                operation: body.operation,
+                payload: body.payload.to_string(),
+                idempotent: body.idempotent,
+                key: body.key,
+                key_time_ms: body.key_time_ms,
+            },
+        })
+    }
+}
+
+impl Front {
+    /// Creates the front; the prefix makes request identifiers unique over all entries.
+    pub fn new(mailbox: Mailbox<Event>, id_prefix: u64) -> Self {
+        Self {
+            channels: RefCell::default(),
+            mailbox,
+            id_prefix: u128::from(id_prefix) << 64,
+            next_id: Cell::new(1),
+            ready: Cell::new(false),
+        }
+    }
+
+    /// Sets what `/readyz` answers.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.set(ready);
+    }
+
+    fn new_id(&self) -> RequestId {
+        let number = self.next_id.get();
+        self.next_id.set(number + 1);
+        RequestId(self.id_prefix | u128::from(number))
+    }
+
+    /// Gives a request to the policy and waits for the head of its response.
+    async fn submit(&self, arrived: CallerRequest) -> Response {
+        let request = arrived.request;
+        let (sender, receiver) = oneshot::channel();
+        self.channels.borrow_mut().insert(request, Channel::Head(sender));
+        self.mailbox.put(Event::Arrived(Box::new(arrived)));
+        let gone = GoneGuard { request: Some(request), mailbox: self.mailbox.clone() };
+        let response = receiver.await;
+        gone.disarm();
+        response.unwrap_or_else(|_| json_response(500, &rejected("internal", "the request was dropped")))
+    }
+
+    /// Sends a caller one token; the first one begins the stream.
+    pub fn token(&self, request: RequestId, index: u32, id: u32, text: &str) {
+        let event = sse("token", &json!({ "index": index, "id": id, "text": text }));
+        let mut channels = self.channels.borrow_mut();
+        let Some(channel) = channels.get_mut(&request) else { return };
+        if let Channel::Head(_) = channel {
+            let (parts, stream) = self.open_stream(request);
+            let head = std::mem::replace(channel, Channel::Stream(parts));
+            if let Channel::Head(sender) = head {
+                // A caller who has gone is noticed by the guard of `submit`.
+                let _ = sender.send(events(stream));
+            }
+        }
+        if let Channel::Stream(parts) = channel {
+            // A caller who has gone is noticed by the stream's end.
+            let _ = parts.send(event);
+        }
+    }
+
+    /// Sends a caller the outcome and ends the response.
+    pub fn end(&self, request: RequestId, outcome: &Outcome, tokens: u32) {
+        let body = outcome_body(request, outcome, tokens);
+        match self.channels.borrow_mut().remove(&request) {
+            Some(Channel::Head(sender)) => {
+                let _ = sender.send(json_response(outcome_status(outcome), &body));
+            }
+            Some(Channel::Stream(parts)) => {
+                let _ = parts.send(sse("outcome", &body));
+            }
+            None => {}
+        }
+    }
+
+    /// Answers a caller that the request is rejected.
+    pub fn reject(&self, request: RequestId, status: u16, reason: &str, detail: &str) {
+        if let Some(Channel::Head(sender)) = self.channels.borrow_mut().remove(&request) {
+            let _ = sender.send(json_response(status, &rejected(reason, detail)));
+        }
+    }
+
+    /// Forgets the response of a caller who went away.
+    pub fn forget(&self, request: RequestId) {
+        self.channels.borrow_mut().remove(&request);
+    }
+
+    /// Creates the stream of a response, and reports what the caller takes and when it goes.
+    fn open_stream(&self, request: RequestId) -> (mpsc::UnboundedSender<Bytes>, EventStream) {
+        let (parts, receiver) = mpsc::unbounded_channel();
+        let (taken, mut taken_receiver) = mpsc::unbounded_channel();
+        let (end, ended) = StreamEnd::new();
+        let mailbox = self.mailbox.clone();
+        actix_rt::spawn(async move {
+            let mut ended = ended;
+            loop {
+                tokio::select! {
+                    Some(tokens) = taken_receiver.recv() => {
+                        mailbox.put(Event::Taken { request, tokens });
+                    }
+                    _ = &mut ended => {
+                        mailbox.put(Event::Gone(request));
+                        return;
+                    }
+                }
+            }
+        });
+        (parts, EventStream::new(receiver, end, taken))
+    }
+}
+
+/// Reports a caller who goes away before the response has begun.
+struct GoneGuard {
+    request: Option<RequestId>,
+    mailbox: Mailbox<Event>,
+}
+
+impl GoneGuard {
+    fn disarm(mut self) {
+        self.request = None;
+    }
+}
+
+impl Drop for GoneGuard {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.mailbox.put(Event::Gone(request));
+        }
+    }
+}
+
+fn token_hash(request: &Request) -> String {
+    let header = request.headers().get("authorization").and_then(|value| value.to_str().ok());
+    match header.and_then(|value| value.strip_prefix("Bearer ")) {
+        Some(token) => Sha256::digest(token.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect(),
+        None => String::new(),
+    }
+}
+
+fn sse(event: &str, data: &Value) -> Bytes {
+    Bytes::from(format!("event: {event}\ndata: {data}\n\n"))
+}
+
+fn rejected(reason: &str, detail: &str) -> Value {
+    json!({ "outcome": "not_run", "reason": reason, "error": detail })
+}
+
+fn outcome_body(request: RequestId, outcome: &Outcome, tokens: u32) -> Value {
+    let (kind, reason) = (outcome.kind(), outcome.reason());
+    match outcome {
+        Outcome::Completed(Completion::Called { result }) => {
+            // The service's answer was JSON when it was read.
+            let result: Value = serde_json::from_str(result).unwrap_or(Value::Null);
+            json!({ "outcome": kind, "reason": reason, "request": request, "result": result })
+        }
+        _ => json!({ "outcome": kind, "reason": reason, "request": request, "tokens": tokens }),
+    }
+}
+
+/// HTTP status of an outcome that comes before any token.
+fn outcome_status(outcome: &Outcome) -> u16 {
+    match outcome {
+        Outcome::Completed(_) => 200,
+        Outcome::NotRun(reason) => match reason {
+            NotRun::KeyConflict => 409,
+            NotRun::KeyExpired | NotRun::KeyFromFuture | NotRun::Quarantined => 422,
+            NotRun::QueueFull => 429,
+            NotRun::Deadline => 504,
+            NotRun::Cancelled => 499,
+            NotRun::Draining
+            | NotRun::LedgerUnavailable
+            | NotRun::NoRoute
+            | NotRun::Refused
+            | NotRun::Unconfigured => 503,
+        },
+        Outcome::Failed(Failure::Deadline) => 504,
+        Outcome::Failed(_) | Outcome::Unknown(_) => 502,
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/intake/policy.rs
@@ -0,0 +1,230 @@
+//! Checks requests, authenticates teams, and passes each answer to its own caller in order.
+
+use std::sync::Arc;
+
+use subtle::ConstantTimeEq;
+
+use super::state::{IntakeSettings, Open};
+use super::{Action, CallerRequest, CallerWork, Event, Rejection, Result};
+use crate::clock::US_PER_MS;
+use crate::configuration::{Configuration, Preset};
+use crate::duty::Duty;
+use crate::execution::Invariant;
+use crate::ids::{ModelId, RequestId, ServiceId, TeamId};
+use crate::request::{Call, Generation, IdempotencyKey, Outcome, Repeat, Reply, Submission, Work};
+use crate::table::Table;
+
+/// Highest priority; the lowest is 0.
+const PRIORITY_LIMIT: u8 = 9;
+
+/// Priority of a request that gives none.
+const DEFAULT_PRIORITY: u8 = 5;
+
+/// Longest key of a non-idempotent request.
+const KEY_LIMIT_BYTES: u64 = 256;
+
+/// The policy of intake.
+#[derive(Debug)]
+pub struct Intake {
+    settings: IntakeSettings,
+    configuration: Option<Arc<Configuration>>,
+    certain: bool,
+    /// When a draining entry stops taking requests.
+    closing_us: Option<u64>,
+    closed: bool,
+    open: Table<RequestId, Open>,
+}
+
+impl Intake {
+    /// Creates the policy of an entry without configuration.
+    pub fn new(settings: IntakeSettings) -> Self {
+        Self {
+            settings,
+            configuration: None,
+            certain: true,
+            closing_us: None,
+            closed: false,
+            open: Table::default(),
+        }
+    }
+
+    fn on_arrived(&mut self, now_us: u64, arrived: CallerRequest, actions: &mut Vec<Action>) {
+        let request = arrived.request;
+        match self.check(now_us, arrived) {
+            Ok(submission) => {
+                self.open.insert(request, Open::default());
+                actions.push(Action::Submit(Box::new(submission)));
+            }
+            Err(rejection) => actions.push(Action::Reject { request, rejection }),
+        }
+    }
+
+    fn check(&self, now_us: u64, arrived: CallerRequest) -> Result<Submission> {
+        if self.closed {
+            return Err(Rejection::Draining);
+        }
+        let configuration = self.configuration.as_ref().filter(|_| self.certain);
+        let configuration = configuration.ok_or(Rejection::Unconfigured)?;
+        let team = authenticate(configuration, &arrived.token_sha256)?;
+        let preset = configuration.active();
+        let deadline_ms = arrived.deadline_ms.unwrap_or(preset.default_deadline_ms);
+        in_range("deadline_ms", deadline_ms, 1, preset.max_deadline_ms)?;
+        let priority = arrived.priority.unwrap_or(DEFAULT_PRIORITY);
+        in_range("priority", u64::from(priority), 0, u64::from(PRIORITY_LIMIT))?;
+        let work = check_work(configuration, preset, &team, arrived.work)?;
+        Ok(Submission {
+            request: arrived.request,
+            caller_reference: arrived.reference,
+            team,
+            arrived_us: now_us,
+            deadline_us: now_us + deadline_ms * US_PER_MS,
+            priority,
+            work,
+            configuration: Arc::clone(configuration),
+        })
+    }
+
+    fn on_token(&mut self, request: RequestId, index: u32, id: u32, text: String, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        if open.next_index != index {
+            actions.push(Action::Violated { request, invariant: Invariant::TokenOrder });
+            return;
+        }
+        open.next_index += 1;
+        if open.gone {
+            return;
+        }
+        actions.push(Action::Token { request, index, id, text });
+    }
+
+    fn on_ended(&mut self, request: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.remove(&request) else {
+            actions.push(Action::Violated { request, invariant: Invariant::OneOutcome });
+            return;
+        };
+        if !open.gone {
+            actions.push(Action::End { request, outcome, tokens: open.next_index });
+        }
+        self.check_drained(actions);
+    }
+
+    fn on_taken(&mut self, request: RequestId, tokens: u32, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        open.uncredited_tokens += tokens;
+        if open.uncredited_tokens >= self.settings.credit_batch_tokens {
+            let tokens = std::mem::take(&mut open.uncredited_tokens);
+            actions.push(Action::Credit { request, tokens });
+        }
+    }
+
+    fn on_gone(&mut self, request: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        if !std::mem::replace(&mut open.gone, true) {
+            actions.push(Action::Cancel(request));
+        }
+    }
+
+    fn check_drained(&self, actions: &mut Vec<Action>) {
+        if self.closed && self.open.is_empty() {
+            actions.push(Action::Drained);
+        }
+    }
+}
+
+impl Duty for Intake {
+    type Event = Event;
+    type Action = Action;
+
+    fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Arrived(arrived) => self.on_arrived(now_us, *arrived, actions),
+            Event::Reply(Reply::Token { request, index, id, text }) => {
+                self.on_token(request, index, id, text, actions);
+            }
+            Event::Reply(Reply::Ended { request, outcome }) => self.on_ended(request, outcome, actions),
+            Event::Taken { request, tokens } => self.on_taken(request, tokens, actions),
+            Event::Gone(request) => self.on_gone(request, actions),
+            Event::Configured(configuration) => self.configuration = Some(configuration),
+            Event::Certain(certain) => self.certain = certain,
+            Event::Drain => {
+                let notice_us = self.settings.drain_notice_ms * US_PER_MS;
+                self.closing_us.get_or_insert(now_us + notice_us);
+            }
+        }
+    }
+
+    fn next_timer_us(&self) -> Option<u64> {
+        self.closing_us.filter(|_| !self.closed)
+    }
+
+    fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        if self.closing_us.is_some_and(|closing_us| closing_us <= now_us) {
+            self.closed = true;
+            self.check_drained(actions);
+        }
+    }
+}
+
+/// Finds the team of a token hash. Every team is compared, each in constant time.
+fn authenticate(configuration: &Configuration, token_sha256: &str) -> Result<TeamId> {
+    let mut found = None;
+    for team in &configuration.document.teams {
+        let equal = team.token_sha256.as_bytes().ct_eq(token_sha256.as_bytes());
+        if bool::from(equal) {
+            found = Some(&team.name);
+        }
+    }
+    found.cloned().ok_or(Rejection::UnknownTeam)
+}
+
+fn check_work(
+    configuration: &Configuration,
+    preset: &Preset,
+    team: &TeamId,
+    work: CallerWork,
+) -> Result<Work> {
+    match work {
+        CallerWork::Generate { model, prompt, max_tokens } => {
+            let name = ModelId::from(model.as_str());
+            if configuration.document.model(&name).is_none() {
+                return Err(Rejection::UnknownModel { name: model });
+            }
+            if prompt.is_empty() {
+                return Err(Rejection::Missing { key: "prompt", allowed: "a text that is not empty" });
+            }
+            let max_tokens = max_tokens.unwrap_or(preset.max_tokens);
+            in_range("max_tokens", u64::from(max_tokens), 1, u64::from(preset.max_tokens))?;
+            Ok(Work::Generate(Generation { model: name, prompt, max_tokens }))
+        }
+        CallerWork::Call { service, operation, payload, idempotent, key, key_time_ms } => {
+            let name = ServiceId::from(service.as_str());
+            if configuration.document.service(&name).is_none() {
+                return Err(Rejection::UnknownService { name: service });
+            }
+            let repeat = check_repeat(team, idempotent, key, key_time_ms)?;
+            Ok(Work::Call(Call { service: name, operation, payload, repeat }))
+        }
+    }
+}
+
+fn check_repeat(
+    team: &TeamId,
+    idempotent: bool,
+    key: Option<String>,
+    key_time_ms: Option<u64>,
+) -> Result<Repeat> {
+    if idempotent {
+        return Ok(Repeat::Idempotent);
+    }
+    let key = key.ok_or(Rejection::Missing { key: "key", allowed: "a text, unless idempotent is true" })?;
+    in_range("key length", key.len() as u64, 1, KEY_LIMIT_BYTES)?;
+    let made_ms = key_time_ms.ok_or(Rejection::Missing {
+        key: "key_time_ms",
+        allowed: "when the key was made, in Unix milliseconds",
+    })?;
+    Ok(Repeat::AtMostOnce(IdempotencyKey { team: team.clone(), key, made_ms }))
+}
+
+fn in_range(key: &'static str, value: u64, low: u64, high: u64) -> Result<()> {
+    if (low..=high).contains(&value) { Ok(()) } else { Err(Rejection::OutOfRange { key, value, low, high }) }
+}
--- /dev/null
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -0,0 +1,141 @@
+//! Thread of intake: the callers' listener in, rings in and out. Nothing is decided here.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use super::front::{Front, FrontHandler};
+use super::{Action, Event, Intake, IntakeSettings};
+use crate::admission;
+use crate::clock::Clock;
+use crate::duty::{self, Mailbox, Ports, Supervisor};
+use crate::execution;
+use crate::http::{ServerSettings, listener_from_std, serve};
+use crate::request::{NotRun, Outcome, Reply};
+use crate::ring::{Doorbell, Full, Receiver, Sender};
+use crate::telemetry::Note;
+
+/// Rings of the duty.
+#[derive(Debug)]
+pub struct Links {
+    /// Wakes the thread.
+    pub bell: Doorbell,
+    /// From admission, execution, configuration and telemetry.
+    pub inbound: Vec<Receiver<Event>>,
+    /// To admission.
+    pub admission: Sender<admission::Event>,
+    /// To execution.
+    pub execution: Sender<execution::Event>,
+    /// To telemetry.
+    pub telemetry: Sender<Note>,
+    /// Rung when everything has been answered while draining.
+    pub drained: Doorbell,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// Returns the error of the operating system when no thread can be created.
+pub fn spawn<C: Clock>(
+    supervisor: &Supervisor,
+    clock: C,
+    links: Links,
+    listener: TcpListener,
+    settings: IntakeSettings,
+    id_prefix: u64,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let own = supervisor.clone();
+    supervisor.spawn("intake", move || async move {
+        let bell = links.bell.clone();
+        let mailbox = Mailbox::new(&bell);
+        let front = Rc::new(Front::new(mailbox.clone(), id_prefix));
+        let handler = FrontHandler { front: Rc::clone(&front), settings: ServerSettings::default() };
+        match listener_from_std(listener) {
+            Ok(listener) => {
+                actix_rt::spawn(serve(listener, handler.settings, handler));
+            }
+            Err(error) => {
+                log::error!("event=listener_failed port=callers error={error}");
+                return;
+            }
+        }
+        let ports = IntakePorts { links, mailbox, front, supervisor: own };
+        duty::run(clock, bell, Intake::new(settings), ports).await;
+    })
+}
+
+struct IntakePorts {
+    links: Links,
+    mailbox: Mailbox<Event>,
+    front: Rc<Front>,
+    supervisor: Supervisor,
+}
+
+impl Ports for IntakePorts {
+    type Event = Event;
+    type Action = Action;
+
+    fn receive(&mut self, events: &mut Vec<Event>) {
+        self.mailbox.take_into(events);
+        let begin = events.len();
+        for ring in &mut self.links.inbound {
+            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
+        }
+        for event in events.iter().skip(begin) {
+            match event {
+                Event::Configured(_) => self.front.set_ready(true),
+                Event::Certain(certain) => self.front.set_ready(*certain),
+                Event::Drain => {
+                    self.front.set_ready(false);
+                    Note::Draining.send(&mut self.links.telemetry);
+                }
+                Event::Arrived(_) | Event::Reply(_) | Event::Taken { .. } | Event::Gone(_) => {}
+            }
+        }
+    }
+
+    fn perform(&mut self, _now_us: u64, action: Action) {
+        match action {
+            Action::Submit(submission) => {
+                if let Err(Full(admission::Event::Submit(submission))) =
+                    self.links.admission.send(admission::Event::Submit(submission))
+                {
+                    let request = submission.request;
+                    let outcome = Outcome::NotRun(NotRun::QueueFull);
+                    log::warn!("event=ring_full ring=intake_admission request={request} action=refuse");
+                    self.mailbox.put(Event::Reply(Reply::Ended { request, outcome }));
+                }
+            }
+            Action::Reject { request, rejection } => {
+                log::info!(
+                    "event=rejected request={request} reason={} detail=\"{rejection}\"",
+                    rejection.reason()
+                );
+                metrics::counter!("banyannotch_rejected_total", "reason" => rejection.reason()).increment(1);
+                self.front.reject(request, rejection.status(), rejection.reason(), &rejection.to_string());
+            }
+            Action::Token { request, index, id, text } => self.front.token(request, index, id, &text),
+            Action::End { request, outcome, tokens } => self.front.end(request, &outcome, tokens),
+            Action::Credit { request, tokens } => {
+                let event = execution::Event::Credit { request, tokens };
+                self.links.execution.send_or_fail(event, "intake_execution", &self.supervisor);
+            }
+            Action::Cancel(request) => {
+                self.front.forget(request);
+                let event = admission::Event::Cancel(request);
+                self.links.admission.send_or_fail(event, "intake_admission", &self.supervisor);
+            }
+            Action::Violated { request, invariant } => {
+                metrics::counter!("banyannotch_invariant_violations_total", "invariant" => invariant.name())
+                    .increment(1);
+                log::error!("event=invariant_violated invariant={} request={request}", invariant.name());
+            }
+            Action::Drained => self.links.drained.ring(),
+        }
+    }
+
+    fn flush(&mut self) {
+        self.links.admission.flush();
+        self.links.execution.flush();
+        self.links.telemetry.flush();
+    }
+}
--- a/crates/banyannotch/src/lib.rs
+++ b/crates/banyannotch/src/lib.rs
@@ -24,4 +24,6 @@
 pub mod ring;
 pub mod routing;
 pub mod settings;
+
+pub mod table;
 pub mod telemetry;
--- /dev/null
+++ b/crates/banyannotch/src/membership/runtime.rs
@@ -0,0 +1,135 @@
+//! Thread of membership: fetches lists and reports, rings in and out. Nothing is decided here.
+
+use std::sync::Arc;
+
+use super::{Action, Endpoint, EndpointKind, Event, Membership, MembershipSettings};
+use crate::clock::Clock;
+use crate::duty::{self, Mailbox, Ports, Supervisor};
+use crate::engine::EndpointClient;
+use crate::http::{Client, ClientSettings};
+use crate::ids::EndpointId;
+use crate::pipeline::Address;
+use crate::platform::{HttpInstanceList, InstanceList};
+use crate::ring::{Doorbell, Receiver, Sender};
+use crate::telemetry::{Decision, Note};
+use crate::{peers, routing};
+
+/// Rings of the duty.
+#[derive(Debug)]
+pub struct Links {
+    /// Wakes the thread.
+    pub bell: Doorbell,
+    /// From execution and the peers.
+    pub inbound: Vec<Receiver<Event>>,
+    /// To routing.
+    pub routing: Sender<routing::Event>,
+    /// To the peers.
+    pub peers: Sender<peers::Event>,
+    /// To telemetry.
+    pub telemetry: Sender<Note>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// Returns the error of the operating system when no thread can be created.
+pub fn spawn<C: Clock>(
+    supervisor: &Supervisor,
+    clock: C,
+    links: Links,
+    settings: MembershipSettings,
+    list: Address,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let own = supervisor.clone();
+    supervisor.spawn("membership", move || async move {
+        let bell = links.bell.clone();
+        let http = Client::new(ClientSettings::default());
+        let ports = MembershipPorts {
+            links,
+            mailbox: Mailbox::new(&bell),
+            list: HttpInstanceList::new(http.clone(), list),
+            client: EndpointClient::new(http),
+            limit_ms: settings.fetch_limit_ms,
+            supervisor: own,
+        };
+        duty::run(clock, bell, Membership::new(settings), ports).await;
+    })
+}
+
+struct MembershipPorts<L> {
+    links: Links,
+    mailbox: Mailbox<Event>,
+    list: L,
+    client: EndpointClient,
+    limit_ms: u64,
+    supervisor: Supervisor,
+}
+
+impl<L: InstanceList> Ports for MembershipPorts<L> {
+    type Event = Event;
+    type Action = Action;
+
+    fn receive(&mut self, events: &mut Vec<Event>) {
+        self.mailbox.take_into(events);
+        for ring in &mut self.links.inbound {
+            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
+        }
+    }
+
+    fn perform(&mut self, _now_us: u64, action: Action) {
+        match action {
+            Action::FetchList => self.fetch_list(),
+            Action::FetchLoad { endpoint, address, kind } => self.fetch_load(endpoint, address, kind),
+            Action::Publish(endpoints) => self.publish(&endpoints),
+            Action::Announce(observations) => {
+                let event = peers::Event::Observed(observations);
+                self.links.peers.send_or_fail(event, "membership_peers", &self.supervisor);
+            }
+            Action::Decide(decision) => {
+                Note::Decision(Decision::Membership(decision)).send(&mut self.links.telemetry);
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        self.links.routing.flush();
+        self.links.peers.flush();
+        self.links.telemetry.flush();
+    }
+}
+
+impl<L: InstanceList> MembershipPorts<L> {
+    fn fetch_list(&self) {
+        let (list, mailbox, limit_ms) = (self.list.clone(), self.mailbox.clone(), self.limit_ms);
+        actix_rt::spawn(async move {
+            let instances = list.instances(limit_ms).await;
+            if let Err(error) = &instances {
+                log::debug!("event=list_not_fetched error={error}");
+            }
+            mailbox.put(Event::Listed(instances.ok()));
+        });
+    }
+
+    fn fetch_load(&self, endpoint: EndpointId, address: Address, kind: EndpointKind) {
+        let (client, mailbox, limit_ms) = (self.client.clone(), self.mailbox.clone(), self.limit_ms);
+        actix_rt::spawn(async move {
+            let event = match kind {
+                EndpointKind::Engine => {
+                    let report = client.engine_load(address, limit_ms).await.ok();
+                    Event::EngineReport { endpoint, report }
+                }
+                EndpointKind::Service => {
+                    let report = client.service_load(address, limit_ms).await.ok();
+                    Event::ServiceReport { endpoint, report }
+                }
+            };
+            mailbox.put(event);
+        });
+    }
+
+    fn publish(&mut self, endpoints: &Arc<[Endpoint]>) {
+        let event = routing::Event::Endpoints(Arc::clone(endpoints));
+        self.links.routing.send_or_fail(event, "membership_routing", &self.supervisor);
+        Note::Endpoints(Arc::clone(endpoints)).send(&mut self.links.telemetry);
+    }
+}
--- a/crates/banyannotch/src/pipeline.rs
+++ b/crates/banyannotch/src/pipeline.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::ids::{EndpointId, ModelId, ModelVersion};
+use crate::ids::{EndpointId, ModelId, ModelVersion, Zone};
 
 /// Result of building a route.
 pub type Result<T> = std::result::Result<T, RouteError>;
@@ -45,13 +45,22 @@
 /// Where an endpoint listens: an IP address and port.
 pub type Address = std::net::SocketAddr;
 
+/// One endpoint with what is needed to reach it and to judge its failures.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Where it listens.
+    pub address: Address,
+    /// Zone that it is in.
+    pub zone: Zone,
+}
+
 /// One stage of a route: an endpoint and the layers that it runs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Stage {
     /// Endpoint that runs the stage.
-    pub endpoint: EndpointId,
-    /// Where the endpoint listens.
-    pub address: Address,
+    pub target: Target,
     /// Layers that the endpoint holds.
     pub layers: LayerRange,
 }
--- a/crates/banyannotch/src/ring/link.rs
+++ b/crates/banyannotch/src/ring/link.rs
@@ -63,6 +63,15 @@
         self.hold(item)
     }
 
+    /// Sends one item into a ring whose limits cover all that can be under way, so that it is full only when the
+    /// receiving thread hangs. The process then ends, because a lost message would break a promise.
+    pub fn send_or_fail(&mut self, item: T, ring: &'static str, supervisor: &crate::duty::Supervisor) {
+        if self.send(item).is_err() {
+            log::error!("event=ring_full ring={ring} action=exit");
+            supervisor.fail();
+        }
+    }
+
     /// Moves held items into the ring. The run loop calls this after each wake-up.
     pub fn flush(&mut self) {
         let mut moved = false;
--- a/crates/banyannotch/src/settings/mod.rs
+++ b/crates/banyannotch/src/settings/mod.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Settings of an entry, read from TOML and checked before anything starts.
+//!
+//! Every key is listed in `docs/configuration.md`.
+
+mod error;
+mod file;
+
+pub use error::{Result, SettingsError};
+pub use file::Settings;
--- /dev/null
+++ b/crates/banyannotch/src/telemetry/runtime.rs
@@ -0,0 +1,84 @@
+//! Thread of telemetry: notes in, log lines and the operators' port out.
+
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use super::Note;
+use super::operators::Operators;
+use super::state::{Line, State};
+use crate::clock::Clock;
+use crate::duty::{EVENT_BATCH, Supervisor};
+use crate::http::{ServerSettings, listener_from_std, serve};
+use crate::ids::Zone;
+use crate::intake;
+use crate::ring::{Doorbell, Receiver, Sender};
+
+/// Rings of the duty.
+#[derive(Debug)]
+pub struct Links {
+    /// Wakes the thread.
+    pub bell: Doorbell,
+    /// From every other duty.
+    pub inbound: Vec<Receiver<Note>>,
+    /// To intake, for draining.
+    pub intake: Sender<intake::Event>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// Returns the error of the operating system when no thread can be created.
+pub fn spawn<C: Clock>(
+    supervisor: &Supervisor,
+    clock: C,
+    links: Links,
+    listener: TcpListener,
+    metrics: PrometheusHandle,
+    identity: (String, Zone),
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    supervisor.spawn("telemetry", move || async move {
+        let Links { bell, mut inbound, intake } = links;
+        let state = Rc::new(RefCell::new(State::new(identity.0, identity.1)));
+        let operators =
+            Operators { state: Rc::clone(&state), metrics, intake: Rc::new(RefCell::new(intake)) };
+        match listener_from_std(listener) {
+            Ok(listener) => {
+                actix_rt::spawn(serve(listener, ServerSettings::default(), operators));
+            }
+            Err(error) => {
+                log::error!("event=listener_failed port=operators error={error}");
+                return;
+            }
+        }
+        loop {
+            let mut received = 0;
+            for ring in &mut inbound {
+                for note in std::iter::from_fn(|| ring.receive()).take(EVENT_BATCH) {
+                    received += 1;
+                    take(&mut state.borrow_mut(), clock.unix_ms(), note);
+                }
+            }
+            if received == 0 {
+                bell.wait().await;
+            } else {
+                tokio::task::yield_now().await;
+            }
+        }
+    })
+}
+
+fn take(state: &mut State, unix_ms: u64, note: Note) {
+    match note {
+        Note::Decision(decision) => {
+            let text = decision.to_string();
+            log::info!(target: "decision", "{text}");
+            state.keep(Line { unix_ms, request: decision.request(), text });
+        }
+        Note::Configuration(configuration) => state.configuration = Some(configuration),
+        Note::Endpoints(endpoints) => state.endpoints = endpoints,
+        Note::Draining => state.draining = true,
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/telemetry/state.rs
@@ -0,0 +1,57 @@
+//! What telemetry keeps for the operators' port.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::configuration::Configuration;
+use crate::ids::{RequestId, Zone};
+use crate::membership::Endpoint;
+
+/// Decisions that are kept for `explain`.
+const DECISION_LIMIT: usize = 8_192;
+
+/// A logged decision.
+#[derive(Clone, Debug)]
+pub(super) struct Line {
+    pub unix_ms: u64,
+    pub request: Option<RequestId>,
+    pub text: String,
+}
+
+/// Latest state of the entry, for operators.
+#[derive(Debug)]
+pub(super) struct State {
+    pub instance: String,
+    pub zone: Zone,
+    pub configuration: Option<Arc<Configuration>>,
+    pub endpoints: Arc<[Endpoint]>,
+    pub draining: bool,
+    lines: VecDeque<Line>,
+}
+
+impl State {
+    /// Creates the state of an entry that has just started.
+    pub fn new(instance: String, zone: Zone) -> Self {
+        Self {
+            instance,
+            zone,
+            configuration: None,
+            endpoints: Arc::new([]),
+            draining: false,
+            lines: VecDeque::new(),
+        }
+    }
+
+    /// Keeps a decision and forgets the oldest beyond the limit.
+    pub fn keep(&mut self, line: Line) {
+        if self.lines.len() >= DECISION_LIMIT {
+            self.lines.pop_front();
+        }
+        self.lines.push_back(line);
+    }
+
+    /// Returns the decisions about a request, oldest first.
+    pub fn explain(&self, request: RequestId) -> impl Iterator<Item = &Line> {
+        self.lines.iter().filter(move |line| line.request == Some(request))
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,2 +1,72 @@
-//! Placeholder.
-fn main() {}
+//! Daemon `banyannotch-entry`: a thin shell around the library's entry.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use banyannotch::entry::Entry;
+use banyannotch::settings::Settings;
+use bpaf::Bpaf;
+use eyre::WrapErr;
+
+/// Time for the last bytes to leave after the last answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Routes requests to model pipelines and plain services.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings file, in TOML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+fn main() -> eyre::Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let options = options().run();
+    let settings = Settings::read(&options.settings)?;
+    actix_rt::System::new().block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> eyre::Result<()> {
+    let mut entry = Entry::start(settings)?;
+    let addresses = entry.addresses();
+    let mut stdout = std::io::stdout();
+    writeln!(
+        stdout,
+        "listening callers={} peers={} operators={}",
+        addresses.callers, addresses.peers, addresses.operators
+    )
+    .and_then(|()| stdout.flush())
+    .wrap_err("cannot print the addresses")?;
+    tokio::select! {
+        result = terminated() => result?,
+        () = entry.drained() => return stop().await,
+        () = entry.failed() => eyre::bail!("a duty's thread has ended"),
+    }
+    log::info!("event=draining");
+    entry.drain();
+    tokio::select! {
+        () = entry.drained() => stop().await,
+        () = entry.failed() => eyre::bail!("a duty's thread has ended"),
+    }
+}
+
+/// Lets the last answers leave.
+async fn stop() -> eyre::Result<()> {
+    actix_rt::time::sleep(LINGER).await;
+    log::info!("event=stopped");
+    Ok(())
+}
+
+/// Waits for the signal that asks for a planned stop.
+async fn terminated() -> eyre::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot listen for SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
