--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Stand-ins (test doubles) for the platform: engines, plain services, the log service and the instance list.
+//!
+//! Each is a policy without side effects behind a small HTTP front. They speak the protocols of section 6 of
+//! `docs/design.md`, and each can be given faults by option or by `POST /control/faults`.
+
+pub mod model;
