--- /dev/null
+++ b/crates/standins/src/engine/load.rs
@@ -0,0 +1,49 @@
+//! Load reports that lag.
+
+use std::collections::VecDeque;
+
+use banyannotch::clock::US_PER_MS;
+use banyannotch::engine::EngineLoad;
+
+/// Parts of the lag in which changes are merged into one sample; bounds the number of samples.
+const SAMPLES_PER_LAG: u64 = 16;
+
+/// Samples of the load, oldest first.
+#[derive(Debug)]
+pub struct LoadBoard {
+    lag_us: u64,
+    samples: VecDeque<(u64, EngineLoad)>,
+}
+
+impl LoadBoard {
+    /// Creates a board whose reports are as old as the lag.
+    pub fn new(lag_ms: u64) -> Self {
+        Self { lag_us: lag_ms * US_PER_MS, samples: VecDeque::new() }
+    }
+
+    /// Records the load at a time.
+    pub fn record(&mut self, now_us: u64, load: EngineLoad) {
+        let merge_us = self.lag_us / SAMPLES_PER_LAG;
+        match self.samples.back_mut() {
+            Some((time_us, last)) if now_us.saturating_sub(*time_us) <= merge_us => *last = load,
+            _ => self.samples.push_back((now_us, load)),
+        }
+        self.expire(now_us);
+    }
+
+    /// Returns the load as it was one lag ago, or the first that was recorded.
+    pub fn report(&mut self, now_us: u64) -> Option<EngineLoad> {
+        self.expire(now_us);
+        let (time_us, load) = self.samples.front()?;
+        let age_us = now_us.saturating_sub(*time_us).min(self.lag_us);
+        Some(EngineLoad { age_ms: age_us / US_PER_MS, ..load.clone() })
+    }
+
+    /// Drops the samples that a newer one has replaced in the reports.
+    fn expire(&mut self, now_us: u64) {
+        let shown_us = now_us.saturating_sub(self.lag_us);
+        while self.samples.get(1).is_some_and(|(time_us, _)| *time_us <= shown_us) {
+            self.samples.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,27 @@
+//! Stand-in of an engine that holds a range of layers of the checkable [`crate::model`].
+//!
+//! A step runs only if its model, version, layers and position are those of the engine and the cache, so a step that
+//! is repeated, lost or sent elsewhere is refused before anything runs. What did run is counted, and a position that
+//! ran twice through a layer in one cache is reported as a duplicate. See section 6 of `docs/design.md`.
+
+mod batching;
+mod caches;
+mod error;
+mod load;
+mod messages;
+mod options;
+mod prefixes;
+mod queue;
+mod runs;
+mod runtime;
+mod settings;
+#[cfg(test)]
+mod tests;
+
+pub use batching::Engine;
+pub use error::{Refused, Result};
+pub use messages::{Answer, Counts, Message, RequestRuns};
+pub use options::options;
+pub use prefixes::PREFIX_BLOCK_POSITIONS;
+pub use runtime::EngineCodec;
+pub use settings::{EngineFaultPatch, EngineFaults, EngineSettings};
