--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod engine;
 pub mod model;
 pub mod process;
+pub mod service;
--- /dev/null
+++ b/crates/standins/src/service/mod.rs
@@ -0,0 +1,15 @@
+//! Stand-in of a plain service. It counts the runs of each key, so that a call that ran twice is seen.
+
+mod calls;
+mod messages;
+mod options;
+mod runtime;
+mod settings;
+#[cfg(test)]
+mod tests;
+
+pub use calls::Service;
+pub use messages::{Answer, Counts, Message, Refused, Runs};
+pub use options::options;
+pub use runtime::ServiceCodec;
+pub use settings::{ServiceFaultPatch, ServiceFaults, ServiceSettings};
