--- /dev/null
+++ b/crates/standins/src/list/mod.rs
@@ -0,0 +1,15 @@
+//! Stand-in of the platform's list of instances, which shows each change late.
+
+mod messages;
+mod options;
+mod runtime;
+mod settings;
+#[cfg(test)]
+mod tests;
+mod versions;
+
+pub use messages::{Answer, Change, Message};
+pub use options::options;
+pub use runtime::ListCodec;
+pub use settings::{ListFaultPatch, ListFaults};
+pub use versions::List;
