--- /dev/null
+++ b/crates/standins/src/harness/child.rs
@@ -0,0 +1,241 @@
+//! A child process that says where it listens.
+
+use std::ffi::OsStr;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use banyannotch::http::{Client, ClientSettings};
+use banyannotch::pipeline::Address;
+use serde_json::Value;
+
+use super::{HarnessError, Result, wait_for};
+
+/// Longest time from the start of a process to its last `listening` line.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// Longest time of a control request.
+const CONTROL_LIMIT_MS: u64 = 5_000;
+
+/// A place where a process listens, from a line `listening [name] <ip:port>`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listener {
+    /// Name of the listener; empty when the line has none.
+    pub name: String,
+    /// Its address.
+    pub address: Address,
+}
+
+/// Kills its process when it is dropped, also when the start of a [`Process`] fails.
+#[derive(Debug)]
+struct KillOnDrop(Child);
+
+impl Drop for KillOnDrop {
+    fn drop(&mut self) {
+        // Both fail only when the process has ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A running child process. It is killed with SIGKILL when it is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: KillOnDrop,
+    address: Address,
+    listeners: Vec<Listener>,
+}
+
+impl Process {
+    /// Starts a binary and waits for its one `listening` line.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when it does not start or prints no such line in time.
+    pub fn start<S: AsRef<OsStr>>(binary: &Path, arguments: impl IntoIterator<Item = S>) -> Result<Self> {
+        Self::start_listening(binary, arguments, 1)
+    }
+
+    /// Starts a binary and waits for a number of `listening` lines.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when it does not start or prints fewer such lines in time.
+    pub fn start_listening<S: AsRef<OsStr>>(
+        binary: &Path,
+        arguments: impl IntoIterator<Item = S>,
+        expected: usize,
+    ) -> Result<Self> {
+        let start_error = |source| HarnessError::Start { binary: binary.to_owned(), source };
+        let child = Command::new(binary)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(start_error)?;
+        let mut child = KillOnDrop(child);
+        let lines = child.0.stdout.take().map(read_lines).transpose().map_err(start_error)?;
+        let listeners = lines.map(|lines| await_listeners(&lines, expected)).unwrap_or_default();
+        match listeners.first().map(|listener| listener.address) {
+            Some(address) if listeners.len() >= expected => Ok(Self { child, address, listeners }),
+            _ => Err(HarnessError::NotListening {
+                binary: binary.to_owned(),
+                found: listeners.len(),
+                expected,
+                limit: START_LIMIT,
+            }),
+        }
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.0.id()
+    }
+
+    /// Returns where the process listens.
+    pub fn listeners(&self) -> &[Listener] {
+        &self.listeners
+    }
+
+    /// Returns the address of the first listener.
+    pub fn address(&self) -> Address {
+        self.address
+    }
+
+    /// Returns the address of a named listener.
+    pub fn address_of(&self, name: &str) -> Option<Address> {
+        self.listeners.iter().find(|listener| listener.name == name).map(|listener| listener.address)
+    }
+
+    /// Kills the process with SIGKILL and waits for its end.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Observe`] when the operating system refuses.
+    pub fn kill(&mut self) -> Result<()> {
+        let id = self.id();
+        let observe = |source| HarnessError::Observe { id, source };
+        self.child.0.kill().map_err(observe)?;
+        self.child.0.wait().map_err(observe)?;
+        Ok(())
+    }
+
+    /// Stops the process with SIGSTOP; its connections stay open.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Signal`] when the signal cannot be sent.
+    pub fn suspend(&self) -> Result<()> {
+        self.signal("STOP")
+    }
+
+    /// Continues the process with SIGCONT.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Signal`] when the signal cannot be sent.
+    pub fn resume(&self) -> Result<()> {
+        self.signal("CONT")
+    }
+
+    /// Asks the process to end with SIGTERM.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Signal`] when the signal cannot be sent.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal("TERM")
+    }
+
+    /// Uses the `kill` command, because a direct system call would need unsafe code.
+    fn signal(&self, signal: &'static str) -> Result<()> {
+        let id = self.id();
+        let error = |reason: String| HarnessError::Signal { signal, id, reason };
+        let status = Command::new("kill")
+            .args(["-s", signal, &id.to_string()])
+            .status()
+            .map_err(|source| error(source.to_string()))?;
+        if status.success() { Ok(()) } else { Err(error(status.to_string())) }
+    }
+
+    /// Waits for the process to end and returns its exit code, or none when a signal ended it.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::TimedOut`] when it does not end within the limit.
+    pub async fn wait_exit(&mut self, limit: Duration) -> Result<Option<i32>> {
+        let id = self.id();
+        let child = &mut self.child.0;
+        let status = wait_for(limit, async || child.try_wait().transpose()).await?;
+        status.map(|status| status.code()).map_err(|source| HarnessError::Observe { id, source })
+    }
+
+    /// Merges faults into those of a stand-in and returns the faults in effect.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when there is no answer, or a fault does not exist.
+    pub async fn set_faults(&self, faults: &Value) -> Result<Value> {
+        self.post("/control/faults", faults).await
+    }
+
+    /// Posts JSON to the first listener.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when there is no answer or its status is not 200.
+    pub async fn post(&self, path: &str, body: &Value) -> Result<Value> {
+        let client = Client::new(ClientSettings::default());
+        checked(path, client.post(self.address(), path, body, CONTROL_LIMIT_MS).await)
+    }
+
+    /// Fetches JSON from the first listener.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when there is no answer or its status is not 200.
+    pub async fn get(&self, path: &str) -> Result<Value> {
+        let client = Client::new(ClientSettings::default());
+        checked(path, client.get(self.address(), path, CONTROL_LIMIT_MS).await)
+    }
+}
+
+fn await_listeners(lines: &mpsc::Receiver<String>, expected: usize) -> Vec<Listener> {
+    let begin = Instant::now();
+    let mut listeners = Vec::new();
+    while listeners.len() < expected {
+        match lines.recv_timeout(START_LIMIT.saturating_sub(begin.elapsed())) {
+            Ok(line) => listeners.extend(parse_listener(&line)),
+            Err(_) => break,
+        }
+    }
+    listeners
+}
+
+fn checked(
+    path: &str,
+    answer: std::result::Result<banyannotch::http::Answer, banyannotch::http::CallError>,
+) -> Result<Value> {
+    let control = |source| HarnessError::Control { path: path.to_owned(), source };
+    let answer = answer.map_err(control)?;
+    if answer.status != 200 {
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        return Err(HarnessError::ControlStatus { path: path.to_owned(), status: answer.status, body });
+    }
+    answer.json().map_err(control)
+}
+
+/// Reads lines on a thread of its own until the process ends, so that a full pipe never blocks the process.
+fn read_lines(output: ChildStdout) -> std::io::Result<mpsc::Receiver<String>> {
+    let (sender, receiver) = mpsc::channel();
+    std::thread::Builder::new().name("child-output".to_owned()).spawn(move || {
+        for line in BufReader::new(output).lines().map_while(std::result::Result::ok) {
+            // Nobody listens any more after the last awaited line.
+            let _ = sender.send(line);
+        }
+    })?;
+    Ok(receiver)
+}
+
+/// Parses a line `listening [name] <ip:port>`.
+pub(super) fn parse_listener(line: &str) -> Option<Listener> {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    let (name, address) = match words.as_slice() {
+        ["listening", address] => ("", address),
+        ["listening", name, address] => (*name, address),
+        _ => return None,
+    };
+    Some(Listener { name: name.to_owned(), address: address.parse().ok()? })
+}
--- /dev/null
+++ b/crates/standins/src/harness/mod.rs
@@ -0,0 +1,13 @@
+//! Starts processes for tests, sets their faults, stops them, and waits for conditions with a bound.
+//!
+//! The caller passes the path of each binary, for example `env!("CARGO_BIN_EXE_banyannotch-standin")`.
+
+mod child;
+mod error;
+#[cfg(test)]
+mod tests;
+mod wait;
+
+pub use child::{Listener, Process};
+pub use error::{HarnessError, Result};
+pub use wait::{wait_for, wait_until};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod engine;
+pub mod harness;
 pub mod list;
 pub mod log;
 pub mod model;
