standins: check that a closed connection is not taken for an unsent request

The test fails at present: banyannotch::http maps awc's ConnectError::Disconnected, which also stands for a connection that closed after the request was sent, to CallError::NotSent.

--- a/crates/standins/tests/processes.rs
+++ b/crates/standins/tests/processes.rs
@@ -277,3 +277,26 @@
         assert_eq!(list.instances(LIMIT_MS).await, Err(LogError::Down));
     });
 }
+
+#[test]
+fn a_connection_that_closes_after_sending_is_not_an_unsent_request() {
+    actix_rt::System::new().block_on(async {
+        let client = EndpointClient::new(http());
+        let engine = standin("engine --drop-answer-next 1");
+        let dropped = client.step(engine.address(), &prefill(1), LIMIT_MS).await;
+        assert!(matches!(dropped, Err(StepError::Call(CallError::Broken(_)))), "the step ran: {dropped:?}");
+
+        let service = standin("service --drop-answer-next 1");
+        let dropped = client.call(service.address(), &call("k1"), LIMIT_MS).await;
+        assert!(matches!(dropped, Err(StepError::Call(CallError::Broken(_)))), "the call ran: {dropped:?}");
+
+        let process = standin("log --lose-answer-next 1");
+        let log = HttpLog::new(http(), process.address());
+        let lost = log.append("claims", b"one", LIMIT_MS).await;
+        assert!(matches!(lost, Err(LogError::Call(CallError::Broken(_)))), "the record is there: {lost:?}");
+
+        let engine = standin("engine --crash-on missed");
+        let crashed = client.step(engine.address(), &prefill(1), LIMIT_MS).await;
+        assert!(matches!(crashed, Err(StepError::Call(CallError::Broken(_)))), "the step began: {crashed:?}");
+    });
+}
