standins: callers and whole deployments for tests, and the path from end to end

Two process tests run callers, an entry, six engines in three stages, a plain service, the log and the list.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -32,13 +32,11 @@
     let mut entry = Entry::start(settings)?;
     let addresses = entry.addresses();
     let mut stdout = std::io::stdout();
-    writeln!(
-        stdout,
-        "listening callers={} peers={} operators={}",
+    let lines = format!(
+        "listening callers {}\nlistening peers {}\nlistening operators {}",
         addresses.callers, addresses.peers, addresses.operators
-    )
-    .and_then(|()| stdout.flush())
-    .wrap_err("cannot print the addresses")?;
+    );
+    writeln!(stdout, "{lines}").and_then(|()| stdout.flush()).wrap_err("cannot print the addresses")?;
     tokio::select! {
         result = terminated() => result?,
         () = entry.drained() => return stop().await,
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -3,11 +3,15 @@
 //! The caller passes the path of each binary, for example `env!("CARGO_BIN_EXE_banyannotch-standin")`.
 
 mod child;
+mod deployment;
 mod error;
 #[cfg(test)]
 mod tests;
 mod wait;
 
 pub use child::{Listener, Process};
+pub use deployment::{
+    Binaries, DOCUMENT, Deployment, Endpoint, EngineSpec, EntryProcess, LAYERS, MODEL, TOKEN, metric, status,
+};
 pub use error::{HarnessError, Result};
 pub use wait::{wait_for, wait_until};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is a policy without side effects behind a small HTTP front. They speak the protocols of section 6 of
 //! `docs/design.md`, and each can be given faults by option or by `POST /control/faults`.
 
+pub mod caller;
 pub mod control;
 pub mod engine;
 pub mod harness;
