--- a/crates/standins/src/engine/tests.rs
+++ b/crates/standins/src/engine/tests.rs
@@ -370,6 +370,8 @@
     let long = "w ".repeat(40);
     let other = "v ".repeat(33);
     bench.send(Message::Step(step(1, 0, prompt(&long))));
+    bench.run_to(29_999);
+    bench.send(Message::CacheEvents { from: 0 });
     bench.run_to(100_000);
     bench.send(Message::Step(step(2, 0, prompt(&long))));
     bench.run_to(110_000);
@@ -389,6 +391,8 @@
     bench.run_to(1_500_000);
     let counts = bench.counts();
     assert_eq!((counts.idle_freed, counts.caches), (1, 1));
+    let kept = [1, 2].map(|cache| bench.ask(Message::Export(CacheName { cache: CacheId(cache) })));
+    assert!(matches!(kept, [Answer::Refused(_), Answer::State(_)]), "{kept:?}");
 }
 
 #[test]
