http: count a closed connection as broken, not as unsent

Cause: awc reports a connection that the server closes after the request as ConnectError::Disconnected, and every connect error was taken for 'not sent'. A non-idempotent call that ran could have been reported as not run, or made again. Found by the stand-ins' test a_connection_that_closes_after_sending_is_not_an_unsent_request, which failed before and passes now. Ruled out: the stand-in's way of closing (the counter shows that the step ran). Only errors of making a connection count as not sent; an unexpected kind counts as broken.

--- a/crates/banyannotch/src/http/client.rs
+++ b/crates/banyannotch/src/http/client.rs
@@ -1,8 +1,9 @@
 //! Calls to other processes with a time limit and a typed failure.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -140,11 +141,31 @@
     }
 }
 
-/// Tells a failure before anything was sent from one after it.
+/// Tells a failure before anything was sent from one after it. The library reports a connection that the server closes
+/// after the request as a connect error as well, so only errors of making a connection count as not sent.
 fn classify(error: SendRequestError) -> CallError {
     match error {
         SendRequestError::Url(error) => CallError::NotSent(error.to_string()),
-        SendRequestError::Connect(error) => CallError::NotSent(error.to_string()),
+        SendRequestError::Connect(error) if is_before_connection(&error) => {
+            CallError::NotSent(error.to_string())
+        }
         error => CallError::Broken(error.to_string()),
     }
 }
+
+fn is_before_connection(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Timeout
+        | ConnectError::Unresolved
+        | ConnectError::NoRecords
+        | ConnectError::SslIsNotSupported => true,
+        ConnectError::Io(error) => matches!(
+            error.kind(),
+            ErrorKind::AddrNotAvailable
+                | ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    }
+}
