--- a/crates/banyannotch/src/execution/driver.rs
+++ b/crates/banyannotch/src/execution/driver.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns the size of the inputs that are kept for replay.
+    pub fn retained_bytes(&self) -> u64 {
+        self.retained_bytes
+    }
+
     fn on_start(&mut self, now_us: u64, start: Start, actions: &mut Vec<Action>) {
         let Start { submission, assignment } = start;
         let request = submission.request;
@@ -310,7 +315,7 @@
         self.on_generation(now_us, request, actions, |generation, context| {
             let Awaiting::CrashCheck { stage, target } = &generation.awaiting else { return Flow::Continue };
             let (stage, failed) = (*stage, target.endpoint.clone());
-            generation.ask_substitute(stage, &failed, context)
+            generation.ask_substitute(stage, &failed, true, context)
         });
         self.on_call(now_us, request, actions, |call, context| {
             if matches!(call.awaiting, call::Awaiting::CrashCheck) {
@@ -428,7 +433,8 @@
     fn check(&mut self, now_us: u64, request: RequestId, actions: &mut Vec<Action>) {
         let Some(run) = self.runs.get_mut(&request) else { return };
         if run.submission().deadline_us <= now_us && !waits_for_ledger(run) {
-            return self.end(now_us, request, Ending::Deadline, actions);
+            let ending = if waits_for_substitute(run) { Ending::NoSubstitute } else { Ending::Deadline };
+            return self.end(now_us, request, ending, actions);
         }
         match run {
             Run::Call(_) => {
@@ -510,12 +516,20 @@
     }
 }
 
+fn waits_for_substitute(run: &Run) -> bool {
+    match run {
+        Run::Generation(generation) => matches!(generation.awaiting, Awaiting::Substitute { .. }),
+        Run::Call(call) => matches!(call.awaiting, call::Awaiting::Substitute { .. }),
+    }
+}
+
 /// A call that was dispatched and has no answer may have run, unlike a generation, which has no effect but its tokens.
 fn call_outcome(ending: Ending, phase: Phase) -> Outcome {
     let doubt = Outcome::Unknown(Doubt::NoAnswer);
     match ending {
         Ending::Cancelled => phase.end(NotRun::Cancelled, doubt),
         Ending::Deadline => phase.end(NotRun::Deadline, doubt),
+        Ending::NoSubstitute => phase.end(NotRun::NoRoute, doubt),
         Ending::Exhausted => phase.end(NotRun::Refused, doubt),
         Ending::Quarantined => phase.end(NotRun::Quarantined, doubt),
         other => outcome_of(other, phase, 0),
@@ -528,6 +542,7 @@
         Ending::Called(result) => Outcome::Completed(Completion::Called { result }),
         Ending::Cancelled => phase.end(NotRun::Cancelled, Outcome::Failed(Failure::Cancelled)),
         Ending::Deadline => phase.end(NotRun::Deadline, Outcome::Failed(Failure::Deadline)),
+        Ending::NoSubstitute => phase.end(NotRun::NoRoute, Outcome::Failed(Failure::NoReplacement)),
         Ending::Exhausted => phase.end(NotRun::Refused, Outcome::Failed(Failure::RetriesExhausted)),
         Ending::Quarantined => phase.end(NotRun::Quarantined, Outcome::Failed(Failure::Quarantined)),
         Ending::ServiceFailed => Outcome::Failed(Failure::Service),
--- a/crates/banyannotch/src/execution/generation.rs
+++ b/crates/banyannotch/src/execution/generation.rs
@@ -24,7 +24,10 @@
     hidden_bytes: u64,
     prompt_positions: Option<u32>,
     credit_tokens: u32,
+    /// Failures after which a step may have run.
     recoveries: u32,
+    /// Failures since the last progress.
+    setbacks: u32,
     progress_us: u64,
 }
 
@@ -90,6 +93,12 @@
 /// Share of a position's text in bytes, to estimate a prompt's positions before they are known.
 const PROMPT_BYTES_PER_POSITION: usize = 4;
 
+/// Substitutes that are asked for without a pause after the last progress.
+const IMMEDIATE_REROUTES: u32 = 3;
+
+/// Longest pause between two requests for a substitute, in reroute intervals.
+const MAX_PAUSES: u32 = 8;
+
 /// A step is late only after this multiple of its expected time, because batches vary.
 const EXPECTED_TIME_FACTOR: u64 = 4;
 
@@ -118,6 +127,7 @@
             prompt_positions: None,
             credit_tokens: context.settings.credit_tokens,
             recoveries: 0,
+            setbacks: 0,
             progress_us: context.now_us,
         }
     }
@@ -172,7 +182,9 @@
     pub fn on_fault(&mut self, fault: &StepFault, context: &mut Context<'_>) -> Flow {
         let Awaiting::Step(outstanding) = &self.awaiting else { return Flow::Continue };
         let (stage, target) = (outstanding.stage, outstanding.target.clone());
-        self.phase.mark_failed(fault.not_started());
+        let not_started = fault.not_started();
+        let may_have_run = not_started.is_none();
+        self.phase.mark_failed(not_started);
         context.act(Action::Decide(Decision::Fault {
             request: self.request(),
             endpoint: target.endpoint.clone(),
@@ -183,21 +195,38 @@
                 self.awaiting = Awaiting::CrashCheck { stage, target };
                 Flow::Continue
             }
-            StepFault::Refused { .. } if !context.budget.take() => Flow::End(Ending::Exhausted),
             StepFault::Refused { .. } | StepFault::NotSent | StepFault::TimedOut | StepFault::BadAnswer => {
-                self.ask_substitute(stage, &target.endpoint, context)
+                self.ask_substitute(stage, &target.endpoint, may_have_run, context)
             }
         }
     }
 
-    /// Asks routing for a substitute of a failed stage.
-    pub fn ask_substitute(&mut self, stage: usize, failed: &EndpointId, context: &mut Context<'_>) -> Flow {
-        self.recoveries += 1;
+    /// Asks routing for a substitute of a failed stage: at once after the first failures, then with a growing pause, so
+    /// that endpoints that refuse are not asked in a tight loop.
+    ///
+    /// Only failures after which the step may have run count against the limit; the others have cost the endpoint
+    /// nothing.
+    pub fn ask_substitute(
+        &mut self,
+        stage: usize,
+        failed: &EndpointId,
+        may_have_run: bool,
+        context: &mut Context<'_>,
+    ) -> Flow {
+        self.recoveries += u32::from(may_have_run);
         if self.recoveries > context.settings.recoveries_limit {
             return Flow::End(Ending::Exhausted);
         }
+        self.setbacks += 1;
         let need = if self.can_replay(stage) { Need::Stage { stage } } else { Need::Route };
-        self.reroute(stage, failed.clone(), need, context);
+        if self.setbacks <= IMMEDIATE_REROUTES {
+            self.reroute(stage, failed.clone(), need, context);
+        } else {
+            let pauses = u64::from((self.setbacks - IMMEDIATE_REROUTES).min(MAX_PAUSES));
+            let retry_us = context.now_us + pauses * context.settings.reroute_interval_ms * US_PER_MS;
+            self.awaiting =
+                Awaiting::Substitute { stage, failed: failed.clone(), need, retry_us: Some(retry_us) };
+        }
         Flow::Continue
     }
 
@@ -264,11 +293,11 @@
         let endpoint = outstanding.target.endpoint.clone();
         let last = stage + 1 == self.stages.len();
         if count.is_some_and(|count| count != result.count) || !output_fits(&result, last) {
-            context.act(Action::Violated { invariant: Invariant::PositionsMatch, request: self.request() });
             return self.on_fault(&StepFault::BadAnswer, context);
         }
         self.phase.mark_ran();
         self.progress_us = context.now_us;
+        self.setbacks = 0;
         context.act(Action::Observed(Observation { endpoint, positions: result.count, elapsed_us }));
         let Some(state) = self.stages.get_mut(stage) else { return Flow::Continue };
         state.positions += result.count;
@@ -293,7 +322,7 @@
         let missing = usize::try_from(total.saturating_sub(known)).unwrap_or(usize::MAX);
         let Some(tail) = hidden.len().checked_sub(missing).and_then(|from| hidden.get(from..)) else {
             context.act(Action::Violated { invariant: Invariant::PositionsMatch, request: self.request() });
-            return self.on_fault(&StepFault::BadAnswer, context);
+            return Flow::End(Ending::Exhausted);
         };
         state.inputs.extend_from_slice(tail);
         *context.retained_bytes += tail.len() as u64 * self.hidden_bytes;
--- a/crates/banyannotch/src/execution/mod.rs
+++ b/crates/banyannotch/src/execution/mod.rs
@@ -13,6 +13,8 @@
 mod runtime;
 mod state;
 mod suspects;
+#[cfg(test)]
+mod tests;
 
 pub use driver::Execution;
 pub use error::{CallFault, StepFault};
--- a/crates/banyannotch/src/execution/state.rs
+++ b/crates/banyannotch/src/execution/state.rs
@@ -109,6 +109,8 @@
     Cancelled,
     /// The deadline passed.
     Deadline,
+    /// The deadline passed while no substitute was found for a failed endpoint.
+    NoSubstitute,
     /// The endpoint or its substitutes refused it or failed too often.
     Exhausted,
     /// Requests with this content crash endpoints.
--- /dev/null
+++ b/crates/banyannotch/src/execution/tests/poison.rs
@@ -0,0 +1,128 @@
+//! Guards against a request that crashes more than two endpoints, and against innocents that are blamed for it.
+
+use super::model::reference;
+use super::world::World;
+use crate::execution::{Event, ExecutionSettings, Suspicion};
+use crate::ids::EndpointId;
+use crate::request::{Failure, NotRun, Outcome};
+
+fn poisoned(replicas: usize) -> World {
+    let mut world = World::new(replicas, ExecutionSettings::default());
+    for endpoint in &mut world.endpoints {
+        endpoint.crash_on = Some("poison".into());
+    }
+    world
+}
+
+fn dead(world: &World) -> usize {
+    world.endpoints.iter().filter(|endpoint| !endpoint.alive).count()
+}
+
+#[test]
+fn a_poison_request_costs_two_endpoints_and_its_resend_none() {
+    let mut world = poisoned(5);
+    world.generate(1, "poison", 5, 20_000);
+    world.run();
+    assert_eq!(world.outcome(1), &Outcome::Failed(Failure::Quarantined));
+    assert_eq!(dead(&world), 2);
+    world.generate(2, "poison", 5, 20_000);
+    world.run();
+    assert_eq!(world.outcome(2), &Outcome::NotRun(NotRun::Quarantined));
+    assert_eq!(dead(&world), 2);
+    world.check_ended();
+    insta::assert_snapshot!(world.trace);
+}
+
+#[test]
+fn innocents_on_the_same_endpoints_are_answered() {
+    for innocents in 1..=12_u128 {
+        let mut world = poisoned(5);
+        for request in 1..=innocents {
+            world.generate(request, &format!("innocent {request}"), 8, 20_000);
+        }
+        // The highest number resumes last, when the innocents are at the substitute already.
+        world.generate(99, "poison", 5, 20_000);
+        world.run();
+        world.check_ended();
+        assert_eq!(world.outcome(99), &Outcome::Failed(Failure::Quarantined), "{innocents} innocents");
+        assert!(dead(&world) <= 2, "{innocents} innocents");
+        for request in 1..=innocents {
+            assert_eq!(
+                world.tokens(request),
+                reference(&format!("innocent {request}"), 8),
+                "{}",
+                world.trace
+            );
+        }
+    }
+}
+
+#[test]
+fn the_loss_of_a_zone_quarantines_nobody() {
+    let mut world = World::new(3, ExecutionSettings::default());
+    for request in 1..=10 {
+        world.generate(request, &format!("request {request}"), 30, 20_000);
+    }
+    let start_us = world.now_us;
+    world.run_until(start_us + 100_000);
+    for endpoint in 0..world.endpoints.len() {
+        if world.endpoints[endpoint].target.zone.as_str() == "z1" {
+            world.kill(endpoint);
+        }
+    }
+    world.run();
+    world.check_ended();
+    for request in 1..=10 {
+        assert_eq!(world.tokens(request), reference(&format!("request {request}"), 30));
+    }
+    assert!(!world.trace.contains("quarantined"));
+}
+
+#[test]
+fn the_slow_loss_of_a_zone_quarantines_nobody() {
+    let mut world = World::new(3, ExecutionSettings::default());
+    world.endpoint("e02").target.zone = "z1".into();
+    for request in 1..=10 {
+        world.generate(request, &format!("request {request}"), 60, 20_000);
+        let next_us = world.now_us + 1_100;
+        world.run_until(next_us);
+    }
+    let next_us = world.now_us + 60_000;
+    world.run_until(next_us);
+    // The zone's endpoints end one after another; requests of the first are on trial at the last when that one ends.
+    for (endpoint, pause_us) in [("e11", 0), ("e21", 0), ("e01", 3_000), ("e02", 3_000)] {
+        let index = world.endpoints.iter().position(|e| e.target.endpoint.instance.as_str() == endpoint);
+        world.kill(index.expect("an endpoint of this name"));
+        let next_us = world.now_us + pause_us;
+        world.run_until(next_us);
+    }
+    world.run();
+    world.check_ended();
+    for request in 1..=10 {
+        assert_eq!(world.tokens(request), reference(&format!("request {request}"), 60), "{}", world.trace);
+    }
+}
+
+#[test]
+fn a_content_that_crashed_endpoints_of_other_entries_is_refused() {
+    let mut world = poisoned(3);
+    let fingerprint = crate::request::digest(&["m", "poison"]);
+    let crashed = ["e91", "e92"].map(|name| Suspicion { fingerprint, endpoint: EndpointId::new(name, 1) });
+    world.event(0, Event::Suspected(crashed.to_vec()));
+    world.generate(1, "poison", 5, 20_000);
+    world.run();
+    assert_eq!(world.outcome(1), &Outcome::NotRun(NotRun::Quarantined));
+    assert_eq!(dead(&world), 0);
+}
+
+#[test]
+fn a_content_that_crashed_one_endpoint_elsewhere_costs_only_one_more() {
+    let mut world = poisoned(4);
+    let fingerprint = crate::request::digest(&["m", "poison"]);
+    let suspicion = Suspicion { fingerprint, endpoint: EndpointId::new("e91", 1) };
+    world.event(0, Event::Suspected(vec![suspicion]));
+    world.generate(1, "poison", 5, 20_000);
+    world.run();
+    assert_eq!(world.outcome(1), &Outcome::Failed(Failure::Quarantined));
+    assert_eq!(dead(&world), 1);
+}
