--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,11 @@
+//! Load and measurements against the stand-ins, and single requests for scripts.
+//!
+//! Everything runs as processes on loopback. Answers are checked against the reference answer of the stand-ins' model,
+//! so a figure never counts a wrong answer.
+
+mod command;
+mod error;
+pub mod script;
+
+pub use command::{Command, Verdict, execute, options};
+pub use error::{LoadError, Result};
--- /dev/null
+++ b/crates/load/src/script/mod.rs
@@ -0,0 +1,15 @@
+//! Single requests for scripts: each prints what it got and fails when the answer is not whole and right.
+
+mod ask;
+mod call;
+mod options;
+mod raw;
+mod summary;
+#[cfg(test)]
+mod tests;
+
+pub use ask::ask;
+pub use call::call;
+pub use options::{Ask, Call, Get, KeyTime, Post, ask_options, call_options, get_options, post_options};
+pub use raw::{get, post};
+pub use summary::Summary;
--- /dev/null
+++ b/crates/load/src/script/tests.rs
@@ -0,0 +1,40 @@
+//! Guards against a script that takes an incomplete, wrong or refused answer for a right one.
+
+use banyannotch_standins::caller::OutcomeBody;
+use serde_json::json;
+
+use super::Summary;
+use super::call::echoes;
+
+#[test]
+fn only_a_whole_and_right_answer_passes() {
+    let outcome = |outcome: &str, reason: Option<&str>| OutcomeBody {
+        outcome: outcome.into(),
+        reason: reason.map(str::to_owned),
+        request: Some("0f".into()),
+        ..OutcomeBody::default()
+    };
+    let cases = [
+        (outcome("completed", None), true),
+        (outcome("completed", None), false),
+        (outcome("failed", Some("deadline")), false),
+        (outcome("unknown", None), true),
+        (OutcomeBody { error: Some("no such team".into()), ..outcome("not_run", Some("team")) }, false),
+    ];
+    let lines = cases.map(|(outcome, right)| {
+        let summary = Summary { outcome: &outcome, right, tokens: Some(3) };
+        format!("{summary} -> {}", summary.passed())
+    });
+    insta::assert_debug_snapshot!(lines);
+}
+
+#[test]
+fn a_result_of_another_call_is_not_right() {
+    let payload = json!({ "amount": 5 });
+    let result =
+        |operation: &str, amount: u64| json!({ "operation": operation, "payload": { "amount": amount } });
+    assert!(echoes(Some(&result("pay", 5)), "pay", &payload));
+    assert!(!echoes(Some(&result("pay", 6)), "pay", &payload));
+    assert!(!echoes(Some(&result("file", 5)), "pay", &payload));
+    assert!(!echoes(None, "pay", &payload));
+}
--- a/crates/standins/src/harness/deployment.rs
+++ b/crates/standins/src/harness/deployment.rs
@@ -70,6 +70,11 @@
     pub fn beside(standin: &Path) -> Self {
         Self { standin: standin.to_owned(), entry: standin.with_file_name("banyannotch-entry") }
     }
+
+    /// Finds both in a directory, for a program of another package in the same target directory.
+    pub fn within(directory: &Path) -> Self {
+        Self::beside(&directory.join("banyannotch-standin"))
+    }
 }
 
 /// A running endpoint of a deployment.
