--- a/crates/banyannotch/src/intake/mod.rs
+++ b/crates/banyannotch/src/intake/mod.rs
@@ -8,6 +8,8 @@
 mod policy;
 mod runtime;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use error::{Rejection, Result};
 pub use messages::{Action, CallerRequest, CallerWork, Event};
--- a/crates/banyannotch/src/settings/mod.rs
+++ b/crates/banyannotch/src/settings/mod.rs
@@ -4,6 +4,8 @@
 
 mod error;
 mod file;
+#[cfg(test)]
+mod tests;
 
 pub use error::{Result, SettingsError};
 pub use file::Settings;
