configuration: judge records from any known state, restate before expiry

The verdict on a record is a function of the state before it, so a reader that starts from a restating record or a peer's state judges as all others do. Records that expired unread leave a gap; nothing is judged behind it until a claim covers it. Documents have range checks that report all errors at once.

Intake's readiness no longer turns on with Certain(true) while the entry drains or has no configuration.

--- a/crates/banyannotch/src/configuration/document.rs
+++ b/crates/banyannotch/src/configuration/document.rs
@@ -4,9 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DocumentError, Result};
+use super::{DocumentError, Result, check};
 use crate::ids::{InstanceId, ModelId, ModelVersion, ServiceId, TeamId};
 
+/// Longest document. Its JSON text at most doubles, so a record with it stays below the log's limit of 1 MiB.
+pub const DOCUMENT_LIMIT_BYTES: usize = 256 << 10;
+
 /// Everything that an operator configures. The lists are sorted by name.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -151,13 +154,20 @@
     /// # Errors
     /// Returns the first [`DocumentError`]. Equal texts give equal results on every entry.
     pub fn parse(text: &str) -> Result<Self> {
-        let mut document: Self =
-            toml::from_str(text).map_err(|error| DocumentError::Syntax(error.to_string()))?;
-        document.models.sort_by(|a, b| a.name.cmp(&b.name));
-        document.services.sort_by(|a, b| a.name.cmp(&b.name));
-        document.teams.sort_by(|a, b| a.name.cmp(&b.name));
-        document.check()?;
-        Ok(document)
+        let document = Self::read(text)?;
+        match check::find_errors(&document).into_iter().next() {
+            Some(error) => Err(error),
+            None => Ok(document),
+        }
+    }
+
+    /// Returns every error of a text, for the operator who wrote it. A text that is no TOML gives one error, because
+    /// the rest of it cannot be judged.
+    pub fn check_text(text: &str) -> Vec<DocumentError> {
+        match Self::read(text) {
+            Ok(document) => check::find_errors(&document),
+            Err(error) => vec![error],
+        }
     }
 
     /// Finds a model by name.
@@ -178,40 +188,20 @@
         self.teams.get(index)
     }
 
-    fn check(&self) -> Result<()> {
-        check_unique("models", self.models.iter().map(|model| model.name.as_str()))?;
-        check_unique("services", self.services.iter().map(|service| service.name.as_str()))?;
-        check_unique("teams", self.teams.iter().map(|team| team.name.as_str()))?;
-        for model in &self.models {
-            if model.layers == 0 {
-                return Err(out_of_range(format!("models.{}.layers", model.name), &0, "1 to 65535"));
-            }
+    fn read(text: &str) -> Result<Self> {
+        if text.len() > DOCUMENT_LIMIT_BYTES {
+            return Err(DocumentError::TooLong { bytes: text.len(), limit_bytes: DOCUMENT_LIMIT_BYTES });
         }
-        for team in &self.teams {
-            let hash = &team.token_sha256;
-            if hash.len() != 64 || !hash.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-                let key = format!("teams.{}.token_sha256", team.name);
-                return Err(out_of_range(key, &hash.len(), "64 hex digits"));
-            }
-            if team.weight == 0 {
-                return Err(out_of_range(format!("teams.{}.weight", team.name), &0, "at least 1"));
-            }
-        }
-        Ok(())
-    }
-}
-
-fn check_unique<'a>(key: &'static str, names: impl Iterator<Item = &'a str>) -> Result<()> {
-    let mut previous = None;
-    for name in names {
-        if previous == Some(name) {
-            return Err(DocumentError::Duplicate { key, name: name.to_owned() });
-        }
-        previous = Some(name);
+        let mut document: Self = toml::from_str(text).map_err(|error| syntax_error(text, &error))?;
+        document.models.sort_by(|a, b| a.name.cmp(&b.name));
+        document.services.sort_by(|a, b| a.name.cmp(&b.name));
+        document.teams.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(document)
     }
-    Ok(())
 }
 
-fn out_of_range(key: String, value: &impl ToString, allowed: &'static str) -> DocumentError {
-    DocumentError::Range { key, value: value.to_string(), allowed }
+fn syntax_error(text: &str, error: &toml::de::Error) -> DocumentError {
+    let before = error.span().and_then(|span| text.get(..span.start));
+    let line = before.map(|before| before.matches('\n').count() + 1);
+    DocumentError::Syntax { line, detail: error.message().to_owned() }
 }
--- a/crates/banyannotch/src/configuration/mod.rs
+++ b/crates/banyannotch/src/configuration/mod.rs
@@ -2,17 +2,30 @@
 //!
 //! An accepted configuration never reverts. See "Configuration" in `docs/design.md`.
 
+mod check;
+mod contact;
 mod document;
 mod error;
 mod messages;
 mod policy;
+mod restate;
 mod runtime;
+mod state;
+#[cfg(test)]
+mod tests;
+mod verdict;
 
-pub use document::{Document, Model, Objective, Preset, PresetName, Presets, Service, Team};
+pub use document::{
+    DOCUMENT_LIMIT_BYTES, Document, Model, Objective, Preset, PresetName, Presets, Service, Team,
+};
 pub use error::{DocumentError, Result};
-pub use messages::{Action, Change, ChangeRecord, Decision, Event, Refused, STREAM};
+pub use messages::{
+    Action, Change, ChangeRecord, Decision, Event, PeerReport, PeerVersion, Refused, STREAM, Source,
+};
 pub use policy::Acceptance;
 pub use runtime::{Links, spawn};
+pub use state::{Claim, ConfigurationSettings, Stated};
+pub use verdict::{Known, Learned, Verdict};
 
 use crate::ids::ConfigVersion;
 
--- a/crates/banyannotch/src/configuration/runtime.rs
+++ b/crates/banyannotch/src/configuration/runtime.rs
@@ -1,31 +1,33 @@
-//! Thread of configuration: reads the log, rings out. Nothing is decided here.
+//! Thread of configuration: reads and appends to the log, rings in and out. Nothing is decided here.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::messages::STREAM;
-use super::{Acceptance, Action, Configuration, Event};
+use super::{Acceptance, Action, ChangeRecord, Configuration, ConfigurationSettings, Decision, Event};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::http::{Client, ClientSettings};
-use crate::ids::LogOffset;
+use crate::ids::{InstanceId, LogOffset};
 use crate::pipeline::Address;
 use crate::platform::{HttpLog, LogService};
-use crate::ring::{Doorbell, Sender};
-use crate::telemetry::{Decision, Note};
-use crate::{admission, intake, peers, routing};
+use crate::ring::{Doorbell, Receiver, Sender};
+use crate::telemetry::Note;
+use crate::{admission, intake, peers, routing, telemetry};
 
 /// Records of one read.
 const READ_MAX: u32 = 256;
 
-/// How long a read waits for a record.
-const READ_WAIT_MS: u64 = 1_000;
+/// How long an append may take.
+const APPEND_LIMIT_MS: u64 = 2_000;
 
 /// Rings of the duty.
 #[derive(Debug)]
 pub struct Links {
     /// Wakes the thread.
     pub bell: Doorbell,
+    /// From the peers.
+    pub inbound: Vec<Receiver<Event>>,
     /// To intake.
     pub intake: Sender<intake::Event>,
     /// To admission.
@@ -46,38 +48,60 @@
     supervisor: &Supervisor,
     clock: C,
     links: Links,
+    settings: ConfigurationSettings,
+    name: InstanceId,
     log: Address,
+    seed: u64,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
     let own = supervisor.clone();
     supervisor.spawn("configuration", move || async move {
         let bell = links.bell.clone();
         let log = HttpLog::new(Client::new(ClientSettings::default()), log);
-        let ports = ConfigurationPorts { links, mailbox: Mailbox::new(&bell), log, supervisor: own };
-        duty::run(clock, bell, Acceptance::default(), ports).await;
+        let mailbox = Mailbox::new(&bell);
+        let ports = ConfigurationPorts { links, mailbox, log, clock: clock.clone(), supervisor: own };
+        let policy = Acceptance::new(&settings, name.as_str(), seed);
+        duty::run(clock, bell, policy, ports).await;
     })
 }
 
-struct ConfigurationPorts<L> {
+struct ConfigurationPorts<L, C> {
     links: Links,
     mailbox: Mailbox<Event>,
     log: L,
+    clock: C,
     supervisor: Supervisor,
 }
 
-impl<L: LogService> Ports for ConfigurationPorts<L> {
+impl<L: LogService, C: Clock> Ports for ConfigurationPorts<L, C> {
     type Event = Event;
     type Action = Action;
 
     fn receive(&mut self, events: &mut Vec<Event>) {
         self.mailbox.take_into(events);
+        for ring in &mut self.links.inbound {
+            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
+        }
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
         match action {
-            Action::Read { from, after_ms } => self.read(from, after_ms),
-            Action::Publish(configuration) => self.publish(&configuration),
+            Action::Read { from, after_ms, wait_ms } => self.read(from, after_ms, wait_ms),
+            Action::Append(record) => self.append(&record),
+            Action::Publish(stated) => self.publish(&stated.configuration),
+            Action::Claim { stated, through } => {
+                let event = peers::Event::Configured { stated, through };
+                self.links.peers.send_or_fail(event, "configuration_peers", &self.supervisor);
+            }
+            Action::Certain(certain) => {
+                metrics::gauge!("banyannotch_configuration_certain").set(f64::from(u8::from(certain)));
+                let event = intake::Event::Certain(certain);
+                self.links.intake.send_or_fail(event, "configuration_intake", &self.supervisor);
+            }
+            Action::Peers(versions) => Note::Peers(versions).send(&mut self.links.telemetry),
             Action::Decide(decision) => {
-                Note::Decision(Decision::Configuration(decision)).send(&mut self.links.telemetry);
+                count(&decision);
+                let decision = telemetry::Decision::Configuration(decision);
+                Note::Decision(decision).send(&mut self.links.telemetry);
             }
         }
     }
@@ -91,18 +115,42 @@
     }
 }
 
-impl<L: LogService> ConfigurationPorts<L> {
-    fn read(&self, from: LogOffset, after_ms: u64) {
-        let (log, mailbox) = (self.log.clone(), self.mailbox.clone());
+impl<L: LogService, C: Clock> ConfigurationPorts<L, C> {
+    fn read(&self, from: LogOffset, after_ms: u64, wait_ms: u64) {
+        let (log, mailbox, clock) = (self.log.clone(), self.mailbox.clone(), self.clock.clone());
         actix_rt::spawn(async move {
             if after_ms > 0 {
                 actix_rt::time::sleep(Duration::from_millis(after_ms)).await;
             }
-            let records = log.read(STREAM, from, READ_MAX, READ_WAIT_MS).await;
+            let records = log.read(STREAM, from, READ_MAX, wait_ms).await;
             if let Err(error) = &records {
                 log::debug!("event=log_not_read stream={STREAM} error={error}");
             }
-            mailbox.put(Event::Read(records.ok()));
+            mailbox.put(Event::Read { records: records.ok(), unix_ms: clock.unix_ms() });
+        });
+    }
+
+    fn append(&self, record: &ChangeRecord) {
+        let (log, mailbox) = (self.log.clone(), self.mailbox.clone());
+        let data = serde_json::to_vec(record);
+        actix_rt::spawn(async move {
+            let taken = match data {
+                Ok(data) => match log.append(STREAM, &data, APPEND_LIMIT_MS).await {
+                    Ok(offset) => {
+                        log::info!("event=state_restated stream={STREAM} offset={offset}");
+                        true
+                    }
+                    Err(error) => {
+                        log::debug!("event=log_not_appended stream={STREAM} error={error}");
+                        false
+                    }
+                },
+                Err(error) => {
+                    log::error!("event=record_not_encoded stream={STREAM} error={error}");
+                    false
+                }
+            };
+            mailbox.put(Event::Appended { taken });
         });
     }
 
@@ -115,10 +163,26 @@
         links.routing.send_or_fail(event, "configuration_routing", supervisor);
         let event = admission::Event::Configured(Arc::clone(configuration));
         links.admission.send_or_fail(event, "configuration_admission", supervisor);
-        let event = peers::Event::Configured(Arc::clone(configuration));
-        links.peers.send_or_fail(event, "configuration_peers", supervisor);
         let event = intake::Event::Configured(Arc::clone(configuration));
         links.intake.send_or_fail(event, "configuration_intake", supervisor);
         Note::Configuration(Arc::clone(configuration)).send(&mut links.telemetry);
     }
 }
+
+fn count(decision: &Decision) {
+    match decision {
+        Decision::Contradiction { version, current, source } => {
+            metrics::counter!("banyannotch_invariant_violations_total", "invariant" => "one_content_per_version")
+                .increment(1);
+            log::error!(
+                "event=invariant_violated invariant=one_content_per_version version={version} current={current} \
+                 source={source}"
+            );
+        }
+        Decision::Refused { .. } => {
+            metrics::counter!("banyannotch_configuration_refused_total").increment(1);
+        }
+        Decision::Gap { .. } => metrics::counter!("banyannotch_configuration_gaps_total").increment(1),
+        Decision::Accepted { .. } | Decision::Adopted { .. } | Decision::Certain(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/configuration/tests/random_runs.rs
@@ -0,0 +1,1 @@
+//! Random runs.
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -101,6 +101,7 @@
         let mut to_routing = Inbox::new(&bells.routing);
         let mut to_execution = Inbox::new(&bells.execution);
         let mut to_ledger = Inbox::new(&bells.ledger);
+        let to_configuration = Inbox::new(&bells.configuration);
         let mut to_membership = Inbox::new(&bells.membership);
         let mut to_peers = Inbox::new(&bells.peers);
         let mut to_telemetry: Inbox<Note> = Inbox::new(&bells.telemetry);
@@ -146,6 +147,7 @@
         };
         let configuration_links = configuration::Links {
             bell: bells.configuration.clone(),
+            inbound: Vec::new(),
             intake: to_intake.ring_from(&bells.configuration, HELD_ITEMS),
             admission: to_admission.ring_from(&bells.configuration, HELD_ITEMS),
             routing: to_routing.ring_from(&bells.configuration, HELD_ITEMS),
@@ -199,7 +201,15 @@
             settings.membership,
             settings.instance_list,
         )?;
-        configuration::spawn(s, clock, configuration_links, settings.log)?;
+        configuration::spawn(
+            s,
+            clock,
+            configuration::Links { inbound: to_configuration.receivers, ..configuration_links },
+            settings.configuration,
+            settings.instance,
+            settings.log,
+            mix(seed ^ 4),
+        )?;
         intake::spawn(
             s,
             clock,
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -58,7 +58,7 @@
                 return;
             }
         }
-        let ports = IntakePorts { links, mailbox, front, supervisor: own };
+        let ports = IntakePorts { links, mailbox, front, supervisor: own, readiness: Readiness::default() };
         duty::run(clock, bell, Intake::new(settings), ports).await;
     })
 }
@@ -68,6 +68,21 @@
     mailbox: Mailbox<Event>,
     front: Rc<Front>,
     supervisor: Supervisor,
+    readiness: Readiness,
+}
+
+/// What `/readyz` depends on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Readiness {
+    configured: bool,
+    uncertain: bool,
+    draining: bool,
+}
+
+impl Readiness {
+    fn is_ready(self) -> bool {
+        self.configured && !self.uncertain && !self.draining
+    }
 }
 
 impl Ports for IntakePorts {
@@ -82,15 +97,16 @@
         }
         for event in events.iter().skip(begin) {
             match event {
-                Event::Configured(_) => self.front.set_ready(true),
-                Event::Certain(certain) => self.front.set_ready(*certain),
+                Event::Configured(_) => self.readiness.configured = true,
+                Event::Certain(certain) => self.readiness.uncertain = !certain,
                 Event::Drain => {
-                    self.front.set_ready(false);
+                    self.readiness.draining = true;
                     Note::Draining.send(&mut self.links.telemetry);
                 }
                 Event::Arrived(_) | Event::Reply(_) | Event::Taken { .. } | Event::Gone(_) => {}
             }
         }
+        self.front.set_ready(self.readiness.is_ready());
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
--- a/crates/banyannotch/src/peers/messages.rs
+++ b/crates/banyannotch/src/peers/messages.rs
@@ -1,10 +1,8 @@
 //! What other duties give the peers to carry.
 
-use std::sync::Arc;
-
-use crate::configuration::Configuration;
+use crate::configuration::Stated;
 use crate::execution::Suspicion;
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, LogOffset};
 use crate::membership::Observation;
 use crate::pipeline::Address;
 
@@ -16,7 +14,12 @@
     /// What membership observed.
     Observed(Vec<Observation>),
     /// The configuration that is in force here.
-    Configured(Arc<Configuration>),
+    Configured {
+        /// Its content.
+        stated: Stated,
+        /// Offset of the log up to which it is known to be in force.
+        through: LogOffset,
+    },
     /// The entries on the instance list, without this one.
     Entries(Vec<EntryAddress>),
 }
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use super::{Result, SettingsError};
+use crate::configuration::ConfigurationSettings;
 use crate::execution::ExecutionSettings;
 use crate::ids::{InstanceId, Zone};
 use crate::intake::IntakeSettings;
@@ -29,6 +30,9 @@
     pub log: Address,
     /// Where the platform's instance list is served.
     pub instance_list: Address,
+    /// Times of configuration.
+    #[serde(default)]
+    pub configuration: ConfigurationSettings,
     /// Limits of intake.
     #[serde(default)]
     pub intake: IntakeSettings,
--- a/crates/banyannotch/src/telemetry/messages.rs
+++ b/crates/banyannotch/src/telemetry/messages.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, PeerVersion};
 use crate::ids::RequestId;
 use crate::membership::Endpoint;
 use crate::ring::Sender;
@@ -16,6 +16,8 @@
     Decision(Decision),
     /// The configuration that is now in force here.
     Configuration(Arc<Configuration>),
+    /// The configuration versions that the other entries last reported.
+    Peers(Arc<[PeerVersion]>),
     /// The endpoints as membership sees them.
     Endpoints(Arc<[Endpoint]>),
     /// The entry is draining.
--- a/crates/banyannotch/src/telemetry/operators.rs
+++ b/crates/banyannotch/src/telemetry/operators.rs
@@ -75,6 +75,7 @@
         "zone": state.zone,
         "draining": state.draining,
         "configuration": state.configuration.as_deref().map(configuration),
+        "peers": &state.peers,
         "endpoints": state.endpoints.iter().map(endpoint).collect::<Vec<_>>(),
     })
 }
--- a/crates/banyannotch/src/telemetry/runtime.rs
+++ b/crates/banyannotch/src/telemetry/runtime.rs
@@ -78,6 +78,7 @@
             state.keep(Line { unix_ms, request: decision.request(), text });
         }
         Note::Configuration(configuration) => state.configuration = Some(configuration),
+        Note::Peers(peers) => state.peers = peers,
         Note::Endpoints(endpoints) => state.endpoints = endpoints,
         Note::Draining => state.draining = true,
     }
--- a/crates/banyannotch/src/telemetry/state.rs
+++ b/crates/banyannotch/src/telemetry/state.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, PeerVersion};
 use crate::ids::{RequestId, Zone};
 use crate::membership::Endpoint;
 
@@ -25,6 +25,7 @@
     pub zone: Zone,
     pub configuration: Option<Arc<Configuration>>,
     pub endpoints: Arc<[Endpoint]>,
+    pub peers: Arc<[PeerVersion]>,
     pub draining: bool,
     lines: VecDeque<Line>,
 }
@@ -37,6 +38,7 @@
             zone,
             configuration: None,
             endpoints: Arc::new([]),
+            peers: Arc::new([]),
             draining: false,
             lines: VecDeque::new(),
         }
