--- a/crates/banyannotch/src/configuration/policy.rs
+++ b/crates/banyannotch/src/configuration/policy.rs
@@ -41,8 +41,6 @@
     in_gap: bool,
     /// Whether the last page was empty.
     at_end: bool,
-    /// Whether the log was once read to its end without a gap. Before, the state may be an old one.
-    caught_up: bool,
     published: ConfigVersion,
     claimed: LogOffset,
     contact: Contact,
@@ -62,7 +60,6 @@
             reading: None,
             in_gap: false,
             at_end: false,
-            caught_up: false,
             published: ConfigVersion::default(),
             claimed: LogOffset::default(),
             contact: Contact::new(uncertain_after_us),
@@ -111,7 +108,6 @@
         self.known.through = self.known.through.max(before_next);
         self.next = after(self.known.through);
         if self.at_end {
-            self.caught_up = true;
             self.contact.renew(reading.sent_us);
             self.restating.note_end(now_us);
         }
@@ -128,6 +124,11 @@
         }
     }
 
+    /// Whether the log was last read to its end without a gap.
+    fn is_current(&self) -> bool {
+        self.at_end && !self.is_gap(self.next)
+    }
+
     /// Looks for a claim that covers the missing records. A restating record covers them only if all records between
     /// its claim and itself can still be read, because one of them may have been accepted before the restating record
     /// was appended.
@@ -247,7 +248,8 @@
             return;
         };
         self.on_page(now_us, reading, page, unix_ms, actions);
-        if self.caught_up || self.published > ConfigVersion::default() {
+        // Before the end of the log the state may be an old one. An entry that has none yet waits for the end.
+        if self.is_current() || self.published > ConfigVersion::default() {
             self.publish(actions);
         }
         self.read(now_us, self.pause_ms(now_us, reading), actions);
@@ -264,7 +266,7 @@
 
     fn restate(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         // An entry that was frozen must not restate what it knew before.
-        let may_append = self.at_end && !self.is_gap(self.next) && self.contact.is_certain();
+        let may_append = self.is_current() && self.contact.is_certain();
         let Some(stated) = self.known.stated.as_ref().filter(|_| may_append) else { return };
         if self.restating.begin(now_us) {
             let record = self.restating_record(stated);
--- a/crates/banyannotch/src/configuration/tests/world.rs
+++ b/crates/banyannotch/src/configuration/tests/world.rs
@@ -18,7 +18,9 @@
     pub append: Option<String>,
     pub claim: Option<(Stated, LogOffset)>,
     pub published: Vec<(ConfigVersion, Fingerprint)>,
-    pub verdicts: Vec<Decision>,
+    /// Last version that a test has checked.
+    pub checked: ConfigVersion,
+    pub decisions: Vec<Decision>,
     pub certain: bool,
     pub lines: Vec<String>,
     pub frozen: bool,
@@ -41,7 +43,8 @@
             append: None,
             claim: None,
             published: Vec::new(),
-            verdicts: Vec::new(),
+            checked: ConfigVersion(0),
+            decisions: Vec::new(),
             certain: true,
             lines: Vec::new(),
             frozen: false,
@@ -125,7 +128,7 @@
                 }
                 Action::Decide(decision) => {
                     self.note(now_us, &decision.to_string());
-                    self.verdicts.push(decision);
+                    self.decisions.push(decision);
                 }
             }
         }
