peers: exchange of configurations, observations and suspicions between entries

Cap'n Proto RPC over TCP. The policy decides what to exchange with whom; the codec has its own file. Findings carry their observer and age, so that an entry which passes one on is no second observer. Messages have size limits, calls have a timeout, and failed calls are followed by a growing pause.

--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -7,6 +7,7 @@
 use super::{EntryError, Result};
 use crate::clock::{Clock, SystemClock};
 use crate::duty::Supervisor;
+use crate::ids::{EndpointId, Incarnation};
 use crate::pipeline::Address;
 use crate::random::mix;
 use crate::ring::{Doorbell, Receiver, Sender, link};
@@ -27,6 +28,9 @@
 /// Decisions that a duty may hold back before they are lost and counted.
 const HELD_NOTES: usize = 1 << 14;
 
+/// Reports of other entries that may be held back before they are lost and counted.
+const HELD_REPORTS: usize = 1 << 12;
+
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -91,7 +95,7 @@
         let bells = Bells::default();
         let (callers, callers_address) = listen("callers", settings.callers)?;
         let (operators, operators_address) = listen("operators", settings.operators)?;
-        let (_peers, peers_address) = listen("peers", settings.peers)?;
+        let (peers, peers_address) = listen("peers", settings.peers)?;
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .map_err(|error| EntryError::Metrics(error.to_string()))?;
@@ -101,7 +105,7 @@
         let mut to_routing = Inbox::new(&bells.routing);
         let mut to_execution = Inbox::new(&bells.execution);
         let mut to_ledger = Inbox::new(&bells.ledger);
-        let to_configuration = Inbox::new(&bells.configuration);
+        let mut to_configuration = Inbox::new(&bells.configuration);
         let mut to_membership = Inbox::new(&bells.membership);
         let mut to_peers = Inbox::new(&bells.peers);
         let mut to_telemetry: Inbox<Note> = Inbox::new(&bells.telemetry);
@@ -161,6 +165,13 @@
             peers: to_peers.ring_from(&bells.membership, HELD_ITEMS),
             telemetry: to_telemetry.ring_from(&bells.membership, HELD_NOTES),
         };
+        let peers_links = peers::Links {
+            bell: bells.peers.clone(),
+            inbound: Vec::new(),
+            configuration: to_configuration.ring_from(&bells.peers, HELD_REPORTS),
+            membership: to_membership.ring_from(&bells.peers, HELD_REPORTS),
+            execution: to_execution.ring_from(&bells.peers, HELD_REPORTS),
+        };
         let telemetry_intake = to_intake.ring_from(&bells.telemetry, HELD_ITEMS);
         let stop = to_intake.ring_from(&Doorbell::default(), HELD_ITEMS);
 
@@ -178,7 +189,15 @@
             metrics,
             (settings.instance.to_string(), settings.zone.clone()),
         )?;
-        peers::spawn(s, peers::Links { bell: bells.peers.clone(), inbound: to_peers.receivers })?;
+        peers::spawn(
+            s,
+            clock,
+            peers::Links { inbound: to_peers.receivers, ..peers_links },
+            peers,
+            settings.exchange,
+            EndpointId { instance: settings.instance.clone(), incarnation: Incarnation(clock.unix_ms()) },
+            settings.known_peers,
+        )?;
         ledger::spawn(s, ledger::Links { inbound: to_ledger.receivers, ..ledger_links })?;
         execution::spawn(
             s,
--- /dev/null
+++ b/crates/banyannotch/src/peers/tests/mod.rs
@@ -0,0 +1,43 @@
+//! Tests of the peers.
+
+mod loopback;
+mod rounds;
+mod wire;
+
+use super::{Digest, Finding, Found};
+use crate::configuration::{Claim, PresetName, Stated};
+use crate::execution::Suspicion;
+use crate::ids::{ConfigVersion, EndpointId, Fingerprint, InstanceId, LogOffset};
+use crate::membership::ObservedState;
+
+fn stated(version: u64) -> Stated {
+    let text = format!("[presets.peak]\nmax_tokens = {version}\n");
+    Stated::read(ConfigVersion(version), "anna", &text, PresetName::Peak).expect("a document")
+}
+
+fn claim(version: u64, through: u64, with_content: bool) -> Claim {
+    let stated = stated(version);
+    Claim {
+        version: stated.version(),
+        through: LogOffset(through),
+        digest: stated.digest(),
+        stated: with_content.then_some(stated),
+    }
+}
+
+fn observed(observer: &str, endpoint: &str, state: ObservedState, age_ms: u64) -> Found {
+    let (observer, endpoint) = (InstanceId::from(observer), EndpointId::new(endpoint, 1));
+    Found { finding: Finding::Observed { observer, endpoint, state }, age_ms }
+}
+
+fn suspicion(fingerprint: u128, endpoint: &str) -> Suspicion {
+    Suspicion { fingerprint: Fingerprint(fingerprint), endpoint: EndpointId::new(endpoint, 1) }
+}
+
+fn suspected(fingerprint: u128, endpoint: &str, age_ms: u64) -> Found {
+    Found { finding: Finding::Suspected(suspicion(fingerprint, endpoint)), age_ms }
+}
+
+fn digest_of(entry: &str, claim: Option<Claim>, findings: Vec<Found>) -> Digest {
+    Digest { entry: EndpointId::new(entry, 1), claim, findings }
+}
--- /dev/null
+++ b/crates/banyannotch/src/peers/tests/wire.rs
@@ -0,0 +1,102 @@
+//! The encoding of digests.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use super::{claim, digest_of, observed, suspected};
+use crate::membership::ObservedState;
+use crate::peers::peer_capnp::digest;
+use crate::peers::{Digest, read_digest, write_digest};
+
+fn encode(digest: &Digest) -> Vec<u8> {
+    let mut message = capnp::message::Builder::new_default();
+    write_digest(digest, message.init_root::<digest::Builder<'_>>());
+    capnp::serialize::write_message_to_words(&message)
+}
+
+fn decode(bytes: &[u8]) -> Result<Digest, String> {
+    let options = crate::peers::connection::reader_options();
+    let message = capnp::serialize::read_message(bytes, options).map_err(|error| error.to_string())?;
+    let root = message.get_root::<digest::Reader<'_>>().map_err(|error| error.to_string())?;
+    read_digest(root).map_err(|error| error.to_string())
+}
+
+fn examples() -> Vec<(&'static str, Digest)> {
+    let findings = vec![
+        observed("e1", "engine-1", ObservedState::Leaving, 0),
+        observed("e2", "engine-2", ObservedState::Dead, 59_999),
+        suspected(u128::MAX - 7, "engine-3", 12),
+        suspected(3, "", u64::MAX),
+    ];
+    vec![
+        ("empty", digest_of("e1", None, Vec::new())),
+        ("steady", digest_of("e1", Some(claim(7, 9, false)), Vec::new())),
+        ("content", digest_of("e1", Some(claim(7, 9, true)), Vec::new())),
+        ("findings", digest_of("e1", Some(claim(7, 9, true)), findings)),
+    ]
+}
+
+/// Guards against a field that is lost or mixed up on the way.
+#[test]
+fn digests_survive_the_wire() {
+    let mut sizes = String::new();
+    for (name, digest) in examples() {
+        let bytes = encode(&digest);
+        assert_eq!(decode(&bytes).as_ref(), Ok(&digest), "{name}");
+        sizes.push_str(&format!("{name}: {} bytes\n", bytes.len()));
+    }
+    insta::assert_snapshot!(sizes);
+}
+
+/// Guards against a content that is taken though it is another one than its digest says, or cannot be right.
+#[test]
+fn a_wrong_content_is_refused() {
+    let mut other = digest_of("e1", Some(claim(7, 9, true)), Vec::new());
+    if let Some(claim) = &mut other.claim {
+        claim.digest.0 ^= 1;
+    }
+    let mut bytes = encode(&digest_of("e1", Some(claim(7, 9, true)), Vec::new()));
+    let place = bytes.windows(10).position(|window| window == b"max_tokens").expect("the document");
+    bytes[place] = b'n';
+    let mut no_text = encode(&digest_of("e1", Some(claim(7, 9, true)), Vec::new()));
+    no_text[place] = 0xff;
+    let results =
+        [decode(&encode(&other)), decode(&bytes), decode(&no_text), decode(&[]), decode(b"GET / HT")];
+    insta::assert_debug_snapshot!(results);
+}
+
+#[derive(Clone, Debug)]
+struct Damage(Vec<(u16, u8)>, u16);
+
+impl Arbitrary for Damage {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = 1 + usize::arbitrary(g) % 4;
+        Self((0..count).map(|_| Arbitrary::arbitrary(g)).collect(), u16::arbitrary(g))
+    }
+}
+
+/// Guards against a panic on a damaged message, and against a content that differs from its digest.
+#[test]
+fn damaged_messages_are_refused_or_harmless() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn survives(damage: Damage) -> bool {
+        for (_, digest) in examples() {
+            let mut bytes = encode(&digest);
+            for (place, value) in &damage.0 {
+                let place = usize::from(*place) % bytes.len();
+                bytes[place] = *value;
+            }
+            if damage.1.is_multiple_of(8) {
+                bytes.truncate(usize::from(damage.1) % bytes.len());
+            }
+            if let Ok(digest) = decode(&bytes)
+                && let Some(claim) = digest.claim
+                && let Some(stated) = claim.stated
+            {
+                assert_eq!(stated.digest(), claim.digest);
+            }
+        }
+        true
+    }
+    let generator = Gen::from_size_and_seed(100, 4);
+    QuickCheck::new().rng(generator).tests(4_000).quickcheck(survives as fn(Damage) -> bool);
+}
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -10,6 +10,7 @@
 use crate::ids::{InstanceId, Zone};
 use crate::intake::IntakeSettings;
 use crate::membership::MembershipSettings;
+use crate::peers::ExchangeSettings;
 use crate::pipeline::Address;
 
 /// Settings of an entry.
@@ -33,6 +34,12 @@
     /// Times of configuration.
     #[serde(default)]
     pub configuration: ConfigurationSettings,
+    /// Peer ports of other entries that are called even if the instance list does not name them.
+    #[serde(default)]
+    pub known_peers: Vec<Address>,
+    /// Times and limits of the exchange with other entries.
+    #[serde(default)]
+    pub exchange: ExchangeSettings,
     /// Limits of intake.
     #[serde(default)]
     pub intake: IntakeSettings,
