--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -5,10 +5,12 @@
 use serde::Deserialize;
 
 use super::{Result, SettingsError};
+use crate::configuration::ConfigurationSettings;
 use crate::execution::ExecutionSettings;
 use crate::ids::{InstanceId, Zone};
 use crate::intake::IntakeSettings;
 use crate::membership::MembershipSettings;
+use crate::peers::ExchangeSettings;
 use crate::pipeline::Address;
 
 /// Settings of an entry.
@@ -29,6 +31,15 @@
     pub log: Address,
     /// Where the platform's instance list is served.
     pub instance_list: Address,
+    /// Times of configuration.
+    #[serde(default)]
+    pub configuration: ConfigurationSettings,
+    /// Peer ports of other entries that are called even if the instance list does not name them.
+    #[serde(default)]
+    pub known_peers: Vec<Address>,
+    /// Times and limits of the exchange with other entries.
+    #[serde(default)]
+    pub exchange: ExchangeSettings,
     /// Limits of intake.
     #[serde(default)]
     pub intake: IntakeSettings,
