membership: combine list, reports, failures and peers' observations

A refused connection is a suspicion until it is seen again 200 ms later or by another entry, because an overloaded listener refuses too. Silence removes at most half of the replicas of one layer range. Nothing is removed before another endpoint has answered and the endpoint failed once more, so a cut network of this entry removes nothing. Reports are fetched every 250 ms while there is work and every 1.5 s otherwise.

--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -198,6 +198,7 @@
             membership::Links { inbound: to_membership.receivers, ..membership_links },
             settings.membership,
             settings.instance_list,
+            settings.instance,
         )?;
         configuration::spawn(s, clock, configuration_links, settings.log)?;
         intake::spawn(
--- a/crates/banyannotch/src/membership/messages.rs
+++ b/crates/banyannotch/src/membership/messages.rs
@@ -5,6 +5,7 @@
 
 use crate::engine::{EngineLoad, ServiceLoad};
 use crate::ids::{EndpointId, ModelId, ModelVersion, ServiceId, Zone};
+use crate::peers::EntryAddress;
 use crate::pipeline::{Address, LayerRange};
 use crate::platform::{Fencing, Instances};
 
@@ -25,7 +26,7 @@
     pub load: Load,
     /// Whether it refuses orders with an old fencing number.
     pub fencing: Fencing,
-    /// When it was first seen; newcomers start slowly.
+    /// When it first answered, or answered again after it was removed; newcomers start slowly.
     pub joined_us: u64,
 }
 
@@ -87,27 +88,45 @@
     EngineReport {
         /// Endpoint that was asked.
         endpoint: EndpointId,
-        /// Its report, or none when it did not answer.
-        report: Option<EngineLoad>,
+        /// Its report.
+        report: EngineLoad,
     },
     /// A plain service's load report.
     ServiceReport {
         /// Endpoint that was asked.
         endpoint: EndpointId,
-        /// Its report, or none when it did not answer.
-        report: Option<ServiceLoad>,
+        /// Its report.
+        report: ServiceLoad,
+    },
+    /// An endpoint gave no load report.
+    NoReport {
+        /// Endpoint that was asked.
+        endpoint: EndpointId,
+        /// What came instead.
+        instead: Instead,
     },
     /// Execution saw an endpoint fail.
     Failed {
         /// Endpoint that failed.
         endpoint: EndpointId,
-        /// Whether it refused connections, which a live process does not.
+        /// Whether no connection could be made.
         refused: bool,
     },
     /// What other entries observed.
     Observed(Vec<Observation>),
 }
 
+/// What came instead of a load report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Instead {
+    /// No connection could be made.
+    Refused,
+    /// The connection broke or there was no answer in time.
+    Silence,
+    /// An answer that is no load report, which shows that the process runs.
+    OtherAnswer,
+}
+
 /// What one entry observed of an endpoint, as exchanged between entries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Observation {
@@ -144,6 +163,8 @@
     Publish(Arc<[Endpoint]>),
     /// Tell the other entries.
     Announce(Vec<Observation>),
+    /// Tell the peers which other entries there are.
+    Entries(Vec<EntryAddress>),
     /// Log a decision.
     Decide(Decision),
 }
@@ -181,6 +202,10 @@
     Cleared,
     /// It is dead or replaced by a new incarnation.
     Removed,
+    /// It was removed and answered again.
+    Returned,
+    /// It is missing from the list and silent for long.
+    Forgotten,
 }
 
 /// Where an observation came from.
@@ -196,6 +221,8 @@
     Peer,
     /// A report that stayed away.
     Silence,
+    /// A newer incarnation of the instance.
+    Restart,
 }
 
 impl fmt::Display for Decision {
@@ -206,6 +233,8 @@
             Verdict::Suspected => "suspected",
             Verdict::Cleared => "cleared",
             Verdict::Removed => "removed",
+            Verdict::Returned => "returned",
+            Verdict::Forgotten => "forgotten",
         };
         let source = match self.source {
             Source::List => "list",
@@ -213,6 +242,7 @@
             Source::Execution => "execution",
             Source::Peer => "peer",
             Source::Silence => "silence",
+            Source::Restart => "restart",
         };
         write!(formatter, "decision={verdict} endpoint={} source={source}", self.endpoint)
     }
--- a/crates/banyannotch/src/membership/mod.rs
+++ b/crates/banyannotch/src/membership/mod.rs
@@ -5,11 +5,15 @@
 mod messages;
 mod policy;
 mod runtime;
+mod schedule;
 mod state;
+#[cfg(test)]
+mod tests;
+mod verdict;
 
 pub use messages::{
-    Action, Decision, Endpoint, EndpointKind, Event, Health, Load, Observation, ObservedState, Role, Source,
-    Verdict,
+    Action, Decision, Endpoint, EndpointKind, Event, Health, Instead, Load, Observation, ObservedState, Role,
+    Source, Verdict,
 };
 pub use policy::Membership;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/membership/policy.rs
+++ b/crates/banyannotch/src/membership/policy.rs
@@ -2,37 +2,103 @@
 
 use std::sync::Arc;
 
-use super::state::{Known, MembershipSettings};
-use super::{Action, Decision, Endpoint, EndpointKind, Event, Health, Load, Role, Source, Verdict};
+use super::schedule::Schedule;
+use super::state::{Evidence, Floor, Known, MembershipSettings, Standing};
+use super::{
+    Action, Decision, Endpoint, EndpointKind, Event, Instead, Load, Observation, ObservedState, Role, Source,
+    Verdict,
+};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::engine::{EngineLoad, ServiceLoad};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, Incarnation, InstanceId};
+use crate::peers::EntryAddress;
 use crate::platform::{InstanceKind, InstanceState, Instances, ListedInstance};
 use crate::table::Table;
 
-/// Reports in a row that may stay away before an endpoint is suspected.
-const SILENCE_LIMIT: u32 = 2;
+/// How long the newest incarnation of an instance that nobody mentions any more is remembered.
+const FLOOR_KEEP_US: u64 = 3_600_000_000;
+
+/// How long an own observation is announced again, for entries that missed the first announcement.
+const ANNOUNCE_US: u64 = 10_000_000;
+
+/// Pause between repeated announcements.
+const ANNOUNCE_INTERVAL_US: u64 = 1_000_000;
+
+/// How long peers' reports of death are ignored once the endpoint answered after one. Peers repeat observations for a
+/// while, and each repetition would make the endpoint suspected again.
+pub(super) const PEERS_IGNORED_US: u64 = ANNOUNCE_US + ANNOUNCE_INTERVAL_US;
 
 /// The policy of membership.
 #[derive(Debug)]
 pub struct Membership {
-    settings: MembershipSettings,
-    known: Table<EndpointId, Known>,
+    pub(super) settings: MembershipSettings,
+    pub(super) known: Table<EndpointId, Known>,
+    pub(super) schedule: Schedule,
+    own: InstanceId,
+    floors: Table<InstanceId, Floor>,
+    entries: Vec<EntryAddress>,
+    list_asked: bool,
     next_list_us: u64,
-    next_reports_us: u64,
+    next_announce_us: Option<u64>,
+    publish_due_us: Option<u64>,
+    published_us: u64,
+}
+
+/// An endpoint's answer without the encoding of its kind.
+struct Answer {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    role: Role,
+    load: Load,
+    batches: u64,
+    leaving: bool,
 }
 
 impl Membership {
     /// Creates the policy of an entry that knows nothing yet.
-    pub fn new(settings: MembershipSettings) -> Self {
-        Self { settings, known: Table::default(), next_list_us: 0, next_reports_us: 0 }
+    pub fn new(settings: MembershipSettings, own: InstanceId) -> Self {
+        Self {
+            settings,
+            known: Table::default(),
+            schedule: Schedule::default(),
+            own,
+            floors: Table::default(),
+            entries: Vec::new(),
+            list_asked: false,
+            next_list_us: 0,
+            next_announce_us: None,
+            publish_due_us: None,
+            published_us: 0,
+        }
+    }
+
+    /// Publishes at the end of this batch of events.
+    pub(super) fn publish_now(&mut self) {
+        self.publish_due_us = Some(0);
+    }
+
+    fn publish_soon(&mut self, now_us: u64) {
+        let due_us = (self.published_us + self.settings.publish_interval_ms * US_PER_MS).max(now_us);
+        self.publish_due_us = Some(self.publish_due_us.map_or(due_us, |known_us| known_us.min(due_us)));
     }
 
     fn on_listed(&mut self, now_us: u64, instances: &Instances, actions: &mut Vec<Action>) {
         for listed in &instances.instances {
             self.on_listed_instance(now_us, listed, actions);
         }
+        let mut shown: Vec<(&InstanceId, Incarnation)> =
+            instances.instances.iter().map(|listed| (&listed.instance, listed.incarnation)).collect();
+        shown.sort();
+        for (id, known) in self.known.iter_mut() {
+            if shown.binary_search(&(&id.instance, id.incarnation)).is_ok() {
+                known.missing_since_us = None;
+            } else {
+                known.missing_since_us.get_or_insert(now_us);
+            }
+        }
+        self.forget(now_us, actions);
+        self.update_entries(instances, actions);
     }
 
     fn on_listed_instance(&mut self, now_us: u64, listed: &ListedInstance, actions: &mut Vec<Action>) {
@@ -42,138 +108,263 @@
             InstanceKind::Entry => return,
         };
         let id = EndpointId { instance: listed.instance.clone(), incarnation: listed.incarnation };
-        if !self.known.contains(&id) {
-            self.known.insert(
-                id.clone(),
-                Known {
-                    zone: listed.zone.clone(),
-                    address: listed.address,
-                    kind,
-                    fencing: listed.fencing,
-                    role: None,
-                    health: Health::Live,
-                    load: Load::default(),
-                    joined_us: now_us,
-                    silences: 0,
-                    asked: false,
-                },
-            );
-            self.ask(&id, actions);
+        if !self.raise_floor(now_us, &id, actions) {
+            return;
+        }
+        match self.known.get_mut(&id) {
+            Some(known) => {
+                let moved = known.address != listed.address || known.zone != listed.zone;
+                known.address = listed.address;
+                known.zone = listed.zone.clone();
+                known.fencing = listed.fencing;
+                if moved {
+                    self.publish_now();
+                }
+            }
+            None => self.learn(now_us, &id, listed, kind),
         }
         if listed.state == InstanceState::Leaving {
-            self.set_leaving(&id, Source::List, actions);
+            self.set_leaving(now_us, &id, Source::List, actions);
         }
     }
 
-    fn ask(&mut self, id: &EndpointId, actions: &mut Vec<Action>) {
-        let Some(known) = self.known.get_mut(id) else { return };
-        if !std::mem::replace(&mut known.asked, true) {
-            let (address, kind) = (known.address, known.kind);
-            actions.push(Action::FetchLoad { endpoint: id.clone(), address, kind });
+    fn learn(&mut self, now_us: u64, id: &EndpointId, listed: &ListedInstance, kind: EndpointKind) {
+        let leaving = self.floors.get(&id.instance).is_some_and(|floor| floor.leaving);
+        self.known.insert(
+            id.clone(),
+            Known {
+                zone: listed.zone.clone(),
+                address: listed.address,
+                kind,
+                fencing: listed.fencing,
+                role: None,
+                standing: Standing::Live,
+                leaving,
+                evidence: Evidence::default(),
+                load: Load::default(),
+                batches: 0,
+                joined_us: now_us,
+                first_seen_us: now_us,
+                last_answer_us: None,
+                missing_since_us: None,
+                peers_ignored_until_us: 0,
+                announce_until_us: 0,
+                due_us: now_us,
+            },
+        );
+    }
+
+    /// Records that an incarnation exists. Returns false when a newer one is known; otherwise older ones are removed.
+    fn raise_floor(&mut self, now_us: u64, id: &EndpointId, actions: &mut Vec<Action>) -> bool {
+        let floor = self.floors.entry(id.instance.clone());
+        floor.seen_us = now_us;
+        if id.incarnation < floor.incarnation {
+            return false;
+        }
+        if id.incarnation > floor.incarnation {
+            *floor = Floor { incarnation: id.incarnation, seen_us: now_us, leaving: false };
+            self.remove_older(id, actions);
         }
+        true
     }
 
-    fn set_leaving(&mut self, id: &EndpointId, source: Source, actions: &mut Vec<Action>) {
-        let Some(known) = self.known.get_mut(id) else { return };
-        if known.health != Health::Leaving {
-            known.health = Health::Leaving;
-            decide(id, Verdict::Leaving, source, actions);
+    fn remove_older(&mut self, newest: &EndpointId, actions: &mut Vec<Action>) {
+        let mut changed = false;
+        self.known.retain(|id, known| {
+            let older = id.instance == newest.instance && id.incarnation < newest.incarnation;
+            if older && known.standing != Standing::Removed {
+                decide(id, Verdict::Removed, Source::Restart, actions);
+                changed = true;
+            }
+            !older
+        });
+        if changed {
+            self.publish_now();
         }
     }
 
-    fn on_engine_report(
-        &mut self,
-        now_us: u64,
-        id: &EndpointId,
-        report: &EngineLoad,
-        actions: &mut Vec<Action>,
-    ) {
-        if report.incarnation != id.incarnation {
-            self.remove(id, Source::Endpoint, actions);
-            return;
+    fn forget(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let limit_us = self.settings.forget_ms * US_PER_MS;
+        let long_ago = |since_us: u64| now_us.saturating_sub(since_us) >= limit_us;
+        let mut changed = false;
+        self.known.retain(|id, known| {
+            let silent = long_ago(known.last_answer_us.unwrap_or(known.first_seen_us));
+            let forgotten = silent && known.missing_since_us.is_some_and(long_ago);
+            if forgotten {
+                decide(id, Verdict::Forgotten, Source::List, actions);
+                changed = true;
+            }
+            !forgotten
+        });
+        self.floors.retain(|_, floor| now_us.saturating_sub(floor.seen_us) < FLOOR_KEEP_US);
+        if changed {
+            self.publish_now();
+        }
+    }
+
+    fn update_entries(&mut self, instances: &Instances, actions: &mut Vec<Action>) {
+        let mut entries: Vec<EntryAddress> = instances
+            .instances
+            .iter()
+            .filter(|listed| listed.kind == InstanceKind::Entry && listed.instance != self.own)
+            .map(|listed| EntryAddress {
+                entry: EndpointId { instance: listed.instance.clone(), incarnation: listed.incarnation },
+                address: listed.address,
+            })
+            .collect();
+        // The newest incarnation of each instance comes first and is kept.
+        entries.sort_by(|a, b| {
+            (&a.entry.instance, b.entry.incarnation).cmp(&(&b.entry.instance, a.entry.incarnation))
+        });
+        entries.dedup_by(|later, first| later.entry.instance == first.entry.instance);
+        if entries != self.entries {
+            self.entries.clone_from(&entries);
+            actions.push(Action::Entries(entries));
         }
-        let load = Load {
-            running: report.running,
-            queued: report.queued,
-            step_us: report.step_us,
-            prefill_us_per_position: report.prefill_us_per_position,
-            cache_used: report.cache_used,
-            cache_limit: report.cache_limit,
-            taken_us: now_us.saturating_sub(report.age_ms * US_PER_MS),
-        };
-        let role =
-            Role::Engine { model: report.model.clone(), version: report.version, layers: report.layers };
-        self.on_answer(id, role, load, report.leaving, actions);
     }
 
-    fn on_service_report(
+    pub(super) fn set_leaving(
         &mut self,
         now_us: u64,
         id: &EndpointId,
-        report: &ServiceLoad,
+        source: Source,
         actions: &mut Vec<Action>,
     ) {
-        if report.incarnation != id.incarnation {
-            self.remove(id, Source::Endpoint, actions);
+        if let Some(floor) = self.floors.get_mut(&id.instance)
+            && floor.incarnation == id.incarnation
+        {
+            floor.leaving = true;
+        }
+        let Some(known) = self.known.get_mut(id) else { return };
+        if std::mem::replace(&mut known.leaving, true) {
             return;
         }
-        let load = Load { running: report.running, taken_us: now_us, ..Load::default() };
-        self.on_answer(id, Role::Service { service: report.service.clone() }, load, report.leaving, actions);
+        decide(id, Verdict::Leaving, source, actions);
+        if source != Source::Peer {
+            self.announce(now_us, id, ObservedState::Leaving, actions);
+        }
+        self.publish_now();
     }
 
-    fn on_answer(
+    /// Tells the peers what this entry observed itself. What peers said is not passed on, so that one observation
+    /// never looks like two.
+    pub(super) fn announce(
         &mut self,
+        now_us: u64,
         id: &EndpointId,
-        role: Role,
-        load: Load,
-        leaving: bool,
+        state: ObservedState,
         actions: &mut Vec<Action>,
     ) {
-        let Some(known) = self.known.get_mut(id) else { return };
-        known.asked = false;
-        known.silences = 0;
-        known.load = load;
-        if known.role.replace(role).is_none() {
-            decide(id, Verdict::Joined, Source::Endpoint, actions);
-        }
-        if known.health == Health::Suspected {
-            known.health = Health::Live;
-            decide(id, Verdict::Cleared, Source::Endpoint, actions);
-        }
-        if leaving {
-            self.set_leaving(id, Source::Endpoint, actions);
+        if let Some(known) = self.known.get_mut(id) {
+            known.announce_until_us = now_us + ANNOUNCE_US;
+            self.next_announce_us.get_or_insert(now_us + ANNOUNCE_INTERVAL_US);
         }
+        actions.push(Action::Announce(vec![Observation { endpoint: id.clone(), state }]));
     }
 
-    fn on_silence(&mut self, id: &EndpointId, actions: &mut Vec<Action>) {
-        let Some(known) = self.known.get_mut(id) else { return };
-        known.asked = false;
-        known.silences += 1;
-        if known.silences >= SILENCE_LIMIT && known.health == Health::Live {
-            known.health = Health::Suspected;
-            decide(id, Verdict::Suspected, Source::Silence, actions);
+    fn announce_again(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let observations: Vec<Observation> = self
+            .known
+            .iter()
+            .filter(|(_, known)| now_us < known.announce_until_us)
+            .filter_map(|(id, known)| {
+                let state = match (known.leaving, known.evidence.is_own()) {
+                    (true, _) => ObservedState::Leaving,
+                    (false, true) => ObservedState::Dead,
+                    (false, false) => return None,
+                };
+                Some(Observation { endpoint: id.clone(), state })
+            })
+            .collect();
+        self.next_announce_us = None;
+        if !observations.is_empty() {
+            actions.push(Action::Announce(observations));
+            self.next_announce_us = Some(now_us + ANNOUNCE_INTERVAL_US);
         }
     }
 
-    fn on_failed(&mut self, id: &EndpointId, refused: bool, actions: &mut Vec<Action>) {
-        if refused {
-            self.remove(id, Source::Execution, actions);
+    fn on_report(&mut self, now_us: u64, asked: &EndpointId, answer: Answer, actions: &mut Vec<Action>) {
+        let started_us = self.schedule.finish(asked).unwrap_or(now_us);
+        if answer.instance != asked.instance {
+            // Another instance took over the address, so the endpoint that was asked is gone.
+            self.remove(asked, Source::Endpoint, actions);
+            self.plan_next(now_us, asked, false);
             return;
         }
+        let id = EndpointId { instance: answer.instance.clone(), incarnation: answer.incarnation };
+        if answer.incarnation < asked.incarnation {
+            // The older process still holds the address; the new one has not answered.
+            self.on_no_report(now_us, asked, started_us, Instead::Silence, actions);
+            return;
+        }
+        let before = self.known.get(asked).cloned();
+        if !self.raise_floor(now_us, &id, actions) {
+            return;
+        }
+        if !self.known.contains(&id) {
+            let Some(before) = before else { return };
+            let leaving = self.floors.get(&id.instance).is_some_and(|floor| floor.leaving);
+            let restarted = Known {
+                role: None,
+                standing: Standing::Live,
+                leaving,
+                evidence: Evidence::default(),
+                batches: 0,
+                first_seen_us: now_us,
+                last_answer_us: None,
+                missing_since_us: None,
+                peers_ignored_until_us: 0,
+                announce_until_us: 0,
+                ..before
+            };
+            self.known.insert(id.clone(), restarted);
+        }
+        self.on_answer(now_us, &id, answer, actions);
+    }
+
+    fn on_answer(&mut self, now_us: u64, id: &EndpointId, answer: Answer, actions: &mut Vec<Action>) {
+        self.clear(now_us, id, actions);
         let Some(known) = self.known.get_mut(id) else { return };
-        if known.health == Health::Live {
-            known.health = Health::Suspected;
-            decide(id, Verdict::Suspected, Source::Execution, actions);
+        let worked = known.role.is_some() && answer.batches != known.batches;
+        let busy = answer.load.running + answer.load.queued > 0;
+        let figures_changed = busy || Load { taken_us: known.load.taken_us, ..answer.load } != known.load;
+        known.load = answer.load;
+        known.batches = answer.batches;
+        let joined = known.role.is_none();
+        let role_changed = known.role.as_ref() != Some(&answer.role);
+        known.role = Some(answer.role);
+        if joined {
+            known.joined_us = now_us;
+            let verdict = if known.leaving { Verdict::Leaving } else { Verdict::Joined };
+            decide(id, verdict, Source::Endpoint, actions);
+        }
+        if role_changed {
+            self.publish_now();
+        } else if figures_changed {
+            self.publish_soon(now_us);
+        }
+        if answer.leaving {
+            self.set_leaving(now_us, id, Source::Endpoint, actions);
         }
+        if busy || worked {
+            self.note_activity(now_us);
+        }
+        self.plan_next(now_us, id, joined);
     }
 
-    fn remove(&mut self, id: &EndpointId, source: Source, actions: &mut Vec<Action>) {
-        if self.known.remove(id).is_some() {
-            decide(id, Verdict::Removed, source, actions);
+    fn on_observed(&mut self, now_us: u64, observations: &[Observation], actions: &mut Vec<Action>) {
+        for Observation { endpoint, state } in observations {
+            if !self.raise_floor(now_us, endpoint, actions) {
+                continue;
+            }
+            match state {
+                ObservedState::Leaving => self.set_leaving(now_us, endpoint, Source::Peer, actions),
+                ObservedState::Dead => self.on_peer_found_dead(now_us, endpoint, actions),
+            }
         }
     }
 
-    fn publish(&self, actions: &mut Vec<Action>) {
+    fn publish(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let endpoints: Arc<[Endpoint]> = self
             .known
             .iter()
@@ -183,13 +374,15 @@
                     zone: known.zone.clone(),
                     address: known.address,
                     role: known.role.clone()?,
-                    health: known.health,
+                    health: known.health()?,
                     load: known.load,
                     fencing: known.fencing,
                     joined_us: known.joined_us,
                 })
             })
             .collect();
+        self.published_us = now_us;
+        self.publish_due_us = None;
         actions.push(Action::Publish(endpoints));
     }
 }
@@ -200,43 +393,85 @@
 
     fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Listed(Some(instances)) => self.on_listed(now_us, &instances, actions),
-            Event::Listed(None) => return,
-            Event::EngineReport { endpoint, report: Some(report) } => {
-                self.on_engine_report(now_us, &endpoint, &report, actions);
+            Event::Listed(instances) => {
+                self.list_asked = false;
+                if let Some(instances) = instances {
+                    self.on_listed(now_us, &instances, actions);
+                }
+            }
+            Event::EngineReport { endpoint, report } => {
+                self.on_report(now_us, &endpoint, engine_answer(now_us, report), actions);
             }
-            Event::ServiceReport { endpoint, report: Some(report) } => {
-                self.on_service_report(now_us, &endpoint, &report, actions);
+            Event::ServiceReport { endpoint, report } => {
+                self.on_report(now_us, &endpoint, service_answer(now_us, report), actions);
             }
-            Event::EngineReport { endpoint, report: None }
-            | Event::ServiceReport { endpoint, report: None } => {
-                self.on_silence(&endpoint, actions);
+            Event::NoReport { endpoint, instead } => {
+                let started_us = self.schedule.finish(&endpoint).unwrap_or(now_us);
+                self.on_no_report(now_us, &endpoint, started_us, instead, actions);
             }
-            Event::Failed { endpoint, refused } => self.on_failed(&endpoint, refused, actions),
-            Event::Observed(_) => return,
+            Event::Failed { endpoint, refused } => {
+                self.note_activity(now_us);
+                self.on_failed(now_us, &endpoint, refused, actions);
+            }
+            Event::Observed(observations) => self.on_observed(now_us, &observations, actions),
         }
-        self.publish(actions);
     }
 
     fn next_timer_us(&self) -> Option<u64> {
-        Some(self.next_list_us.min(self.next_reports_us))
+        let list_us = (!self.list_asked).then_some(self.next_list_us);
+        [list_us, self.next_announce_us, self.publish_due_us, self.next_fetch_us()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        if self.next_list_us <= now_us {
+        if !self.list_asked && self.next_list_us <= now_us {
+            self.list_asked = true;
             self.next_list_us = now_us + self.settings.list_interval_ms * US_PER_MS;
             actions.push(Action::FetchList);
         }
-        if self.next_reports_us <= now_us {
-            self.next_reports_us = now_us + self.settings.report_interval_ms * US_PER_MS;
-            let ids: Vec<EndpointId> = self.known.iter().map(|(id, _)| id.clone()).collect();
-            for id in ids {
-                self.ask(&id, actions);
-            }
+        if self.next_announce_us.is_some_and(|due_us| due_us <= now_us) {
+            self.announce_again(now_us, actions);
+        }
+        self.fetch_due(now_us, actions);
+        if self.publish_due_us.is_some_and(|due_us| due_us <= now_us) {
+            self.publish(now_us, actions);
         }
     }
 }
 
-fn decide(endpoint: &EndpointId, verdict: Verdict, source: Source, actions: &mut Vec<Action>) {
+fn engine_answer(now_us: u64, report: EngineLoad) -> Answer {
+    let load = Load {
+        running: report.running,
+        queued: report.queued,
+        step_us: report.step_us,
+        prefill_us_per_position: report.prefill_us_per_position,
+        cache_used: report.cache_used,
+        cache_limit: report.cache_limit,
+        taken_us: now_us.saturating_sub(report.age_ms.saturating_mul(US_PER_MS)),
+    };
+    Answer {
+        instance: report.instance,
+        incarnation: report.incarnation,
+        role: Role::Engine { model: report.model, version: report.version, layers: report.layers },
+        load,
+        batches: report.batches,
+        leaving: report.leaving,
+    }
+}
+
+fn service_answer(now_us: u64, report: ServiceLoad) -> Answer {
+    Answer {
+        instance: report.instance,
+        incarnation: report.incarnation,
+        role: Role::Service { service: report.service },
+        load: Load { running: report.running, taken_us: now_us, ..Load::default() },
+        batches: 0,
+        leaving: report.leaving,
+    }
+}
+
+pub(super) fn decide(endpoint: &EndpointId, verdict: Verdict, source: Source, actions: &mut Vec<Action>) {
     actions.push(Action::Decide(Decision { endpoint: endpoint.clone(), verdict, source }));
 }
--- a/crates/banyannotch/src/membership/runtime.rs
+++ b/crates/banyannotch/src/membership/runtime.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use super::{Action, Endpoint, EndpointKind, Event, Membership, MembershipSettings};
+use super::{Action, Endpoint, EndpointKind, Event, Instead, Membership, MembershipSettings};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
-use crate::engine::EndpointClient;
-use crate::http::{Client, ClientSettings};
-use crate::ids::EndpointId;
+use crate::engine::{EndpointClient, StepError};
+use crate::http::{CallError, Client, ClientSettings};
+use crate::ids::{EndpointId, InstanceId};
 use crate::pipeline::Address;
 use crate::platform::{HttpInstanceList, InstanceList};
 use crate::ring::{Doorbell, Receiver, Sender};
@@ -39,11 +39,14 @@
     links: Links,
     settings: MembershipSettings,
     list: Address,
+    own_instance: InstanceId,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
     let own = supervisor.clone();
     supervisor.spawn("membership", move || async move {
         let bell = links.bell.clone();
-        let http = Client::new(ClientSettings::default());
+        // A connection attempt must end as silence, not as a refusal, so it may take longer than a fetch.
+        let connect_timeout_ms = settings.fetch_limit_ms.saturating_mul(2);
+        let http = Client::new(ClientSettings { connect_timeout_ms, ..ClientSettings::default() });
         let ports = MembershipPorts {
             links,
             mailbox: Mailbox::new(&bell),
@@ -52,7 +55,7 @@
             limit_ms: settings.fetch_limit_ms,
             supervisor: own,
         };
-        duty::run(clock, bell, Membership::new(settings), ports).await;
+        duty::run(clock, bell, Membership::new(settings, own_instance), ports).await;
     })
 }
 
@@ -85,6 +88,10 @@
                 let event = peers::Event::Observed(observations);
                 self.links.peers.send_or_fail(event, "membership_peers", &self.supervisor);
             }
+            Action::Entries(entries) => {
+                let event = peers::Event::Entries(entries);
+                self.links.peers.send_or_fail(event, "membership_peers", &self.supervisor);
+            }
             Action::Decide(decision) => {
                 Note::Decision(Decision::Membership(decision)).send(&mut self.links.telemetry);
             }
@@ -113,16 +120,20 @@
     fn fetch_load(&self, endpoint: EndpointId, address: Address, kind: EndpointKind) {
         let (client, mailbox, limit_ms) = (self.client.clone(), self.mailbox.clone(), self.limit_ms);
         actix_rt::spawn(async move {
-            let event = match kind {
-                EndpointKind::Engine => {
-                    let report = client.engine_load(address, limit_ms).await.ok();
-                    Event::EngineReport { endpoint, report }
-                }
-                EndpointKind::Service => {
-                    let report = client.service_load(address, limit_ms).await.ok();
-                    Event::ServiceReport { endpoint, report }
-                }
+            let fetched = match kind {
+                EndpointKind::Engine => client
+                    .engine_load(address, limit_ms)
+                    .await
+                    .map(|report| Event::EngineReport { endpoint: endpoint.clone(), report }),
+                EndpointKind::Service => client
+                    .service_load(address, limit_ms)
+                    .await
+                    .map(|report| Event::ServiceReport { endpoint: endpoint.clone(), report }),
             };
+            let event = fetched.unwrap_or_else(|error| {
+                log::debug!("event=load_not_fetched endpoint={endpoint} error={error}");
+                Event::NoReport { endpoint, instead: instead(&error) }
+            });
             mailbox.put(event);
         });
     }
@@ -133,3 +144,13 @@
         Note::Endpoints(Arc::clone(endpoints)).send(&mut self.links.telemetry);
     }
 }
+
+fn instead(error: &StepError) -> Instead {
+    match error {
+        StepError::Call(CallError::NotSent(_)) => Instead::Refused,
+        StepError::Call(CallError::Broken(_) | CallError::TimedOut { .. }) => Instead::Silence,
+        StepError::Call(CallError::BadAnswer(_)) | StepError::Refused(_) | StepError::Status { .. } => {
+            Instead::OtherAnswer
+        }
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/membership/tests.rs
@@ -0,0 +1,437 @@
+//! Snapshots of what membership decides in named situations.
+
+use std::collections::VecDeque;
+use std::fmt::Write;
+
+use super::{
+    Action, Endpoint, Event, Health, Instead, Membership, MembershipSettings, Observation, ObservedState,
+};
+use crate::clock::US_PER_MS;
+use crate::duty::Duty;
+use crate::engine::EngineLoad;
+use crate::ids::{EndpointId, Incarnation, InstanceId, ModelVersion};
+use crate::pipeline::LayerRange;
+use crate::platform::{Fencing, InstanceKind, InstanceState, Instances, ListedInstance};
+
+/// What an endpoint does with a fetch of its load report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Behaviour {
+    Answers,
+    Busy,
+    Leaves,
+    Fails,
+    Hangs,
+    Refuses,
+    RunsAs(u64),
+}
+
+/// A policy, its endpoints' behaviour and a transcript of its decisions.
+pub(super) struct Bench {
+    pub membership: Membership,
+    pub now_us: u64,
+    pub behaviours: Vec<(InstanceId, Behaviour)>,
+    /// What the list shows, or none while it is down.
+    pub list: Option<Vec<ListedInstance>>,
+    pub table: Vec<Endpoint>,
+    pub published: u32,
+    pub fetched: Vec<(u64, EndpointId)>,
+    pub hanging: Vec<(u64, EndpointId)>,
+    /// Answers that the policy has not taken yet.
+    pub answers: VecDeque<Event>,
+    pub announced: Vec<Observation>,
+    pub transcript: String,
+}
+
+pub(super) fn listed(instance: &str, incarnation: u64, state: InstanceState) -> ListedInstance {
+    ListedInstance {
+        instance: instance.into(),
+        incarnation: Incarnation(incarnation),
+        kind: if instance.starts_with("entry") { InstanceKind::Entry } else { InstanceKind::Engine },
+        zone: "zone-a".into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        state,
+        fencing: Fencing::Checked,
+    }
+}
+
+pub(super) fn live(instances: &[&str]) -> Vec<ListedInstance> {
+    instances.iter().map(|instance| listed(instance, 1, InstanceState::Live)).collect()
+}
+
+pub(super) fn report(id: &EndpointId, incarnation: u64, leaving: bool, running: u32) -> EngineLoad {
+    EngineLoad {
+        instance: id.instance.clone(),
+        incarnation: Incarnation(incarnation),
+        model: "m".into(),
+        version: ModelVersion(1),
+        layers: LayerRange::new(0, 4),
+        running,
+        queued: 0,
+        batches: 0,
+        step_us: 1_000,
+        prefill_us_per_position: 10,
+        cache_used: 0,
+        cache_limit: 0,
+        leaving,
+        age_ms: 0,
+    }
+}
+
+impl Bench {
+    pub fn new(instances: &[&str]) -> Self {
+        Self {
+            membership: Membership::new(MembershipSettings::default(), "entry-0".into()),
+            now_us: 1_000_000,
+            behaviours: Vec::new(),
+            list: Some(live(instances)),
+            table: Vec::new(),
+            published: 0,
+            fetched: Vec::new(),
+            hanging: Vec::new(),
+            answers: VecDeque::new(),
+            announced: Vec::new(),
+            transcript: String::new(),
+        }
+    }
+
+    pub fn set(&mut self, instance: &str, behaviour: Behaviour) {
+        let name = InstanceId::from(instance);
+        self.behaviours.retain(|(known, _)| *known != name);
+        self.behaviours.push((name, behaviour));
+    }
+
+    fn behaviour(&self, instance: &InstanceId) -> Behaviour {
+        let found = self.behaviours.iter().find(|(known, _)| known == instance);
+        found.map_or(Behaviour::Answers, |(_, behaviour)| *behaviour)
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.answers.push_back(event);
+        self.take_answers();
+        self.timers();
+    }
+
+    fn take_answers(&mut self) {
+        while let Some(event) = self.answers.pop_front() {
+            let mut actions = Vec::new();
+            self.membership.on_event(self.now_us, event, &mut actions);
+            self.perform(actions);
+        }
+    }
+
+    fn timers(&mut self) {
+        while self.membership.next_timer_us().is_some_and(|due_us| due_us <= self.now_us) {
+            let mut actions = Vec::new();
+            self.membership.on_timer(self.now_us, &mut actions);
+            let due = self.membership.next_timer_us().is_some_and(|due_us| due_us <= self.now_us);
+            assert!(!due || !actions.is_empty(), "a timer that does nothing would make the thread spin");
+            self.perform(actions);
+            self.take_answers();
+        }
+    }
+
+    /// Lets time pass; fetches are answered at once, hanging ones end after the fetch limit.
+    pub fn pass_ms(&mut self, ms: u64) {
+        let end_us = self.now_us + ms * US_PER_MS;
+        loop {
+            let timer_us = self.membership.next_timer_us().unwrap_or(u64::MAX);
+            let hang_us = self.hanging.iter().map(|(due_us, _)| *due_us).min().unwrap_or(u64::MAX);
+            let next_us = timer_us.min(hang_us).max(self.now_us);
+            if next_us > end_us {
+                break;
+            }
+            self.now_us = next_us;
+            if let Some(index) = self.hanging.iter().position(|(due_us, _)| *due_us <= next_us) {
+                let (_, endpoint) = self.hanging.remove(index);
+                self.event(Event::NoReport { endpoint, instead: Instead::Silence });
+            }
+            self.timers();
+        }
+        self.now_us = end_us;
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::FetchList => {
+                    let instances = self.list.clone().map(|instances| Instances { instances });
+                    self.answers.push_back(Event::Listed(instances));
+                }
+                Action::FetchLoad { endpoint, .. } => self.fetch(endpoint),
+                Action::Publish(table) => {
+                    self.table = table.to_vec();
+                    self.published += 1;
+                }
+                Action::Announce(observations) => {
+                    let at_ms = self.now_us / US_PER_MS;
+                    for observation in observations {
+                        if !self.announced.contains(&observation) {
+                            let Observation { endpoint, state } = &observation;
+                            writeln!(self.transcript, "{at_ms} announce {endpoint} {state:?}").unwrap();
+                        }
+                        self.announced.push(observation);
+                    }
+                }
+                Action::Entries(entries) => {
+                    let names: Vec<String> = entries.iter().map(|entry| entry.entry.to_string()).collect();
+                    writeln!(self.transcript, "{} entries {names:?}", self.now_us / US_PER_MS).unwrap();
+                }
+                Action::Decide(decision) => {
+                    writeln!(self.transcript, "{} {decision}", self.now_us / US_PER_MS).unwrap();
+                }
+            }
+        }
+    }
+
+    fn fetch(&mut self, endpoint: EndpointId) {
+        self.fetched.push((self.now_us, endpoint.clone()));
+        let incarnation = endpoint.incarnation.0;
+        let event = match self.behaviour(&endpoint.instance) {
+            Behaviour::Answers => {
+                Event::EngineReport { report: report(&endpoint, incarnation, false, 0), endpoint }
+            }
+            Behaviour::Busy => {
+                Event::EngineReport { report: report(&endpoint, incarnation, false, 3), endpoint }
+            }
+            Behaviour::Leaves => {
+                Event::EngineReport { report: report(&endpoint, incarnation, true, 0), endpoint }
+            }
+            Behaviour::RunsAs(other) => {
+                Event::EngineReport { report: report(&endpoint, other, false, 0), endpoint }
+            }
+            Behaviour::Fails => Event::NoReport { endpoint, instead: Instead::OtherAnswer },
+            Behaviour::Refuses => Event::NoReport { endpoint, instead: Instead::Refused },
+            Behaviour::Hangs => {
+                let limit_us = MembershipSettings::default().fetch_limit_ms * US_PER_MS;
+                self.hanging.push((self.now_us + limit_us, endpoint));
+                return;
+            }
+        };
+        self.answers.push_back(event);
+    }
+
+    /// Returns the health of an incarnation in the published table.
+    pub fn health(&self, id: &EndpointId) -> Option<Health> {
+        self.table.iter().find(|endpoint| endpoint.id == *id).map(|endpoint| endpoint.health)
+    }
+
+    fn finish(mut self) -> String {
+        let now_ms = self.now_us / US_PER_MS;
+        self.announced.sort_by(|a, b| (&a.endpoint, a.state).cmp(&(&b.endpoint, b.state)));
+        for same in self.announced.chunk_by(|a, b| a == b) {
+            let Observation { endpoint, state } = &same[0];
+            writeln!(self.transcript, "{now_ms} announced {endpoint} {state:?} {} times", same.len())
+                .unwrap();
+        }
+        for endpoint in &self.table {
+            let (id, health, joined_ms) = (&endpoint.id, endpoint.health, endpoint.joined_us / US_PER_MS);
+            writeln!(self.transcript, "{now_ms} table {id} {health:?} joined={joined_ms}").unwrap();
+        }
+        self.transcript
+    }
+}
+
+fn id(instance: &str, incarnation: u64) -> EndpointId {
+    EndpointId::new(instance, incarnation)
+}
+
+fn observed(instance: &str, state: ObservedState) -> Event {
+    Event::Observed(vec![Observation { endpoint: id(instance, 1), state }])
+}
+
+/// Guards against missing a leaving endpoint when only its own report says so.
+#[test]
+fn leaving_is_seen_in_reports_while_the_list_is_down() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.pass_ms(3_000);
+    bench.list = None;
+    bench.set("a", Behaviour::Leaves);
+    bench.pass_ms(3_000);
+    bench.set("a", Behaviour::Answers);
+    bench.pass_ms(3_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against a lagging list that makes a leaving endpoint live again, and against passing on peers' words.
+#[test]
+fn leaving_told_by_a_peer_holds_against_a_list_that_shows_it_live() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.event(observed("c", ObservedState::Leaving));
+    bench.pass_ms(1_000);
+    bench.event(observed("a", ObservedState::Leaving));
+    bench.pass_ms(1_000);
+    bench.list = Some(live(&["a", "b", "c"]));
+    bench.pass_ms(2_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against removing an endpoint after one refused connection, and against never removing a dead one.
+#[test]
+fn a_killed_endpoint_is_suspected_then_removed_and_does_not_return_with_the_list() {
+    let mut bench = Bench::new(&["a", "b", "c"]);
+    bench.pass_ms(2_000);
+    bench.set("a", Behaviour::Refuses);
+    bench.event(Event::Failed { endpoint: id("a", 1), refused: true });
+    bench.pass_ms(10_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against removing an endpoint whose listener was full once.
+#[test]
+fn a_refused_connection_of_an_endpoint_that_answers_is_forgotten() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.pass_ms(2_000);
+    for _ in 0..5 {
+        bench.event(Event::Failed { endpoint: id("a", 1), refused: true });
+        bench.pass_ms(400);
+    }
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against shrinking the fleet when execution reports timeouts of an endpoint that is only overloaded.
+#[test]
+fn an_endpoint_that_answers_with_an_error_is_live() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.pass_ms(2_000);
+    bench.set("a", Behaviour::Fails);
+    for _ in 0..20 {
+        bench.event(Event::Failed { endpoint: id("a", 1), refused: false });
+        bench.event(observed("a", ObservedState::Dead));
+        bench.pass_ms(200);
+    }
+    let suspicions = bench.transcript.matches("suspected").count();
+    assert_eq!(suspicions, 21, "one for each failure, and one for all reports of the peer");
+    assert!(!bench.transcript.contains("removed"));
+    assert_eq!(bench.health(&id("a", 1)), Some(Health::Live));
+}
+
+/// Guards against waiting for a second own observation when another entry has made one.
+#[test]
+fn one_refusal_and_a_peer_make_an_endpoint_dead() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.pass_ms(2_000);
+    bench.set("a", Behaviour::Hangs);
+    bench.event(observed("a", ObservedState::Dead));
+    bench.pass_ms(100);
+    bench.event(Event::Failed { endpoint: id("a", 1), refused: true });
+    bench.pass_ms(3_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against removing every endpoint when this entry's own network is cut.
+#[test]
+fn a_cut_network_leaves_all_endpoints_suspected() {
+    for cut in [Behaviour::Hangs, Behaviour::Refuses] {
+        let mut bench = Bench::new(&["a", "b", "c", "d"]);
+        bench.pass_ms(2_000);
+        bench.list = None;
+        for instance in ["a", "b", "c", "d"] {
+            bench.set(instance, cut);
+        }
+        bench.pass_ms(120_000);
+        let health: Vec<Health> = bench.table.iter().map(|endpoint| endpoint.health).collect();
+        assert_eq!(health, [Health::Suspected; 4], "{cut:?}\n{}", bench.transcript);
+        bench.behaviours.clear();
+        bench.pass_ms(1_500);
+        let health: Vec<Health> = bench.table.iter().map(|endpoint| endpoint.health).collect();
+        assert_eq!(health, [Health::Live; 4], "{cut:?}\n{}", bench.transcript);
+    }
+}
+
+/// Guards against removing most replicas of a range because they are slow to answer.
+#[test]
+fn silence_removes_at_most_half_of_the_replicas() {
+    let mut bench = Bench::new(&["a", "b", "c", "d", "e", "f"]);
+    bench.pass_ms(2_000);
+    for instance in ["a", "b", "c", "d", "e"] {
+        bench.set(instance, Behaviour::Hangs);
+    }
+    bench.pass_ms(30_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against keeping both incarnations, and against returning to the old one that the list still shows.
+#[test]
+fn a_restarted_instance_replaces_its_old_incarnation() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.pass_ms(2_000);
+    bench.set("a", Behaviour::RunsAs(2));
+    bench.pass_ms(5_000);
+    bench.event(Event::EngineReport { endpoint: id("a", 1), report: report(&id("a", 1), 1, true, 0) });
+    bench.event(Event::Failed { endpoint: id("a", 1), refused: true });
+    bench.list = Some(vec![listed("a", 2, InstanceState::Live), listed("a", 1, InstanceState::Leaving)]);
+    bench.pass_ms(1_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against an endpoint that stays removed although it runs.
+#[test]
+fn a_removed_endpoint_returns_when_it_answers_and_starts_slowly() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.pass_ms(2_000);
+    bench.set("a", Behaviour::Hangs);
+    bench.pass_ms(10_000);
+    bench.set("a", Behaviour::Answers);
+    bench.pass_ms(5_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against forgetting an endpoint that answers, and against keeping one that is gone.
+#[test]
+fn an_endpoint_missing_from_the_list_is_forgotten_only_when_silent() {
+    let mut bench = Bench::new(&["a", "b", "c"]);
+    bench.pass_ms(2_000);
+    bench.list = Some(live(&["c"]));
+    bench.set("a", Behaviour::Hangs);
+    bench.pass_ms(70_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against offering the peers this entry itself or an old incarnation of another.
+#[test]
+fn entries_are_given_to_the_peers_without_this_one() {
+    let mut bench = Bench::new(&["entry-0", "entry-1", "entry-2", "a"]);
+    bench.pass_ms(1_000);
+    let mut list = live(&["entry-0", "entry-1", "entry-2", "a"]);
+    list.push(listed("entry-2", 2, InstanceState::Live));
+    bench.list = Some(list);
+    bench.pass_ms(1_000);
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// Guards against a busy idle entry: 36 endpoints without work cost few fetches and no tables.
+#[test]
+fn an_idle_fleet_is_asked_slowly_and_nothing_is_published() {
+    let names: Vec<String> = (0..36).map(|number| format!("engine-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut bench = Bench::new(&names);
+    bench.pass_ms(5_000);
+    (bench.published, bench.fetched) = (0, Vec::new());
+    bench.pass_ms(15_000);
+    assert_eq!((bench.published, bench.fetched.len()), (0, 360));
+    let at_once = bench.fetched.chunk_by(|a, b| a.0 / 100_000 == b.0 / 100_000).map(<[_]>::len).max();
+    assert!(at_once <= Some(8), "{at_once:?} fetches within 100 ms");
+    bench.set("engine-7", Behaviour::Busy);
+    bench.pass_ms(5_000);
+    (bench.published, bench.fetched) = (0, Vec::new());
+    bench.pass_ms(10_000);
+    assert_eq!(bench.fetched.len(), 1_440);
+    assert!((1..=100).contains(&bench.published), "{} tables in 10 s", bench.published);
+}
+
+/// Guards against endpoints that hang and use up all slots.
+#[test]
+fn hanging_endpoints_hold_up_no_other() {
+    let names: Vec<String> = (0..36).map(|number| format!("engine-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut bench = Bench::new(&names);
+    bench.pass_ms(5_000);
+    for name in names.iter().skip(1) {
+        bench.set(name, Behaviour::Hangs);
+    }
+    bench.pass_ms(5_000);
+    bench.set("engine-0", Behaviour::Leaves);
+    bench.pass_ms(2_000);
+    assert_eq!(bench.health(&id("engine-0", 1)), Some(Health::Leaving));
+    assert!(bench.hanging.len() <= 8, "{} fetches hang", bench.hanging.len());
+}
