membership: random runs of three entries with cuts, overload and restarts

Mutations and what they gave: - a list that shows an instance live clears leaving: leaving_told_by_a_peer_... and the random run (entry 0 revived engine-1#1) fail. - an older incarnation is accepted: a_restarted_instance_... never ends (the policy goes to and fro). - removal without another endpoint's answer: a_cut_network_... and the random run (removed while cut off) fail. - peers' reports of leaving ignored: leaving_told_by_a_peer_... fails. - no limit on removal by silence: silence_removes_at_most_half_... fails. - the list makes removed endpoints live: five tests fail, also the random run.

--- a/crates/banyannotch/src/membership/mod.rs
+++ b/crates/banyannotch/src/membership/mod.rs
@@ -4,6 +4,8 @@
 
 mod messages;
 mod policy;
+#[cfg(test)]
+mod property_tests;
 mod runtime;
 mod schedule;
 mod state;
--- a/crates/banyannotch/src/membership/policy.rs
+++ b/crates/banyannotch/src/membership/policy.rs
@@ -146,6 +146,7 @@
                 joined_us: now_us,
                 first_seen_us: now_us,
                 last_answer_us: None,
+                removed_us: 0,
                 missing_since_us: None,
                 peers_ignored_until_us: 0,
                 announce_until_us: 0,
@@ -287,7 +288,7 @@
         let started_us = self.schedule.finish(asked).unwrap_or(now_us);
         if answer.instance != asked.instance {
             // Another instance took over the address, so the endpoint that was asked is gone.
-            self.remove(asked, Source::Endpoint, actions);
+            self.remove(now_us, asked, Source::Endpoint, actions);
             self.plan_next(now_us, asked, false);
             return;
         }
@@ -312,6 +313,7 @@
                 batches: 0,
                 first_seen_us: now_us,
                 last_answer_us: None,
+                removed_us: 0,
                 missing_since_us: None,
                 peers_ignored_until_us: 0,
                 announce_until_us: 0,
--- /dev/null
+++ b/crates/banyannotch/src/membership/property_tests.rs
@@ -0,0 +1,392 @@
+//! Random runs of several entries over one fleet: a lagging list with outages, restarts, overload, freezes and cuts.
+
+use std::collections::VecDeque;
+
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+use super::tests::{listed, report};
+use super::{Action, Endpoint, Event, Health, Instead, Membership, MembershipSettings, ObservedState};
+use crate::clock::US_PER_MS;
+use crate::duty::Duty;
+use crate::ids::EndpointId;
+use crate::platform::{InstanceState, Instances, ListedInstance};
+
+const SEED: u64 = 1;
+const RUNS: u64 = 60;
+const OPERATIONS: usize = 40;
+const ENTRIES: usize = 3;
+const INSTANCES: usize = 5;
+const LIST_LAG_US: u64 = 4_000_000;
+const PEER_DELAY_US: u64 = 200_000;
+const ANSWER_US: u64 = 2_000;
+
+/// Time in which an endpoint that answers every third fetch returns to the tables: three intervals of removed ones.
+const RETURN_US: u64 = 8_000_000;
+
+/// The bound of P5: a leaving endpoint gets no new work after this time.
+const LEAVING_BOUND_US: u64 = 3_000_000;
+
+/// Time in which every table shows the truth once nothing fails any more.
+const SETTLE_US: u64 = 20_000_000;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mode {
+    Runs,
+    /// Answers every third fetch of each entry; the others are refused or get no answer.
+    Overloaded,
+    Frozen,
+    Dead,
+}
+
+#[derive(Clone, Debug)]
+struct Process {
+    incarnation: u64,
+    mode: Mode,
+    mode_us: u64,
+    leaving_us: Option<u64>,
+    fetches: [u32; ENTRIES],
+}
+
+#[derive(Debug)]
+struct Entry {
+    policy: Membership,
+    table: Vec<Endpoint>,
+    cut: bool,
+    cut_changed_us: u64,
+    /// Endpoints that ran and were shown as live when this entry was cut off.
+    before_cut: Vec<EndpointId>,
+}
+
+struct World {
+    now_us: u64,
+    processes: Vec<Process>,
+    entries: Vec<Entry>,
+    /// Lists of the past, oldest first.
+    lists: VecDeque<(u64, Vec<ListedInstance>)>,
+    list_down: bool,
+    queue: Vec<(u64, usize, Event)>,
+    leaving_seen: Vec<(usize, EndpointId)>,
+    newest: Vec<[u64; ENTRIES]>,
+}
+
+const NAMES: [&str; INSTANCES] = ["engine-0", "engine-1", "engine-2", "engine-3", "engine-4"];
+
+fn name(instance: usize) -> &'static str {
+    NAMES[instance]
+}
+
+impl World {
+    fn new() -> Self {
+        let process =
+            Process { incarnation: 1, mode: Mode::Runs, mode_us: 0, leaving_us: None, fetches: [0; 3] };
+        let entries = (0..ENTRIES)
+            .map(|number| Entry {
+                policy: Membership::new(
+                    MembershipSettings::default(),
+                    format!("entry-{number}").as_str().into(),
+                ),
+                table: Vec::new(),
+                cut: false,
+                cut_changed_us: 0,
+                before_cut: Vec::new(),
+            })
+            .collect();
+        let mut world = Self {
+            now_us: LIST_LAG_US,
+            processes: vec![process; INSTANCES],
+            entries,
+            lists: VecDeque::new(),
+            list_down: false,
+            queue: Vec::new(),
+            leaving_seen: Vec::new(),
+            newest: vec![[0; ENTRIES]; INSTANCES],
+        };
+        world.lists.push_back((0, world.true_list()));
+        world
+    }
+
+    fn true_list(&self) -> Vec<ListedInstance> {
+        self.processes
+            .iter()
+            .enumerate()
+            .map(|(number, process)| {
+                let leaving = process.leaving_us.is_some();
+                let state = if leaving { InstanceState::Leaving } else { InstanceState::Live };
+                listed(name(number), process.incarnation, state)
+            })
+            .collect()
+    }
+
+    fn lagging_list(&self) -> Option<Instances> {
+        let then_us = self.now_us - LIST_LAG_US;
+        let shown = self.lists.iter().rev().find(|(at_us, _)| *at_us <= then_us);
+        (!self.list_down)
+            .then(|| Instances { instances: shown.map(|(_, list)| list.clone()).unwrap_or_default() })
+    }
+
+    fn set_mode(&mut self, instance: usize, mode: Mode) {
+        let now_us = self.now_us;
+        if let Some(process) = self.processes.get_mut(instance) {
+            (process.mode, process.mode_us) = (mode, now_us);
+        }
+    }
+
+    /// Changes the world by one drawn operation.
+    fn operate(&mut self, kind: u8, target: u8) {
+        let instance = usize::from(target) % INSTANCES;
+        let entry = usize::from(target) % ENTRIES;
+        let now_us = self.now_us;
+        match kind % 10 {
+            0 => self.set_mode(instance, Mode::Overloaded),
+            1 => self.set_mode(instance, Mode::Frozen),
+            2 => self.set_mode(instance, Mode::Dead),
+            3 => {
+                let process = &mut self.processes[instance];
+                process.incarnation += 1;
+                process.leaving_us = None;
+                self.set_mode(instance, Mode::Runs);
+            }
+            4 if self.processes[instance].mode != Mode::Dead => {
+                self.processes[instance].leaving_us.get_or_insert(now_us);
+            }
+            5 => self.list_down = !self.list_down,
+            6 => self.cut(entry),
+            7 => {
+                let process = &self.processes[instance];
+                if process.mode != Mode::Runs {
+                    let endpoint = EndpointId::new(name(instance), process.incarnation);
+                    let refused = process.mode == Mode::Dead;
+                    self.queue.push((now_us, entry, Event::Failed { endpoint, refused }));
+                }
+            }
+            8 if self.processes[instance].mode != Mode::Dead => self.set_mode(instance, Mode::Runs),
+            _ => {}
+        }
+        self.lists.push_back((now_us, self.true_list()));
+    }
+
+    /// Cuts an entry off from everything, also from answers that are under way, or connects it again.
+    fn cut(&mut self, number: usize) {
+        let runs = |id: &EndpointId| {
+            let process = (0..INSTANCES).find(|instance| name(*instance) == id.instance.as_str());
+            process.is_some_and(|instance| self.processes[instance].mode == Mode::Runs)
+        };
+        let entry = &mut self.entries[number];
+        entry.cut = !entry.cut;
+        entry.cut_changed_us = self.now_us;
+        entry.before_cut.clear();
+        if !entry.cut {
+            return;
+        }
+        let shown =
+            entry.table.iter().filter(|endpoint| endpoint.health == Health::Live && runs(&endpoint.id));
+        entry.before_cut.extend(shown.map(|endpoint| endpoint.id.clone()));
+        self.queue.retain(|(_, to, event)| *to != number || !matches!(event, Event::Observed(_)));
+        for (_, _, event) in self.queue.iter_mut().filter(|(_, to, _)| *to == number) {
+            match event {
+                Event::Listed(list) => *list = None,
+                Event::EngineReport { endpoint, .. } => {
+                    *event = Event::NoReport { endpoint: endpoint.clone(), instead: Instead::Silence };
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, entry: usize, endpoint: EndpointId) {
+        let number = (0..INSTANCES).find(|number| name(*number) == endpoint.instance.as_str()).unwrap();
+        let process = &mut self.processes[number];
+        process.fetches[entry] += 1;
+        let turn = process.fetches[entry] % 3;
+        let answers = Event::EngineReport {
+            report: report(&endpoint, process.incarnation, process.leaving_us.is_some(), turn),
+            endpoint: endpoint.clone(),
+        };
+        let refuses = Event::NoReport { endpoint: endpoint.clone(), instead: Instead::Refused };
+        let silent = Event::NoReport { endpoint, instead: Instead::Silence };
+        let limit_us = MembershipSettings::default().fetch_limit_ms * US_PER_MS;
+        let (after_us, event) = match process.mode {
+            _ if self.entries[entry].cut => (limit_us, silent),
+            Mode::Runs => (ANSWER_US, answers),
+            Mode::Overloaded if turn == 0 => (limit_us - ANSWER_US, answers),
+            Mode::Overloaded if number % 2 == 0 => (ANSWER_US, refuses),
+            Mode::Overloaded | Mode::Frozen => (limit_us, silent),
+            Mode::Dead => (ANSWER_US, refuses),
+        };
+        self.queue.push((self.now_us + after_us, entry, event));
+    }
+
+    fn perform(&mut self, entry: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::FetchList => {
+                    let list = if self.entries[entry].cut { None } else { self.lagging_list() };
+                    self.queue.push((self.now_us + ANSWER_US, entry, Event::Listed(list)));
+                }
+                Action::FetchLoad { endpoint, .. } => self.answer(entry, endpoint),
+                Action::Publish(table) => self.entries[entry].table = table.to_vec(),
+                Action::Announce(observations) if !self.entries[entry].cut => {
+                    for peer in (0..ENTRIES).filter(|peer| *peer != entry && !self.entries[*peer].cut) {
+                        let event = Event::Observed(observations.clone());
+                        self.queue.push((self.now_us + PEER_DELAY_US, peer, event));
+                    }
+                }
+                Action::Announce(_) | Action::Entries(_) | Action::Decide(_) => {}
+            }
+        }
+    }
+
+    /// Runs until the given time and returns the first broken guarantee.
+    fn run_until(&mut self, end_us: u64) -> Result<(), String> {
+        loop {
+            let timers = self.entries.iter().enumerate();
+            let timer =
+                timers.filter_map(|(entry, state)| Some((state.policy.next_timer_us()?, entry))).min();
+            let event = self.queue.iter().enumerate().map(|(index, (at_us, ..))| (*at_us, index)).min();
+            let timer_us = timer.map_or(u64::MAX, |(at_us, _)| at_us.max(self.now_us));
+            let event_us = event.map_or(u64::MAX, |(at_us, _)| at_us);
+            if timer_us.min(event_us) > end_us {
+                self.now_us = end_us;
+                return Ok(());
+            }
+            let mut actions = Vec::new();
+            self.now_us = timer_us.min(event_us);
+            let entry = if event_us <= timer_us {
+                let (_, entry, event) = self.queue.remove(event.unwrap().1);
+                self.entries[entry].policy.on_event(self.now_us, event, &mut actions);
+                entry
+            } else {
+                let entry = timer.unwrap().1;
+                self.entries[entry].policy.on_timer(self.now_us, &mut actions);
+                entry
+            };
+            self.perform(entry, actions);
+            self.check(entry)?;
+        }
+    }
+
+    fn check(&mut self, entry: usize) -> Result<(), String> {
+        let now_us = self.now_us;
+        for endpoint in &self.entries[entry].table {
+            let seen = (entry, endpoint.id.clone());
+            if endpoint.health == Health::Leaving {
+                if !self.leaving_seen.contains(&seen) {
+                    self.leaving_seen.push(seen);
+                }
+            } else if self.leaving_seen.contains(&seen) {
+                return Err(format!("{now_us}: entry {entry} revived {}", endpoint.id));
+            }
+        }
+        for (number, process) in self.processes.iter().enumerate() {
+            let state = &self.entries[entry];
+            let shown: Vec<&Endpoint> =
+                state.table.iter().filter(|endpoint| endpoint.id.instance.as_str() == name(number)).collect();
+            if shown.len() > 1 {
+                return Err(format!("{now_us}: entry {entry} shows two incarnations of {number}"));
+            }
+            if let Some(endpoint) = shown.first() {
+                let newest = &mut self.newest[number][entry];
+                if endpoint.id.incarnation.0 < *newest {
+                    return Err(format!("{now_us}: entry {entry} went back to {}", endpoint.id));
+                }
+                *newest = endpoint.id.incarnation.0;
+            }
+            let connected_us = now_us - state.cut_changed_us;
+            let late = process.leaving_us.is_some_and(|since_us| now_us > since_us + LEAVING_BOUND_US);
+            let told = process.mode == Mode::Runs && now_us > process.mode_us + LEAVING_BOUND_US;
+            if late && told && !state.cut && connected_us > LEAVING_BOUND_US {
+                let current = shown.iter().find(|endpoint| endpoint.id.incarnation.0 == process.incarnation);
+                if let Some(endpoint) = current.filter(|endpoint| endpoint.health != Health::Leaving) {
+                    return Err(format!("{now_us}: entry {entry} gives work to leaving {}", endpoint.id));
+                }
+            }
+            let known = self.newest[number][entry] == process.incarnation;
+            let answers = matches!(process.mode, Mode::Runs | Mode::Overloaded);
+            let frozen_before = now_us - process.mode_us < RETURN_US;
+            let leaving = process.leaving_us.is_some();
+            let settled = !frozen_before && !state.cut && connected_us > RETURN_US;
+            if known && answers && settled && shown.is_empty() && !leaving {
+                return Err(format!("{now_us}: entry {entry} removed {number}, which answers"));
+            }
+        }
+        let state = &self.entries[entry];
+        let lost = |id: &&EndpointId| !state.table.iter().any(|endpoint| endpoint.id == **id);
+        if let Some(id) = state.before_cut.iter().find(lost) {
+            return Err(format!("{now_us}: entry {entry} removed {id} while it was cut off"));
+        }
+        Ok(())
+    }
+
+    /// Heals everything and checks that every table then shows the truth.
+    fn settle(&mut self) -> Result<(), String> {
+        self.list_down = false;
+        for entry in &mut self.entries {
+            entry.cut = false;
+            entry.cut_changed_us = self.now_us;
+            entry.before_cut.clear();
+        }
+        for instance in 0..INSTANCES {
+            if self.processes[instance].mode != Mode::Dead {
+                self.set_mode(instance, Mode::Runs);
+            }
+        }
+        self.lists.push_back((self.now_us, self.true_list()));
+        self.run_until(self.now_us + SETTLE_US)?;
+        let answering = self.processes.iter().filter(|process| process.mode != Mode::Dead).count();
+        for (number, process) in self.processes.iter().enumerate() {
+            let id = EndpointId::new(name(number), process.incarnation);
+            let expected = match (process.mode, process.leaving_us) {
+                (Mode::Dead, _) => None,
+                (_, Some(_)) => Some(Health::Leaving),
+                (_, None) => Some(Health::Live),
+            };
+            for (entry, state) in self.entries.iter().enumerate() {
+                let found = state.table.iter().find(|endpoint| endpoint.id == id);
+                let health = found.map(|endpoint| endpoint.health);
+                // Without any other endpoint that answers, a dead one cannot be told from a cut network.
+                let undecided = answering < 2 && process.mode == Mode::Dead && health != Some(Health::Live);
+                if health != expected && !undecided {
+                    return Err(format!("entry {entry} shows {id} as {health:?}, expected {expected:?}"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn run(operations: &[(u8, u8, u16)]) -> Result<(), String> {
+    let mut world = World::new();
+    world.run_until(world.now_us + 3_000_000)?;
+    for (kind, target, pause_ms) in operations {
+        world.operate(*kind, *target);
+        world.run_until(world.now_us + u64::from(*pause_ms % 8_000) * US_PER_MS)?;
+    }
+    world.settle()
+}
+
+/// Guards against reviving leaving or old incarnations, work for leaving endpoints after 3 s, removal of endpoints that
+/// answer, a fleet that shrinks because this entry is cut off, and tables that stay wrong after the faults.
+#[test]
+fn tables_of_several_entries_follow_the_fleet() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn holds(operations: Vec<(u8, u8, u16)>) -> TestResult {
+        match run(&operations) {
+            Ok(()) => TestResult::passed(),
+            Err(broken) => TestResult::error(broken),
+        }
+    }
+    let seeded = Gen::from_size_and_seed(OPERATIONS, SEED);
+    QuickCheck::new().rng(seeded).tests(RUNS).quickcheck(holds as fn(Vec<(u8, u8, u16)>) -> TestResult);
+}
+
+/// Guards against echoes: what a peer said must not come back as a second observation.
+#[test]
+fn peers_reports_are_not_passed_on() {
+    let mut world = World::new();
+    world.run_until(world.now_us + 3_000_000).unwrap();
+    let observation =
+        super::Observation { endpoint: EndpointId::new("engine-0", 1), state: ObservedState::Leaving };
+    let mut actions = Vec::new();
+    world.entries[0].policy.on_event(world.now_us, Event::Observed(vec![observation]), &mut actions);
+    assert!(!actions.iter().any(|action| matches!(action, Action::Announce(_))), "{actions:?}");
+}
--- a/crates/banyannotch/src/membership/schedule.rs
+++ b/crates/banyannotch/src/membership/schedule.rs
@@ -11,8 +11,9 @@
 /// How long reports are fetched at the busy interval after the last sign of work.
 const ACTIVE_US: u64 = 2_000_000;
 
-/// How long a listed endpoint that never answered is asked at the busy interval; it may still be starting.
-const STARTING_US: u64 = 10_000_000;
+/// How long a listed endpoint that never answered, or one that was removed, is asked at the busy interval; it may be
+/// starting or overloaded.
+const HOPEFUL_US: u64 = 10_000_000;
 
 /// The fetches that are under way.
 #[derive(Debug, Default)]
@@ -62,13 +63,17 @@
         let active = now_us < self.schedule.active_until_us;
         let settings = &self.settings;
         let Some(known) = self.known.get_mut(id) else { return };
-        let starting = known.role.is_none() && now_us < known.first_seen_us + STARTING_US;
+        let new = known.role.is_none();
+        let since_us = if new { known.first_seen_us } else { known.removed_us };
+        let hopeful = now_us < since_us + HOPEFUL_US;
         let interval_ms = match known.standing {
+            Standing::Live if new && hopeful => settings.report_interval_ms,
+            Standing::Removed if hopeful => settings.report_interval_ms,
+            Standing::Live if new => settings.removed_interval_ms,
             Standing::Removed => settings.removed_interval_ms,
-            Standing::Suspected => settings.confirm_ms,
-            Standing::Live if known.evidence.silences > 0 && known.role.is_some() => settings.confirm_ms,
-            Standing::Live if known.role.is_none() && !starting => settings.removed_interval_ms,
-            Standing::Live if active || starting => settings.report_interval_ms,
+            Standing::Suspected => settings.retry_ms,
+            Standing::Live if known.evidence.silences > 0 => settings.retry_ms,
+            Standing::Live if active => settings.report_interval_ms,
             Standing::Live => settings.idle_interval_ms,
         };
         let interval_us = interval_ms * US_PER_MS;
--- a/crates/banyannotch/src/membership/state.rs
+++ b/crates/banyannotch/src/membership/state.rs
@@ -18,16 +18,20 @@
     /// How often it is fetched while none has. Together with `fetch_limit_ms` it stays below the 3 s within which a
     /// leaving endpoint must be noticed.
     pub idle_interval_ms: u64,
-    /// How often a removed endpoint is asked whether it answers again.
+    /// How often an endpoint is asked that was removed some time ago.
     pub removed_interval_ms: u64,
     /// How long a fetch may take.
     pub fetch_limit_ms: u64,
     /// Most load reports that are fetched at one time.
     pub fetches_at_once: usize,
-    /// How far apart two refused connections must be to count as two observations.
-    pub confirm_ms: u64,
-    /// How long an endpoint must have been silent to be found dead by this entry alone.
-    pub dead_after_ms: u64,
+    /// How long after an unanswered fetch the endpoint is asked again.
+    pub retry_ms: u64,
+    /// How long an endpoint must refuse every connection to be found dead by this entry alone; half of it when another
+    /// entry found it dead too. Removal need not be fast, because a suspected endpoint already gets no work that
+    /// another one can take.
+    pub refusing_ms: u64,
+    /// The same for an endpoint that does not answer. Longer, because a frozen or overloaded endpoint is silent too.
+    pub silent_ms: u64,
     /// Largest share of the replicas of one layer range that may be removed on silence alone.
     pub silence_share_percent: u32,
     /// How long an endpoint must be missing from the list and silent to be forgotten.
@@ -45,8 +49,9 @@
             removed_interval_ms: 2_000,
             fetch_limit_ms: 500,
             fetches_at_once: 16,
-            confirm_ms: 200,
-            dead_after_ms: 2_000,
+            retry_ms: 200,
+            refusing_ms: 1_000,
+            silent_ms: 2_000,
             silence_share_percent: 50,
             forget_ms: 60_000,
             publish_interval_ms: 100,
@@ -73,6 +78,7 @@
     pub joined_us: u64,
     pub first_seen_us: u64,
     pub last_answer_us: Option<u64>,
+    pub removed_us: u64,
     /// Since when fetched lists have not shown the endpoint.
     pub missing_since_us: Option<u64>,
     /// Peers' reports of death are ignored until then, because the endpoint answered after an earlier one.
--- a/crates/banyannotch/src/membership/verdict.rs
+++ b/crates/banyannotch/src/membership/verdict.rs
@@ -2,8 +2,8 @@
 //!
 //! A refused connection is strong evidence, because a live process has a listener. It is still only a suspicion when
 //! seen once: an overloaded listener with a full backlog refuses too, and so does every address while this entry's own
-//! network is down. Two refusals that lie apart, or one and another entry's report, make an endpoint dead.
-//! Silence is weak evidence: a frozen, an overloaded and an unreachable endpoint look the same.
+//! network is down. Refusals over a while without an answer make it dead, a shorter while if another entry reports the
+//! same. Silence is weak evidence: a frozen, an overloaded and an unreachable endpoint look the same.
 //! Nothing is removed unless it failed once more after another endpoint had answered, because otherwise this entry's
 //! own network may be cut. Any answer clears all signs.
 
@@ -24,9 +24,9 @@
     Silent,
     /// One observer found it refusing connections.
     Refused,
-    /// Found silent twice, or by two observers.
+    /// Found silent for long, or by two observers.
     DeadBySilence,
-    /// Found refusing connections twice, or by two observers.
+    /// Found refusing connections for long, or by two observers.
     DeadByRefusal,
 }
 
@@ -132,9 +132,10 @@
     }
 
     /// Takes an endpoint out of the table until it answers again.
-    pub(super) fn remove(&mut self, id: &EndpointId, source: Source, actions: &mut Vec<Action>) {
+    pub(super) fn remove(&mut self, now_us: u64, id: &EndpointId, source: Source, actions: &mut Vec<Action>) {
         let Some(known) = self.known.get_mut(id) else { return };
         if std::mem::replace(&mut known.standing, Standing::Removed) != Standing::Removed {
+            known.removed_us = now_us;
             decide(id, Verdict::Removed, source, actions);
             self.publish_now();
         }
@@ -158,7 +159,7 @@
         if known.leaving {
             // An endpoint that said it leaves and refuses connections has left; it gets no work in any case.
             if matches!(grade, Grade::Refused | Grade::DeadByRefusal | Grade::DeadBySilence) {
-                self.remove(id, source, actions);
+                self.remove(now_us, id, source, actions);
             }
             return;
         }
@@ -170,7 +171,7 @@
         };
         let network_works = known.evidence.other_answered_us.is_some_and(|at_us| at_us < started_us);
         if dead && network_works {
-            self.remove(id, source, actions);
+            self.remove(now_us, id, source, actions);
         } else if matches!(grade, Grade::Refused | Grade::DeadByRefusal) || may_suspect_on_silence(replicas) {
             self.suspect(now_us, id, source, actions);
         } else if replicas.without_signs == 0 {
@@ -205,15 +206,16 @@
     }
 
     fn grade(&self, evidence: &Evidence) -> Grade {
-        let confirm_us = self.settings.confirm_ms * US_PER_MS;
-        let dead_after_us = self.settings.dead_after_ms * US_PER_MS;
+        let needed_us = |alone_ms: u64| alone_ms * US_PER_MS / if evidence.peer { 2 } else { 1 };
         if let Some(first_us) = evidence.first_refusal_us {
-            let apart = evidence.last_refusal_us.saturating_sub(first_us) >= confirm_us;
-            return if apart || evidence.peer { Grade::DeadByRefusal } else { Grade::Refused };
+            let seen_us = evidence.last_refusal_us.saturating_sub(first_us);
+            let dead = seen_us >= needed_us(self.settings.refusing_ms);
+            return if dead { Grade::DeadByRefusal } else { Grade::Refused };
         }
         if let Some(since_us) = evidence.silent_since_us {
-            let apart = evidence.last_silence_us.saturating_sub(since_us) >= dead_after_us;
-            return if apart || evidence.peer { Grade::DeadBySilence } else { Grade::Silent };
+            let seen_us = evidence.last_silence_us.saturating_sub(since_us);
+            let dead = seen_us >= needed_us(self.settings.silent_ms);
+            return if dead { Grade::DeadBySilence } else { Grade::Silent };
         }
         if evidence.peer { Grade::Silent } else { Grade::None }
     }
