--- a/crates/banyannotch/src/placement/mod.rs
+++ b/crates/banyannotch/src/placement/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! See "Placement and orders" in `docs/design.md`.
 
+mod lease;
 mod messages;
+#[cfg(test)]
+mod property_tests;
 
+pub use lease::{Change, Held, Lease, LeaseRecord, STREAM};
 pub use messages::Decision;
