--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -219,6 +219,7 @@
             membership::Links { inbound: to_membership.receivers, ..membership_links },
             settings.membership,
             settings.instance_list,
+            settings.instance,
         )?;
         configuration::spawn(
             s,
