--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -219,7 +219,7 @@
             membership::Links { inbound: to_membership.receivers, ..membership_links },
             settings.membership,
             settings.instance_list,
-            settings.instance,
+            settings.instance.clone(),
         )?;
         configuration::spawn(
             s,
