--- a/crates/banyannotch/src/telemetry/operators.rs
+++ b/crates/banyannotch/src/telemetry/operators.rs
@@ -31,6 +31,8 @@
             ("GET", "/metrics") => text(200, self.metrics.render()),
             ("GET", "/v1/status") => json_response(200, &status(&self.state.borrow())),
             ("GET", "/v1/explain") => self.explain(request.uri().query().unwrap_or("")),
+            ("GET", "/v1/configuration") => self.configuration(),
+            ("GET", "/v1/verdict") => self.verdict(request.uri().query().unwrap_or("")),
             ("POST", "/v1/drain") => self.switch(Switch::Drain),
             _ => json_response(404, &json!({ "error": "unknown path", "path": path })),
         }
@@ -56,6 +58,33 @@
         json_response(200, &json!({ "request": request, "decisions": lines }))
     }
 
+    fn configuration(&self) -> Response {
+        let state = self.state.borrow();
+        let Some(configuration) = state.configuration.as_deref() else {
+            return json_response(404, &json!({ "error": "no configuration is in force" }));
+        };
+        match toml::to_string(&configuration.document) {
+            Ok(document) => json_response(
+                200,
+                &json!({ "version": configuration.version, "preset": configuration.preset, "document": document }),
+            ),
+            Err(error) => json_response(500, &json!({ "error": error.to_string() })),
+        }
+    }
+
+    /// Tells an operator what became of the record at an offset; 404 while it has not been judged here.
+    fn verdict(&self, query: &str) -> Response {
+        let Some(offset) = query.strip_prefix("offset=").and_then(|text| text.parse().ok()) else {
+            return json_response(400, &json!({ "error": "expected ?offset=<number>" }));
+        };
+        match self.state.borrow().verdict(offset) {
+            Some(verdict) => {
+                json_response(200, &json!({ "accepted": verdict.accepted, "decision": verdict.text }))
+            }
+            None => json_response(404, &json!({ "error": "no verdict on this record here" })),
+        }
+    }
+
     fn switch(&self, switch: Switch) -> Response {
         match switch {
             Switch::Drain => {
--- a/crates/banyannotch/src/telemetry/runtime.rs
+++ b/crates/banyannotch/src/telemetry/runtime.rs
@@ -6,15 +6,15 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 
-use super::Note;
 use super::operators::Operators;
-use super::state::{Line, State};
+use super::state::{Line, RecordVerdict, State};
+use super::{Decision, Note};
 use crate::clock::Clock;
 use crate::duty::{EVENT_BATCH, Supervisor};
 use crate::http::{ServerSettings, listener_from_std, serve};
 use crate::ids::Zone;
-use crate::intake;
 use crate::ring::{Doorbell, Receiver, Sender};
+use crate::{configuration, intake};
 
 /// Rings of the duty.
 #[derive(Debug)]
@@ -75,6 +75,9 @@
         Note::Decision(decision) => {
             let text = decision.to_string();
             log::info!(target: "decision", "{text}");
+            if let Some(verdict) = record_verdict(&decision, &text) {
+                state.keep_verdict(verdict);
+            }
             state.keep(Line { unix_ms, request: decision.request(), text });
         }
         Note::Configuration(configuration) => state.configuration = Some(configuration),
@@ -83,3 +86,13 @@
         Note::Draining => state.draining = true,
     }
 }
+
+fn record_verdict(decision: &Decision, text: &str) -> Option<RecordVerdict> {
+    let Decision::Configuration(decision) = decision else { return None };
+    let (offset, accepted) = match decision {
+        configuration::Decision::Accepted { version, .. } => (version.0, true),
+        configuration::Decision::Refused { offset, .. } => (offset.0, false),
+        _ => return None,
+    };
+    Some(RecordVerdict { offset, accepted, text: text.to_owned() })
+}
--- a/crates/banyannotch/src/telemetry/state.rs
+++ b/crates/banyannotch/src/telemetry/state.rs
@@ -10,6 +10,17 @@
 /// Decisions that are kept for `explain`.
 const DECISION_LIMIT: usize = 8_192;
 
+/// Verdicts on configuration records that are kept for operators who wait for theirs.
+const VERDICT_LIMIT: usize = 256;
+
+/// What this entry decided about a configuration record.
+#[derive(Clone, Debug)]
+pub(super) struct RecordVerdict {
+    pub offset: u64,
+    pub accepted: bool,
+    pub text: String,
+}
+
 /// A logged decision.
 #[derive(Clone, Debug)]
 pub(super) struct Line {
@@ -28,6 +39,7 @@
     pub peers: Arc<[PeerVersion]>,
     pub draining: bool,
     lines: VecDeque<Line>,
+    verdicts: VecDeque<RecordVerdict>,
 }
 
 impl State {
@@ -41,6 +53,7 @@
             peers: Arc::new([]),
             draining: false,
             lines: VecDeque::new(),
+            verdicts: VecDeque::new(),
         }
     }
 
@@ -56,4 +69,17 @@
     pub fn explain(&self, request: RequestId) -> impl Iterator<Item = &Line> {
         self.lines.iter().filter(move |line| line.request == Some(request))
     }
+
+    /// Keeps a verdict on a configuration record and forgets the oldest beyond the limit.
+    pub fn keep_verdict(&mut self, verdict: RecordVerdict) {
+        if self.verdicts.len() >= VERDICT_LIMIT {
+            self.verdicts.pop_front();
+        }
+        self.verdicts.push_back(verdict);
+    }
+
+    /// Returns the verdict on the record at an offset, if it is still kept.
+    pub fn verdict(&self, offset: u64) -> Option<&RecordVerdict> {
+        self.verdicts.iter().find(|verdict| verdict.offset == offset)
+    }
 }
--- /dev/null
+++ b/crates/standins/tests/operators.rs
@@ -0,0 +1,116 @@
+//! Runs the operator's command against a deployment. Guards against a lost race that passes as success, a preset switch
+//! that loses requests, and files that are published with errors.
+
+#![expect(
+    clippy::expect_used,
+    reason = "clippy does not take the helpers of an integration test for test code"
+)]
+
+mod common;
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use banyannotch_standins::caller::Caller;
+use banyannotch_standins::harness::{DOCUMENT, Deployment, TOKEN};
+use common::{body, check, check_clean, deployment};
+
+/// The command beside the stand-ins, where cargo puts both.
+fn command() -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_banyannotch-standin")).with_file_name("banyannotch")
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(command()).args(arguments).output().expect("the command runs")
+}
+
+fn operators(deployment: &Deployment) -> Vec<String> {
+    deployment
+        .entries
+        .iter()
+        .flat_map(|entry| ["--operators".to_owned(), entry.operators.to_string()])
+        .collect()
+}
+
+fn with_fleet(deployment: &Deployment, arguments: &[&str]) -> Output {
+    let fleet = operators(deployment);
+    let log = deployment.log.address().to_string();
+    let mut all: Vec<&str> = arguments.to_vec();
+    all.extend(["--log", &log, "--author", "ilze"]);
+    all.extend(fleet.iter().map(String::as_str));
+    run(&all)
+}
+
+/// Output with what differs from run to run left out.
+fn text(output: &Output) -> String {
+    let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
+    let stdout = stdout.lines().map(|line| line.split(" after ").next().unwrap_or(line));
+    let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
+    let stdout: Vec<&str> = stdout.collect();
+    format!("exit {:?}\n{}\n{stderr}", output.status.code(), stdout.join("\n"))
+}
+
+#[test]
+fn a_preset_switch_under_load_loses_no_request_and_a_raced_one_is_reported() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment(2, 3);
+        deployment.make_ready().await.expect("the deployment is ready");
+        let caller = Caller::new(TOKEN);
+        let entries: Vec<_> = deployment.entries.iter().map(|entry| entry.callers).collect();
+        let load = actix_rt::spawn(async move {
+            for number in 0..60_usize {
+                let prompt = format!("request {number}");
+                let entry = entries[number % entries.len()];
+                let answer = caller.generate_whole(entry, &body(&prompt, 10)).await.expect("an answer");
+                check(&answer, &prompt, 10);
+            }
+        });
+        let mut report = String::new();
+        for arguments in [
+            ["preset", "switch", "peak"].as_slice(),
+            &["preset", "switch", "maintenance"],
+            &["preset", "switch", "ordinary", "--base", "1"],
+            &["preset", "switch", "holiday"],
+        ] {
+            let output = actix_rt::task::spawn_blocking({
+                let arguments: Vec<String> = arguments.iter().map(|text| (*text).to_owned()).collect();
+                let fleet = operators(&deployment);
+                let log = deployment.log.address().to_string();
+                move || {
+                    let mut all: Vec<&str> = arguments.iter().map(String::as_str).collect();
+                    all.extend(["--log", &log, "--author", "ilze"]);
+                    all.extend(fleet.iter().map(String::as_str));
+                    run(&all)
+                }
+            })
+            .await
+            .expect("the command ends");
+            report.push_str(&format!("## {}\n{}\n", arguments.join(" "), text(&output)));
+        }
+        load.await.expect("every request is answered");
+        check_clean(&deployment).await;
+        insta::assert_snapshot!(report);
+    });
+}
+
+#[test]
+fn wrong_files_are_not_published() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment(1, 1);
+        deployment.make_ready().await.expect("the deployment is ready");
+        let file = std::env::temp_dir().join(format!("banyannotch-document-{}.toml", std::process::id()));
+        let name = file.display().to_string();
+        std::fs::write(
+            &file,
+            DOCUMENT.replace("layers = 12", "layers = 0").replace("weight = 1", "weight = 0"),
+        )
+        .expect("the file is written");
+        let wrong = with_fleet(&deployment, &["publish", &name]);
+        std::fs::write(&file, DOCUMENT.replace("weight = 1", "weight = 3")).expect("the file is written");
+        let right = with_fleet(&deployment, &["publish", &name]);
+        let checked = run(&["check", "--configuration", &name]);
+        std::fs::remove_file(&file).expect("the file is removed");
+        let report = [text(&wrong), text(&right), text(&checked)].join("\n");
+        insta::assert_snapshot!(report.replace(&name, "FILE"));
+    });
+}
