configuration: notice expired records behind an empty page, refuse unknown bases

Settings of configuration and exchange must be at least 1.

Mutations that were made, seen red and taken back: an empty page that moves on is taken for the whole log (its situation), an unknown base counts as a race (situation of the wrong records).

--- a/crates/banyannotch/src/configuration/messages.rs
+++ b/crates/banyannotch/src/configuration/messages.rs
@@ -211,6 +211,13 @@
         /// Who published that record.
         author: String,
     },
+    /// It builds on a version that has never been in force.
+    UnknownBase {
+        /// Version that it builds on.
+        base: ConfigVersion,
+        /// Version that was in force.
+        current: ConfigVersion,
+    },
     /// Its document is wrong.
     Document(DocumentError),
     /// It restates a version that cannot have been in force where it says.
@@ -267,6 +274,9 @@
             Self::Raced { base, current, author } => {
                 write!(formatter, "reason=raced base={base} current={current} winner={author:?}")
             }
+            Self::UnknownBase { base, current } => {
+                write!(formatter, "reason=unknown_base base={base} current={current}")
+            }
             Self::Document(error) => write!(formatter, "reason=document detail={:?}", error.to_string()),
             Self::Misstated { version } => write!(formatter, "reason=misstated version={version}"),
         }
--- a/crates/banyannotch/src/configuration/policy.rs
+++ b/crates/banyannotch/src/configuration/policy.rs
@@ -87,9 +87,11 @@
         unix_ms: u64,
         actions: &mut Vec<Action>,
     ) {
-        let begin = reading.from.max(page.first);
+        // Without a record the log may not know its oldest offset; a page that moves on has left records out.
+        let first = if page.records.is_empty() { page.first.max(page.next) } else { page.first };
+        let begin = reading.from.max(first);
         if self.is_gap(begin) {
-            self.note_gap(page.first, actions);
+            self.note_gap(first, actions);
             self.scan(page, actions);
         }
         self.at_end = page.records.is_empty();
--- a/crates/banyannotch/src/configuration/tests/situations.rs
+++ b/crates/banyannotch/src/configuration/tests/situations.rs
@@ -58,6 +58,7 @@
         record(0, "anna", Change::Document("# long\n".repeat(40_000))),
         record(5, "anna", restate(5, 11, 1, PresetName::Ordinary, "anna")),
         record(4, "anna", restate(5, 5, 1, PresetName::Ordinary, "anna")),
+        record(12, "anna", document(1)),
         record(0, "anna", document(1)),
     ]);
     let mut nodes = [start(0, "a")];
@@ -65,6 +66,17 @@
     insta::assert_snapshot!(lines(&nodes));
 }
 
+/// Guards against a reader that takes an empty page for the whole log though its records have expired.
+#[test]
+fn an_empty_page_that_moves_on_is_a_gap() {
+    let mut node = start(0, "a");
+    let page = Records { first: LogOffset(0), next: LogOffset(8), records: Vec::new() };
+    node.read = None;
+    node.on_event(1_000, Event::Read { records: Some(page), unix_ms: unix_ms(0) });
+    assert_eq!(node.policy.known().through, LogOffset(0));
+    insta::assert_snapshot!(lines(&[node]));
+}
+
 /// Guards against a new reader that judges a record whose base it cannot know.
 #[test]
 fn a_reader_that_joins_in_the_middle_judges_nothing_before_a_claim() {
--- a/crates/banyannotch/src/configuration/verdict.rs
+++ b/crates/banyannotch/src/configuration/verdict.rs
@@ -138,6 +138,9 @@
         if base == current {
             return Ok(());
         }
+        if base > current {
+            return Err(Refused::UnknownBase { base, current });
+        }
         let author = self.stated.as_ref().map(|stated| stated.author.to_string()).unwrap_or_default();
         Err(Refused::Raced { base, current, author })
     }
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -96,6 +96,18 @@
                 return refuse(key, address.to_string(), "an address with a port");
             }
         }
+        let at_least_one = [
+            ("configuration.uncertain_after_ms", self.configuration.uncertain_after_ms),
+            ("configuration.retention_ms", self.configuration.retention_ms),
+            ("exchange.interval_ms", self.exchange.interval_ms),
+            ("exchange.fanout", self.exchange.fanout as u64),
+            ("exchange.call_timeout_ms", self.exchange.call_timeout_ms),
+        ];
+        for (key, value) in at_least_one {
+            if value == 0 {
+                return refuse(key, value.to_string(), "at least 1");
+            }
+        }
         if self.execution.credit_tokens < 2 * self.intake.credit_batch_tokens {
             let allowed = "at least twice intake.credit_batch_tokens";
             return refuse("execution.credit_tokens", self.execution.credit_tokens.to_string(), allowed);
