--- a/crates/banyannotch/src/peers/connection.rs
+++ b/crates/banyannotch/src/peers/connection.rs
@@ -19,7 +19,7 @@
 use crate::table::Table;
 
 /// Longest message, in words of 8 bytes. A digest with the longest document and the most findings is below half of it.
-const MESSAGE_LIMIT_WORDS: usize = 128 << 10;
+pub(super) const MESSAGE_LIMIT_WORDS: usize = 128 << 10;
 
 /// Deepest nesting of pointers in a message. A digest and the envelope of a call need fewer than 10.
 const NESTING_LIMIT: i32 = 24;
--- a/crates/banyannotch/src/peers/tests/wire.rs
+++ b/crates/banyannotch/src/peers/tests/wire.rs
@@ -3,7 +3,11 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use super::{claim, digest_of, observed, suspected};
+use crate::configuration::{Claim, DOCUMENT_LIMIT_BYTES, PresetName, Stated};
+use crate::ids::{ConfigVersion, LogOffset};
 use crate::membership::ObservedState;
+use crate::peers::connection::MESSAGE_LIMIT_WORDS;
+use crate::peers::findings::DIGEST_LIMIT;
 use crate::peers::peer_capnp::digest;
 use crate::peers::{Digest, read_digest, write_digest};
 
@@ -47,6 +51,26 @@
     insta::assert_snapshot!(sizes);
 }
 
+/// Guards against a limit of messages that refuses the longest document or the most findings.
+#[test]
+fn the_largest_digest_is_within_the_limits() {
+    let text = "#".repeat(DOCUMENT_LIMIT_BYTES);
+    let stated = Stated::read(ConfigVersion(7), "anna", &text, PresetName::Peak).expect("a document");
+    let claim = Claim {
+        version: stated.version(),
+        through: LogOffset(9),
+        digest: stated.digest(),
+        stated: Some(stated),
+    };
+    let findings = (0..DIGEST_LIMIT)
+        .map(|index| observed(&format!("{index:0128}"), &format!("{index:0128}"), ObservedState::Dead, 1))
+        .collect();
+    let digest = digest_of("e1", Some(claim), findings);
+    let bytes = encode(&digest);
+    assert!(decode(&bytes).as_ref() == Ok(&digest));
+    assert!(bytes.len() < MESSAGE_LIMIT_WORDS * 8 / 2, "{} bytes", bytes.len());
+}
+
 /// Guards against a content that is taken though it is another one than its digest says, or cannot be right.
 #[test]
 fn a_wrong_content_is_refused() {
