--- a/crates/banyannotch/src/placement/mod.rs
+++ b/crates/banyannotch/src/placement/mod.rs
@@ -2,10 +2,18 @@
 //!
 //! See "Placement and orders" in `docs/design.md`.
 
+mod bound;
+mod layout;
 mod lease;
 mod messages;
+mod plan;
+#[cfg(test)]
+mod plan_tests;
 #[cfg(test)]
 mod property_tests;
 
+pub use bound::{throughput, upper_bound};
+pub use layout::{Engine, Layout, Part, uncovered};
 pub use lease::{Change, Held, Lease, LeaseRecord, STREAM};
 pub use messages::Decision;
+pub use plan::{plan, repair, token_us};
