placement: orders under the lease, off by default

The thread checks the clock before each poll of a send. Missing ranges are filled by one spare replica; a layout is only aimed at if engines can move to it one after the other with the model covered all the time.

--- a/crates/banyannotch/src/configuration/runtime.rs
+++ b/crates/banyannotch/src/configuration/runtime.rs
@@ -13,7 +13,7 @@
 use crate::platform::{HttpLog, LogService};
 use crate::ring::{Doorbell, Sender};
 use crate::telemetry::{Decision, Note};
-use crate::{admission, intake, peers, routing};
+use crate::{admission, intake, peers, placement, routing};
 
 /// Records of one read.
 const READ_MAX: u32 = 256;
@@ -34,6 +34,8 @@
     pub routing: Sender<routing::Event>,
     /// To the peers.
     pub peers: Sender<peers::Event>,
+    /// To placement.
+    pub placement: Sender<placement::Event>,
     /// To telemetry.
     pub telemetry: Sender<Note>,
 }
@@ -87,6 +89,7 @@
         self.links.admission.flush();
         self.links.routing.flush();
         self.links.peers.flush();
+        self.links.placement.flush();
         self.links.telemetry.flush();
     }
 }
@@ -117,6 +120,8 @@
         links.admission.send_or_fail(event, "configuration_admission", supervisor);
         let event = peers::Event::Configured(Arc::clone(configuration));
         links.peers.send_or_fail(event, "configuration_peers", supervisor);
+        let event = placement::Event::Configured(Arc::clone(configuration));
+        links.placement.send_or_fail(event, "configuration_placement", supervisor);
         let event = intake::Event::Configured(Arc::clone(configuration));
         links.intake.send_or_fail(event, "configuration_intake", supervisor);
         Note::Configuration(Arc::clone(configuration)).send(&mut links.telemetry);
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -7,12 +7,15 @@
 use super::{EntryError, Result};
 use crate::clock::{Clock, SystemClock};
 use crate::duty::Supervisor;
+use crate::ids::{EndpointId, Incarnation};
 use crate::pipeline::Address;
 use crate::random::mix;
 use crate::ring::{Doorbell, Receiver, Sender, link};
 use crate::settings::Settings;
 use crate::telemetry::Note;
-use crate::{admission, configuration, execution, intake, ledger, membership, peers, routing, telemetry};
+use crate::{
+    admission, configuration, execution, intake, ledger, membership, peers, placement, routing, telemetry,
+};
 
 /// Items of a ring.
 const RING_ITEMS: usize = 1_024;
@@ -58,6 +61,7 @@
     configuration: Doorbell,
     membership: Doorbell,
     peers: Doorbell,
+    placement: Doorbell,
     telemetry: Doorbell,
 }
 
@@ -103,6 +107,7 @@
         let mut to_ledger = Inbox::new(&bells.ledger);
         let mut to_membership = Inbox::new(&bells.membership);
         let mut to_peers = Inbox::new(&bells.peers);
+        let mut to_placement = Inbox::new(&bells.placement);
         let mut to_telemetry: Inbox<Note> = Inbox::new(&bells.telemetry);
 
         let intake_links = intake::Links {
@@ -150,6 +155,7 @@
             admission: to_admission.ring_from(&bells.configuration, HELD_ITEMS),
             routing: to_routing.ring_from(&bells.configuration, HELD_ITEMS),
             peers: to_peers.ring_from(&bells.configuration, HELD_ITEMS),
+            placement: to_placement.ring_from(&bells.configuration, HELD_ITEMS),
             telemetry: to_telemetry.ring_from(&bells.configuration, HELD_NOTES),
         };
         let membership_links = membership::Links {
@@ -157,8 +163,14 @@
             inbound: Vec::new(),
             routing: to_routing.ring_from(&bells.membership, HELD_ITEMS),
             peers: to_peers.ring_from(&bells.membership, HELD_ITEMS),
+            placement: to_placement.ring_from(&bells.membership, HELD_ITEMS),
             telemetry: to_telemetry.ring_from(&bells.membership, HELD_NOTES),
         };
+        let placement_links = placement::Links {
+            bell: bells.placement.clone(),
+            inbound: Vec::new(),
+            telemetry: to_telemetry.ring_from(&bells.placement, HELD_NOTES),
+        };
         let telemetry_intake = to_intake.ring_from(&bells.telemetry, HELD_ITEMS);
         let stop = to_intake.ring_from(&Doorbell::default(), HELD_ITEMS);
 
@@ -198,7 +210,15 @@
             membership::Links { inbound: to_membership.receivers, ..membership_links },
             settings.membership,
             settings.instance_list,
-            settings.instance,
+            settings.instance.clone(),
+        )?;
+        placement::spawn(
+            s,
+            clock,
+            placement::Links { inbound: to_placement.receivers, ..placement_links },
+            settings.placement,
+            settings.log,
+            EndpointId { instance: settings.instance, incarnation: Incarnation(seed) },
         )?;
         configuration::spawn(s, clock, configuration_links, settings.log)?;
         intake::spawn(
--- a/crates/banyannotch/src/membership/runtime.rs
+++ b/crates/banyannotch/src/membership/runtime.rs
@@ -12,7 +12,7 @@
 use crate::platform::{HttpInstanceList, InstanceList};
 use crate::ring::{Doorbell, Receiver, Sender};
 use crate::telemetry::{Decision, Note};
-use crate::{peers, routing};
+use crate::{peers, placement, routing};
 
 /// Rings of the duty.
 #[derive(Debug)]
@@ -25,6 +25,8 @@
     pub routing: Sender<routing::Event>,
     /// To the peers.
     pub peers: Sender<peers::Event>,
+    /// To placement.
+    pub placement: Sender<placement::Event>,
     /// To telemetry.
     pub telemetry: Sender<Note>,
 }
@@ -101,6 +103,7 @@
     fn flush(&mut self) {
         self.links.routing.flush();
         self.links.peers.flush();
+        self.links.placement.flush();
         self.links.telemetry.flush();
     }
 }
@@ -141,6 +144,8 @@
     fn publish(&mut self, endpoints: &Arc<[Endpoint]>) {
         let event = routing::Event::Endpoints(Arc::clone(endpoints));
         self.links.routing.send_or_fail(event, "membership_routing", &self.supervisor);
+        let event = placement::Event::Endpoints(Arc::clone(endpoints));
+        self.links.placement.send_or_fail(event, "membership_placement", &self.supervisor);
         Note::Endpoints(Arc::clone(endpoints)).send(&mut self.links.telemetry);
     }
 }
--- a/crates/banyannotch/src/placement/lease.rs
+++ b/crates/banyannotch/src/placement/lease.rs
@@ -146,6 +146,11 @@
         self.held.filter(|held| now_us < held.until_us)
     }
 
+    /// Returns whether the newest lease is this entry's own, even if it has run out.
+    pub fn is_newest(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Takes a page of records that was asked for at `asked_us` and is read at `now_us`. `whole` says that the page
     /// reached the end of the stream.
     pub fn on_records(&mut self, asked_us: u64, now_us: u64, page: &Records, whole: bool) -> Option<Change> {
@@ -199,8 +204,12 @@
 
     /// Returns a record to append now, if this entry should renew its lease or may claim a free one.
     pub fn claim(&mut self, now_us: u64) -> Option<LeaseRecord> {
-        let fresh = self.read_us.is_some_and(|at_us| now_us.saturating_sub(at_us) <= self.term_us());
-        if !fresh || self.next_claim_us().is_none_or(|due_us| now_us < due_us) {
+        if self.next_claim_us().is_none_or(|due_us| now_us < due_us) {
+            return None;
+        }
+        if self.read_us.is_none_or(|at_us| now_us.saturating_sub(at_us) > self.term_us()) {
+            // Waits for the next read, instead of being due all the time.
+            self.read_us = None;
             return None;
         }
         self.last_nonce += 1;
--- a/crates/banyannotch/src/placement/mod.rs
+++ b/crates/banyannotch/src/placement/mod.rs
@@ -9,11 +9,17 @@
 mod plan;
 #[cfg(test)]
 mod plan_tests;
+mod policy;
 #[cfg(test)]
 mod property_tests;
+mod runtime;
+#[cfg(test)]
+mod tests;
 
 pub use bound::{throughput, upper_bound};
 pub use layout::{Engine, Layout, Part, uncovered};
 pub use lease::{Change, Held, Lease, LeaseRecord, STREAM};
-pub use messages::Decision;
+pub use messages::{Action, Decision, Event, OrderAction, OrderResult, PlacementSettings};
 pub use plan::{plan, repair, token_us};
+pub use policy::{Placement, missing_layers};
+pub use runtime::{Links, spawn};
