--- a/crates/banyannotch/src/configuration/runtime.rs
+++ b/crates/banyannotch/src/configuration/runtime.rs
@@ -13,7 +13,7 @@
 use crate::platform::{HttpLog, LogService};
 use crate::ring::{Doorbell, Receiver, Sender};
 use crate::telemetry::Note;
-use crate::{admission, intake, peers, routing, telemetry};
+use crate::{admission, intake, peers, placement, routing, telemetry};
 
 /// Records of one read.
 const READ_MAX: u32 = 256;
@@ -36,6 +36,8 @@
     pub routing: Sender<routing::Event>,
     /// To the peers.
     pub peers: Sender<peers::Event>,
+    /// To placement.
+    pub placement: Sender<placement::Event>,
     /// To telemetry.
     pub telemetry: Sender<Note>,
 }
@@ -111,6 +113,7 @@
         self.links.admission.flush();
         self.links.routing.flush();
         self.links.peers.flush();
+        self.links.placement.flush();
         self.links.telemetry.flush();
     }
 }
@@ -163,6 +166,8 @@
         links.routing.send_or_fail(event, "configuration_routing", supervisor);
         let event = admission::Event::Configured(Arc::clone(configuration));
         links.admission.send_or_fail(event, "configuration_admission", supervisor);
+        let event = placement::Event::Configured(Arc::clone(configuration));
+        links.placement.send_or_fail(event, "configuration_placement", supervisor);
         let event = intake::Event::Configured(Arc::clone(configuration));
         links.intake.send_or_fail(event, "configuration_intake", supervisor);
         Note::Configuration(Arc::clone(configuration)).send(&mut links.telemetry);
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -13,7 +13,9 @@
 use crate::ring::{Doorbell, Receiver, Sender, link};
 use crate::settings::Settings;
 use crate::telemetry::Note;
-use crate::{admission, configuration, execution, intake, ledger, membership, peers, routing, telemetry};
+use crate::{
+    admission, configuration, execution, intake, ledger, membership, peers, placement, routing, telemetry,
+};
 
 /// Items of a ring.
 const RING_ITEMS: usize = 1_024;
@@ -62,6 +64,7 @@
     configuration: Doorbell,
     membership: Doorbell,
     peers: Doorbell,
+    placement: Doorbell,
     telemetry: Doorbell,
 }
 
@@ -108,6 +111,7 @@
         let mut to_configuration = Inbox::new(&bells.configuration);
         let mut to_membership = Inbox::new(&bells.membership);
         let mut to_peers = Inbox::new(&bells.peers);
+        let mut to_placement = Inbox::new(&bells.placement);
         let mut to_telemetry: Inbox<Note> = Inbox::new(&bells.telemetry);
 
         let intake_links = intake::Links {
@@ -156,6 +160,7 @@
             admission: to_admission.ring_from(&bells.configuration, HELD_ITEMS),
             routing: to_routing.ring_from(&bells.configuration, HELD_ITEMS),
             peers: to_peers.ring_from(&bells.configuration, HELD_ITEMS),
+            placement: to_placement.ring_from(&bells.configuration, HELD_ITEMS),
             telemetry: to_telemetry.ring_from(&bells.configuration, HELD_NOTES),
         };
         let membership_links = membership::Links {
@@ -163,6 +168,7 @@
             inbound: Vec::new(),
             routing: to_routing.ring_from(&bells.membership, HELD_ITEMS),
             peers: to_peers.ring_from(&bells.membership, HELD_ITEMS),
+            placement: to_placement.ring_from(&bells.membership, HELD_ITEMS),
             telemetry: to_telemetry.ring_from(&bells.membership, HELD_NOTES),
         };
         let peers_links = peers::Links {
@@ -172,10 +178,17 @@
             membership: to_membership.ring_from(&bells.peers, HELD_REPORTS),
             execution: to_execution.ring_from(&bells.peers, HELD_REPORTS),
         };
+        let placement_links = placement::Links {
+            bell: bells.placement.clone(),
+            inbound: Vec::new(),
+            telemetry: to_telemetry.ring_from(&bells.placement, HELD_NOTES),
+        };
         let telemetry_intake = to_intake.ring_from(&bells.telemetry, HELD_ITEMS);
         let stop = to_intake.ring_from(&Doorbell::default(), HELD_ITEMS);
 
         let seed = start_seed(&settings, &clock);
+        let own =
+            EndpointId { instance: settings.instance.clone(), incarnation: Incarnation(clock.unix_ms()) };
         let s = &supervisor;
         telemetry::spawn(
             s,
@@ -195,7 +208,7 @@
             peers::Links { inbound: to_peers.receivers, ..peers_links },
             peers,
             settings.exchange,
-            EndpointId { instance: settings.instance.clone(), incarnation: Incarnation(clock.unix_ms()) },
+            own.clone(),
             settings.known_peers,
         )?;
         ledger::spawn(s, ledger::Links { inbound: to_ledger.receivers, ..ledger_links })?;
@@ -230,6 +243,14 @@
             settings.log,
             mix(seed ^ 4),
         )?;
+        placement::spawn(
+            s,
+            clock,
+            placement::Links { inbound: to_placement.receivers, ..placement_links },
+            settings.placement,
+            settings.log,
+            own,
+        )?;
         intake::spawn(
             s,
             clock,
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -12,6 +12,7 @@
 use crate::membership::MembershipSettings;
 use crate::peers::ExchangeSettings;
 use crate::pipeline::Address;
+use crate::placement::PlacementSettings;
 
 /// Settings of an entry.
 #[derive(Clone, Debug, Deserialize)]
@@ -49,6 +50,9 @@
     /// Intervals of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
+    /// Limits of placement.
+    #[serde(default)]
+    pub placement: PlacementSettings,
 }
 
 impl Settings {
