--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,6 +3,8 @@
 use bpaf::Bpaf;
 
 use crate::Result;
+use crate::idle::{self, IdleOptions};
+use crate::overhead::{self, OverheadOptions};
 use crate::script::{self, Ask, Call, Get, Post};
 
 /// Whether what was checked was right.
@@ -37,6 +39,18 @@
     /// Fetches a path and prints the answer
     #[bpaf(command)]
     Get(#[bpaf(external(script::get_options))] Get),
+    /// Runs a closed loop against engines without an entry
+    #[bpaf(command)]
+    Direct(#[bpaf(external(overhead::overhead_options))] OverheadOptions),
+    /// Runs the same closed loop through one entry
+    #[bpaf(command)]
+    Routed(#[bpaf(external(overhead::overhead_options))] OverheadOptions),
+    /// Compares the two, and the time between tokens of single requests
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::overhead_options))] OverheadOptions),
+    /// Measures processor time and memory of entries without requests
+    #[bpaf(command)]
+    Idle(#[bpaf(external(idle::idle_options))] IdleOptions),
 }
 
 /// Returns the parser of the command line.
@@ -54,5 +68,9 @@
         Command::Call(call) => script::call(&call, &mut std::io::stdout()).await,
         Command::Post(post) => script::post(&post, &mut std::io::stdout()).await,
         Command::Get(get) => script::get(&get, &mut std::io::stdout()).await,
+        Command::Direct(options) => overhead::direct(&options).await,
+        Command::Routed(options) => overhead::routed(&options).await,
+        Command::Overhead(options) => overhead::overhead(&options).await,
+        Command::Idle(options) => idle::idle(&options).await,
     }
 }
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -25,6 +25,14 @@
     /// A process of the deployment did not start or answer.
     #[error(transparent)]
     Harness(#[from] HarnessError),
+    /// A file could not be read.
+    #[error("cannot read {name}: {source}")]
+    Read {
+        /// File.
+        name: String,
+        /// What went wrong.
+        source: std::io::Error,
+    },
     /// A file or stream could not be written.
     #[error("cannot write {name}: {source}")]
     Write {
--- /dev/null
+++ b/crates/load/src/idle/mod.rs
@@ -0,0 +1,7 @@
+//! What an entry costs that has nothing to do, at the users' number of endpoints.
+
+mod measure;
+mod options;
+
+pub use measure::idle;
+pub use options::{IdleOptions, idle_options};
--- /dev/null
+++ b/crates/load/src/layout/mod.rs
@@ -0,0 +1,9 @@
+//! Which engines and entries a measurement runs against, and their start.
+
+mod options;
+mod plan;
+mod start;
+
+pub use options::{SiteOptions, site_options};
+pub use plan::{EnginePlan, Layout, Speed};
+pub use start::{Site, start};
--- /dev/null
+++ b/crates/load/src/layout/start.rs
@@ -0,0 +1,54 @@
+//! Starts the processes of a layout.
+
+use banyannotch_standins::harness::{Binaries, Deployment, EngineSpec};
+
+use super::Layout;
+use crate::Result;
+
+/// Name of the plain service in every layout.
+const SERVICE: &str = "desk";
+
+/// A running deployment and the layout that it was started from. `deployment.endpoints` holds the engines first, in the
+/// order of the layout.
+#[derive(Debug)]
+pub struct Site {
+    /// The processes.
+    pub deployment: Deployment,
+    /// What they are.
+    pub layout: Layout,
+}
+
+/// Starts a layout and waits until all entries know the endpoints and the document.
+///
+/// # Errors
+/// Returns [`crate::LoadError`] when a process does not start or is not ready in time.
+pub async fn start(binaries: Binaries, layout: Layout, document: &str) -> Result<Site> {
+    let mut deployment = Deployment::start(binaries, &[])?;
+    for engine in &layout.engines {
+        let speed = engine.speed;
+        let options = [
+            ("--step-us", speed.step_us),
+            ("--item-us", speed.item_us),
+            ("--prefill-us", speed.prefill_us),
+            ("--batch-limit", speed.batch_limit),
+            ("--prefix-cache", layout.prefix_cache),
+        ];
+        deployment.add_engine(&EngineSpec {
+            instance: engine.instance.clone(),
+            zone: engine.zone.clone(),
+            layers: engine.layers,
+            options: options
+                .into_iter()
+                .flat_map(|(name, value)| [name.to_owned(), value.to_string()])
+                .collect(),
+        })?;
+    }
+    for (instance, zone) in &layout.services {
+        deployment.add_service(SERVICE, instance, zone)?;
+    }
+    for (instance, zone) in &layout.entries {
+        deployment.add_entry(instance, zone, "")?;
+    }
+    deployment.make_ready_with(document).await?;
+    Ok(Site { deployment, layout })
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,9 +3,16 @@
 //! Everything runs as processes on loopback. Answers are checked against the reference answer of the stand-ins' model,
 //! so a figure never counts a wrong answer.
 
+pub mod client;
 mod command;
 mod error;
+pub mod idle;
+pub mod layout;
+pub mod machine;
+pub mod overhead;
+pub mod report;
 pub mod script;
+pub mod workload;
 
 pub use command::{Command, Verdict, execute, options};
 pub use error::{LoadError, Result};
--- /dev/null
+++ b/crates/load/src/workload/mod.rs
@@ -0,0 +1,5 @@
+//! What callers ask for.
+
+mod prompts;
+
+pub use prompts::prompt;
--- /dev/null
+++ b/crates/load/src/workload/prompts.rs
@@ -0,0 +1,41 @@
+//! Prompt texts. One word is one position of the stand-ins' model.
+
+use banyannotch::random::Random;
+
+const WORDS: [&str; 24] = [
+    "flight",
+    "delay",
+    "claim",
+    "passenger",
+    "boarding",
+    "letter",
+    "airline",
+    "evidence",
+    "прибытие",
+    "рейс",
+    "багаж",
+    "lidojums",
+    "kavējums",
+    "prasība",
+    "sleeve",
+    "toploader",
+    "deck",
+    "box",
+    "order",
+    "listing",
+    "catalogue",
+    "stock",
+    "supplier",
+    "summary",
+];
+
+/// Returns a prompt of a number of words. The first is a number, so that prompts differ.
+pub fn prompt(random: &mut Random, words: usize) -> String {
+    let number = random.below(1 << 40);
+    let mut text = format!("{number:x}");
+    for _ in 1..words {
+        text.push(' ');
+        text.push_str(WORDS.get(random.below(WORDS.len())).copied().unwrap_or_default());
+    }
+    text
+}
--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -65,12 +65,26 @@
         binary: &Path,
         arguments: impl IntoIterator<Item = S>,
         expected: usize,
+    ) -> Result<Self> {
+        Self::start_logging(binary, arguments, expected, Stdio::inherit())
+    }
+
+    /// Starts a binary whose log lines go to `log`, and waits for a number of `listening` lines.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when it does not start or prints fewer such lines in time.
+    pub fn start_logging<S: AsRef<OsStr>>(
+        binary: &Path,
+        arguments: impl IntoIterator<Item = S>,
+        expected: usize,
+        log: Stdio,
     ) -> Result<Self> {
         let start_error = |source| HarnessError::Start { binary: binary.to_owned(), source };
         let child = Command::new(binary)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn()
             .map_err(start_error)?;
         let mut child = KillOnDrop(child);
--- a/crates/standins/src/harness/deployment.rs
+++ b/crates/standins/src/harness/deployment.rs
@@ -1,6 +1,7 @@
 //! A whole deployment on loopback: the platform's stand-ins, endpoints and entries, each as its own process.
 
 use std::path::{Path, PathBuf};
+use std::process::Stdio;
 use std::time::Duration;
 
 use banyannotch::http::{Client, ClientSettings};
@@ -56,25 +57,60 @@
     pub options: Vec<String>,
 }
 
-/// Where the binaries are, and where settings files may be written.
+/// Where the log lines of the processes go.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Logs {
+    /// To the standard error of this process.
+    #[default]
+    Inherit,
+    /// Nowhere.
+    Discard,
+    /// To one file for each process in a directory.
+    Directory(PathBuf),
+}
+
+impl Logs {
+    fn open(&self, name: &str) -> Result<Stdio> {
+        match self {
+            Self::Inherit => Ok(Stdio::inherit()),
+            Self::Discard => Ok(Stdio::null()),
+            Self::Directory(directory) => {
+                let path = directory.join(format!("{name}.log"));
+                match std::fs::File::create(&path) {
+                    Ok(file) => Ok(Stdio::from(file)),
+                    Err(source) => Err(HarnessError::Start { binary: path, source }),
+                }
+            }
+        }
+    }
+}
+
+/// Where the binaries are, and where their log lines go.
 #[derive(Clone, Debug)]
 pub struct Binaries {
     /// The stand-ins.
     pub standin: PathBuf,
     /// The entry.
     pub entry: PathBuf,
+    /// Log lines of all processes.
+    pub logs: Logs,
 }
 
 impl Binaries {
     /// Finds the entry beside the stand-ins, where cargo puts both.
     pub fn beside(standin: &Path) -> Self {
-        Self { standin: standin.to_owned(), entry: standin.with_file_name("banyannotch-entry") }
+        let entry = standin.with_file_name("banyannotch-entry");
+        Self { standin: standin.to_owned(), entry, logs: Logs::default() }
     }
 
     /// Finds both in a directory, for a program of another package in the same target directory.
     pub fn within(directory: &Path) -> Self {
         Self::beside(&directory.join("banyannotch-standin"))
     }
+
+    fn start_standin(&self, name: &str, arguments: &[&str]) -> Result<Process> {
+        Process::start_logging(&self.standin, arguments, 1, self.logs.open(name)?)
+    }
 }
 
 /// A running endpoint of a deployment.
@@ -129,8 +165,8 @@
     /// # Errors
     /// Returns [`HarnessError`] when one does not start.
     pub fn start(binaries: Binaries, log_options: &[&str]) -> Result<Self> {
-        let log = Process::start(&binaries.standin, [&["log"], log_options].concat())?;
-        let list = Process::start(&binaries.standin, ["list"])?;
+        let log = binaries.start_standin("log", &[&["log"], log_options].concat())?;
+        let list = binaries.start_standin("list", &["list"])?;
         Ok(Self { log, list, endpoints: Vec::new(), entries: Vec::new(), binaries })
     }
 
@@ -155,7 +191,7 @@
             &model_layers,
         ];
         let options: Vec<&str> = fixed.into_iter().chain(spec.options.iter().map(String::as_str)).collect();
-        let process = Process::start(&self.binaries.standin, options)?;
+        let process = self.binaries.start_standin(&spec.instance, &options)?;
         let listed = listed(&spec.instance, &spec.zone, InstanceKind::Engine, process.address());
         self.endpoints.push(Endpoint { process, listed });
         Ok(())
@@ -167,7 +203,7 @@
     /// Returns [`HarnessError`] when it does not start.
     pub fn add_service(&mut self, service: &str, instance: &str, zone: &str) -> Result<()> {
         let options = ["service", "--service", service, "--instance", instance];
-        let process = Process::start(&self.binaries.standin, options)?;
+        let process = self.binaries.start_standin(instance, &options)?;
         let listed = listed(instance, zone, InstanceKind::Service, process.address());
         self.endpoints.push(Endpoint { process, listed });
         Ok(())
@@ -198,7 +234,8 @@
         std::fs::write(&settings, text)
             .map_err(|source| HarnessError::Start { binary: settings.clone(), source })?;
         let arguments = [Path::new("--settings"), &settings];
-        let process = Process::start_listening(&self.binaries.entry, arguments, 3)?;
+        let process =
+            Process::start_logging(&self.binaries.entry, arguments, 3, self.binaries.logs.open(instance)?)?;
         let address = |name| {
             process.address_of(name).ok_or(HarnessError::NotListening {
                 binary: self.binaries.entry.clone(),
@@ -239,8 +276,16 @@
     /// # Errors
     /// Returns [`HarnessError`] when that takes too long.
     pub async fn make_ready(&self) -> Result<()> {
+        self.make_ready_with(DOCUMENT).await
+    }
+
+    /// Publishes a document, announces everything, and waits until each entry knows all endpoints.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError`] when that takes too long.
+    pub async fn make_ready_with(&self, document: &str) -> Result<()> {
         self.announce().await?;
-        self.publish(0, &json!({ "document": DOCUMENT })).await?;
+        self.publish(0, &json!({ "document": document })).await?;
         for entry in &self.entries {
             self.wait_ready(entry).await?;
         }
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -11,7 +11,8 @@
 
 pub use child::{Listener, Process};
 pub use deployment::{
-    Binaries, DOCUMENT, Deployment, Endpoint, EngineSpec, EntryProcess, LAYERS, MODEL, TOKEN, metric, status,
+    Binaries, DOCUMENT, Deployment, Endpoint, EngineSpec, EntryProcess, LAYERS, Logs, MODEL, TOKEN, metric,
+    status,
 };
 pub use error::{HarnessError, Result};
 pub use wait::{wait_for, wait_until};
