--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod machine;
 pub mod overhead;
 pub mod report;
+pub mod scenario;
 pub mod script;
 pub mod workload;
 
--- /dev/null
+++ b/crates/load/src/workload/lengths.rs
@@ -0,0 +1,25 @@
+//! Heavy-tailed lengths.
+
+use banyannotch::random::Random;
+use serde::Serialize;
+
+/// A bounded Pareto distribution.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Lengths {
+    /// Smallest value.
+    pub least: u32,
+    /// Largest value.
+    pub most: u32,
+    /// Exponent; the smaller, the heavier the tail.
+    pub alpha: f64,
+}
+
+impl Lengths {
+    /// Draws a length.
+    pub fn draw(&self, random: &mut Random) -> u32 {
+        let (least, most) = (f64::from(self.least), f64::from(self.most));
+        let ratio = (least / most).powf(self.alpha);
+        let length = least / (1.0 - random.unit() * (1.0 - ratio)).powf(1.0 / self.alpha);
+        (length.round() as u32).clamp(self.least, self.most)
+    }
+}
--- a/crates/load/src/workload/mod.rs
+++ b/crates/load/src/workload/mod.rs
@@ -1,5 +1,13 @@
-//! What callers ask for.
+//! What callers ask for and when, from a seed.
 
+mod arrivals;
+mod lengths;
 mod prompts;
+mod schedule;
+#[cfg(test)]
+mod tests;
 
-pub use prompts::prompt;
+pub use arrivals::{Arrivals, UnknownArrivals};
+pub use lengths::Lengths;
+pub use prompts::{prompt, shared_prefix};
+pub use schedule::{Mix, Planned, Task, TaskKind, Team, Work, means, schedule};
--- a/crates/load/src/workload/prompts.rs
+++ b/crates/load/src/workload/prompts.rs
@@ -39,3 +39,8 @@
     }
     text
 }
+
+/// Returns a text that many prompts begin with.
+pub fn shared_prefix(random: &mut Random, words: usize) -> String {
+    prompt(random, words)
+}
