--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -5,6 +5,7 @@
 use crate::Result;
 use crate::idle::{self, IdleOptions};
 use crate::overhead::{self, OverheadOptions};
+use crate::run::{self, RunOptions};
 use crate::script::{self, Ask, Call, Get, Post};
 
 /// Whether what was checked was right.
@@ -51,6 +52,9 @@
     /// Measures processor time and memory of entries without requests
     #[bpaf(command)]
     Idle(#[bpaf(external(idle::idle_options))] IdleOptions),
+    /// Runs a scenario with open-loop load and faults
+    #[bpaf(command)]
+    Run(#[bpaf(external(run::run_options))] RunOptions),
 }
 
 /// Returns the parser of the command line.
@@ -72,5 +76,6 @@
         Command::Routed(options) => overhead::routed(&options).await,
         Command::Overhead(options) => overhead::overhead(&options).await,
         Command::Idle(options) => idle::idle(&options).await,
+        Command::Run(options) => run::run(&options).await,
     }
 }
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -41,4 +41,12 @@
         /// What went wrong.
         source: std::io::Error,
     },
+    /// A plot could not be drawn.
+    #[error("cannot plot {name}: {detail}")]
+    Plot {
+        /// File.
+        name: String,
+        /// What went wrong.
+        detail: String,
+    },
 }
--- /dev/null
+++ b/crates/load/src/faults/injector.rs
@@ -0,0 +1,487 @@
+//! Injects faults into a running deployment and keeps account of what still works.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use banyannotch::http::{Client, ClientSettings};
+use banyannotch::random::Random;
+use banyannotch_standins::harness::{EngineSpec, metric};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::{FaultKind, FaultPlan};
+use crate::Result;
+use crate::bound::{Bound, MixMeans, bound_with};
+use crate::layout::{EnginePlan, Layout, Site, engine_options};
+use crate::run::Balancer;
+
+/// Factor on the batch time of a slow engine.
+const SLOW_FACTOR: f64 = 8.0;
+
+/// Delay of each answer over a degraded link.
+const LINK_DELAY_US: u64 = 100_000;
+
+/// Time after which a killed instance is no longer on the platform's list.
+const LIST_LAG: Duration = Duration::from_secs(3);
+
+/// Time after which a killed instance is replaced, where replacement is wanted.
+const REPLACE_DELAY: Duration = Duration::from_secs(3);
+
+/// Longest time of a control request.
+const CONTROL_LIMIT_MS: u64 = 5_000;
+
+/// Counter of broken invariants on the operators' port.
+const VIOLATIONS: &str = "banyannotch_invariant_violations_total";
+
+/// A fault that was injected.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Injected {
+    /// Kind.
+    pub kind: FaultKind,
+    /// When it was injected, since the start of the load.
+    pub at_us: u64,
+    /// Instances that it hit.
+    pub targets: Vec<String>,
+    /// What the remaining engines can do.
+    pub bound: Bound,
+}
+
+/// What the stand-ins and the entries counted.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Observed {
+    /// Triples of cache, position and layer that ran again.
+    pub duplicates: u64,
+    /// Steps on a cache of another request or attempt.
+    pub foreign: u64,
+    /// Calls with a key that ran more than once, over all service endpoints.
+    pub doubled_calls: u64,
+    /// Broken invariants that the entries counted.
+    pub violations: u64,
+    /// Recoveries that the entries counted.
+    pub recoveries: u64,
+    /// Processes whose counts were lost.
+    pub unread: Vec<String>,
+    /// Runs of each key.
+    #[serde(skip)]
+    pub keys: BTreeMap<String, u64>,
+    /// Requests of which a step ran, as far as the engines' records reach.
+    #[serde(skip)]
+    pub ran: std::collections::BTreeSet<String>,
+}
+
+/// An engine or service endpoint and its state.
+#[derive(Debug)]
+struct Member {
+    /// Index in the deployment's endpoints.
+    endpoint: usize,
+    name: String,
+    zone: String,
+    /// Plan of an engine; none for a service endpoint.
+    plan: Option<EnginePlan>,
+    alive: bool,
+    /// Share of its speed at which it works.
+    share: f64,
+}
+
+/// What has to be done at some time.
+#[derive(Debug)]
+enum Due {
+    Begin(FaultPlan),
+    End(FaultKind, Vec<usize>),
+    Unlist(String),
+    Replace(usize),
+    ReplaceEntry(usize),
+}
+
+/// Injects faults and collects counts.
+pub struct Injector {
+    site: Site,
+    balancer: Rc<Balancer>,
+    mix: MixMeans,
+    random: Random,
+    /// Whether killed instances are replaced.
+    replace: bool,
+    members: Vec<Member>,
+    entries_alive: Vec<bool>,
+    replacements: usize,
+    observed: Observed,
+    injected: Vec<Injected>,
+}
+
+impl Injector {
+    /// Creates the injector of a running site.
+    pub fn new(site: Site, balancer: Rc<Balancer>, mix: MixMeans, seed: u64, replace: bool) -> Self {
+        let engines = site.layout.engines.iter().map(|plan| (&plan.instance, &plan.zone, Some(plan.clone())));
+        let services = site.layout.services.iter().map(|(instance, zone)| (instance, zone, None));
+        let members = engines
+            .chain(services)
+            .enumerate()
+            .map(|(endpoint, (name, zone, plan))| Member {
+                endpoint,
+                name: name.clone(),
+                zone: zone.clone(),
+                plan,
+                alive: true,
+                share: 1.0,
+            })
+            .collect();
+        let entries_alive = vec![true; site.deployment.entries.len()];
+        Self {
+            site,
+            balancer,
+            mix,
+            random: Random::seeded(seed),
+            replace,
+            members,
+            entries_alive,
+            replacements: 0,
+            observed: Observed::default(),
+            injected: Vec::new(),
+        }
+    }
+
+    /// Returns what the engines that still work can do.
+    pub fn remaining(&self) -> Bound {
+        let working: Vec<&Member> = self.members.iter().filter(|member| member.alive).collect();
+        let engines = working.iter().filter_map(|member| member.plan.clone()).collect();
+        let shares: Vec<f64> =
+            working.iter().filter(|member| member.plan.is_some()).map(|member| member.share).collect();
+        let layout = Layout { engines, ..self.site.layout.clone() };
+        // A stage without an engine is missing from the layout and would not limit it.
+        if layout.stages().len() < self.site.layout.stages().len() {
+            return Bound::default();
+        }
+        bound_with(&layout, self.mix, |index, _| shares.get(index).copied().unwrap_or_default())
+    }
+
+    /// Injects the planned faults until `end`.
+    ///
+    /// # Errors
+    /// Returns [`crate::LoadError`] when the platform's stand-ins do not obey.
+    pub async fn run(&mut self, begin: Instant, end: Instant, plans: &[FaultPlan]) -> Result<()> {
+        let mut due: Vec<(Instant, Due)> = plans
+            .iter()
+            .map(|plan| (begin + Duration::from_millis(plan.at_ms), Due::Begin(plan.clone())))
+            .collect();
+        loop {
+            // The earliest is taken from the end.
+            due.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+            let Some((at, next)) = due.pop() else { return Ok(()) };
+            if at > end {
+                return Ok(());
+            }
+            actix_rt::time::sleep_until(at.into()).await;
+            let further = self.act(begin, next).await?;
+            due.extend(further);
+        }
+    }
+
+    /// Collects the counts of everything that is still alive and returns them with the injected faults.
+    pub async fn finish(mut self) -> (Observed, Vec<Injected>, Site) {
+        for index in 0..self.members.len() {
+            if self.members.get(index).is_some_and(|member| member.alive) {
+                self.collect(index).await;
+            }
+        }
+        for (index, entry) in self.site.deployment.entries.iter().enumerate() {
+            if self.entries_alive.get(index) != Some(&true) {
+                continue;
+            }
+            let violations = metric(entry.operators, VIOLATIONS).await;
+            let recoveries = metric(entry.operators, "banyannotch_recoveries_total").await;
+            match (violations, recoveries) {
+                (Some(violations), Some(recoveries)) => {
+                    self.observed.violations += violations as u64;
+                    self.observed.recoveries += recoveries as u64;
+                }
+                _ => self.observed.unread.push(entry.instance.clone()),
+            }
+        }
+        self.observed.doubled_calls = self.observed.keys.values().map(|runs| runs.saturating_sub(1)).sum();
+        (self.observed, self.injected, self.site)
+    }
+
+    async fn act(&mut self, begin: Instant, due: Due) -> Result<Vec<(Instant, Due)>> {
+        match due {
+            Due::Begin(plan) => self.inject(begin, &plan).await,
+            Due::End(kind, targets) => {
+                self.clear(kind, &targets).await?;
+                Ok(Vec::new())
+            }
+            Due::Unlist(instance) => {
+                self.change_list(&json!({ "remove": instance })).await?;
+                Ok(Vec::new())
+            }
+            Due::Replace(member) => {
+                self.replace_member(member).await?;
+                Ok(Vec::new())
+            }
+            Due::ReplaceEntry(entry) => {
+                self.replace_entry(entry).await?;
+                Ok(Vec::new())
+            }
+        }
+    }
+
+    async fn inject(&mut self, begin: Instant, plan: &FaultPlan) -> Result<Vec<(Instant, Due)>> {
+        let targets = self.targets(plan);
+        let at_us = u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let mut further = Vec::new();
+        let mut names = Vec::new();
+        match plan.kind {
+            FaultKind::Kill | FaultKind::KillService => {
+                for member in &targets {
+                    names.extend(self.kill_member(*member, &mut further).await?);
+                }
+            }
+            FaultKind::KillEntry => {
+                for entry in &targets {
+                    names.extend(self.kill_entry(*entry, &mut further).await?);
+                }
+            }
+            FaultKind::ZoneLoss => {
+                let zone =
+                    plan.target.clone().unwrap_or_else(|| format!("zone-{}", 1 + self.random.below(3)));
+                names.push(zone.clone());
+                for member in self.alive_members(|member| member.zone == zone) {
+                    names.extend(self.kill_member(member, &mut further).await?);
+                }
+                for entry in self.alive_entries_in(&zone) {
+                    names.extend(self.kill_entry(entry, &mut further).await?);
+                }
+            }
+            FaultKind::Freeze | FaultKind::Slow | FaultKind::Link => {
+                for member in &targets {
+                    names.extend(self.disturb(*member, plan.kind).await?);
+                }
+            }
+            FaultKind::SuspendEntry => {
+                for entry in &targets {
+                    if let Some(process) = self.site.deployment.entries.get(*entry) {
+                        process.process.suspend()?;
+                        names.push(process.instance.clone());
+                    }
+                }
+            }
+            FaultKind::LogDown => {
+                self.site.deployment.log.set_faults(&json!({ "down": true })).await?;
+            }
+            FaultKind::ListDown => {
+                self.site.deployment.list.set_faults(&json!({ "down": true })).await?;
+            }
+        }
+        if let Some(lasts_ms) = plan.lasts_ms {
+            let end = Instant::now() + Duration::from_millis(lasts_ms);
+            further.push((end, Due::End(plan.kind, targets)));
+        }
+        log::info!("event=fault kind={} at_us={at_us} targets={}", plan.kind.name(), names.join(","));
+        let bound = self.remaining();
+        self.injected.push(Injected { kind: plan.kind, at_us, targets: names, bound });
+        Ok(further)
+    }
+
+    /// Chooses what a fault hits: indexes of members, or of entries.
+    fn targets(&mut self, plan: &FaultPlan) -> Vec<usize> {
+        let mut candidates = match plan.kind {
+            FaultKind::Kill | FaultKind::Freeze | FaultKind::Slow | FaultKind::Link => {
+                self.alive_members(|member| member.plan.is_some() && member.share == 1.0)
+            }
+            FaultKind::KillService => self.alive_members(|member| member.plan.is_none()),
+            FaultKind::SuspendEntry | FaultKind::KillEntry => (0..self.entries_alive.len())
+                .filter(|entry| self.entries_alive.get(*entry) == Some(&true))
+                .collect(),
+            FaultKind::LogDown | FaultKind::ListDown | FaultKind::ZoneLoss => Vec::new(),
+        };
+        if let Some(target) = &plan.target {
+            let entry_fault = matches!(plan.kind, FaultKind::SuspendEntry | FaultKind::KillEntry);
+            candidates.retain(|index| match entry_fault {
+                true => {
+                    self.site.deployment.entries.get(*index).is_some_and(|entry| entry.instance == *target)
+                }
+                false => self.members.get(*index).is_some_and(|member| member.name == *target),
+            });
+        }
+        let mut chosen = Vec::new();
+        while chosen.len() < plan.count && !candidates.is_empty() {
+            chosen.push(candidates.swap_remove(self.random.below(candidates.len())));
+        }
+        chosen
+    }
+
+    fn alive_members(&self, accepted: impl Fn(&Member) -> bool) -> Vec<usize> {
+        let members = self.members.iter().enumerate();
+        members.filter(|(_, member)| member.alive && accepted(member)).map(|(index, _)| index).collect()
+    }
+
+    fn alive_entries_in(&self, zone: &str) -> Vec<usize> {
+        let entries = self.site.layout.entries.iter().enumerate();
+        entries
+            .filter(|(index, (_, own))| own == zone && self.entries_alive.get(*index) == Some(&true))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    async fn kill_member(
+        &mut self,
+        index: usize,
+        further: &mut Vec<(Instant, Due)>,
+    ) -> Result<Option<String>> {
+        // The counts end with the process; what runs between this and the kill is not seen.
+        self.collect(index).await;
+        let Some(member) = self.members.get_mut(index) else { return Ok(None) };
+        let Some(endpoint) = self.site.deployment.endpoints.get_mut(member.endpoint) else { return Ok(None) };
+        endpoint.process.kill()?;
+        member.alive = false;
+        further.push((Instant::now() + LIST_LAG, Due::Unlist(member.name.clone())));
+        if self.replace {
+            further.push((Instant::now() + REPLACE_DELAY, Due::Replace(index)));
+        }
+        Ok(Some(member.name.clone()))
+    }
+
+    async fn kill_entry(
+        &mut self,
+        index: usize,
+        further: &mut Vec<(Instant, Due)>,
+    ) -> Result<Option<String>> {
+        let Some(entry) = self.site.deployment.entries.get_mut(index) else { return Ok(None) };
+        let violations = metric(entry.operators, VIOLATIONS).await;
+        self.observed.violations += violations.unwrap_or_default() as u64;
+        entry.process.kill()?;
+        if let Some(alive) = self.entries_alive.get_mut(index) {
+            *alive = false;
+        }
+        further.push((Instant::now() + LIST_LAG, Due::Unlist(entry.instance.clone())));
+        if self.replace {
+            further.push((Instant::now() + REPLACE_DELAY, Due::ReplaceEntry(index)));
+        }
+        Ok(Some(entry.instance.clone()))
+    }
+
+    async fn disturb(&mut self, index: usize, kind: FaultKind) -> Result<Option<String>> {
+        let Some(member) = self.members.get_mut(index) else { return Ok(None) };
+        let Some(endpoint) = self.site.deployment.endpoints.get(member.endpoint) else { return Ok(None) };
+        let (faults, share) = match kind {
+            FaultKind::Slow => (json!({ "slow_factor": SLOW_FACTOR }), 1.0 / SLOW_FACTOR),
+            FaultKind::Link => (json!({ "link_delay_us": LINK_DELAY_US }), 1.0),
+            _ => (json!({ "freeze": true }), 0.0),
+        };
+        endpoint.process.set_faults(&faults).await?;
+        member.share = share;
+        Ok(Some(member.name.clone()))
+    }
+
+    async fn clear(&mut self, kind: FaultKind, targets: &[usize]) -> Result<()> {
+        match kind {
+            FaultKind::LogDown => {
+                self.site.deployment.log.set_faults(&json!({ "down": false })).await?;
+            }
+            FaultKind::ListDown => {
+                self.site.deployment.list.set_faults(&json!({ "down": false })).await?;
+            }
+            FaultKind::SuspendEntry => {
+                for index in targets.iter().filter(|index| self.entries_alive.get(**index) == Some(&true)) {
+                    if let Some(entry) = self.site.deployment.entries.get(*index) {
+                        entry.process.resume()?;
+                    }
+                }
+            }
+            _ => {
+                for index in targets {
+                    let Some(member) = self.members.get_mut(*index).filter(|member| member.alive) else {
+                        continue;
+                    };
+                    member.share = 1.0;
+                    let Some(endpoint) = self.site.deployment.endpoints.get(member.endpoint) else {
+                        continue;
+                    };
+                    let faults = json!({ "freeze": false, "slow_factor": 1.0, "link_delay_us": 0 });
+                    endpoint.process.set_faults(&faults).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn replace_member(&mut self, index: usize) -> Result<()> {
+        let Some(member) = self.members.get(index) else { return Ok(()) };
+        self.replacements += 1;
+        let name = format!("{}-r{}", member.name, self.replacements);
+        let (zone, mut plan) = (member.zone.clone(), member.plan.clone());
+        match &mut plan {
+            Some(plan) => {
+                plan.instance.clone_from(&name);
+                self.site.deployment.add_engine(&EngineSpec {
+                    instance: name.clone(),
+                    zone: zone.clone(),
+                    layers: plan.layers,
+                    options: engine_options(plan.speed, self.site.layout.prefix_cache),
+                })?;
+            }
+            None => self.site.deployment.add_service("desk", &name, &zone)?,
+        }
+        let endpoint = self.site.deployment.endpoints.len() - 1;
+        self.members.push(Member { endpoint, name, zone, plan, alive: true, share: 1.0 });
+        if let Some(endpoint) = self.site.deployment.endpoints.last() {
+            let listed = json!(endpoint.listed);
+            self.change_list(&listed).await?;
+        }
+        Ok(())
+    }
+
+    async fn replace_entry(&mut self, index: usize) -> Result<()> {
+        let Some((name, zone)) = self.site.layout.entries.get(index).cloned() else { return Ok(()) };
+        self.replacements += 1;
+        let name = format!("{name}-r{}", self.replacements);
+        self.site.deployment.add_entry(&name, &zone, "")?;
+        self.site.layout.entries.push((name.clone(), zone.clone()));
+        self.entries_alive.push(true);
+        if let Some(entry) = self.site.deployment.entries.last() {
+            self.balancer.add(entry.callers);
+            let listed = json!({
+                "instance": name, "incarnation": 1, "kind": "entry", "zone": zone, "address": entry.peers,
+                "state": "live", "fencing": "checked",
+            });
+            self.change_list(&listed).await?;
+        }
+        Ok(())
+    }
+
+    async fn change_list(&self, change: &Value) -> Result<()> {
+        let client = Client::new(ClientSettings::default());
+        let list = self.site.deployment.list.address();
+        client.post(list, "/control/instances", change, CONTROL_LIMIT_MS).await?;
+        Ok(())
+    }
+
+    /// Adds the counts of an endpoint to the totals. Called once for each endpoint.
+    async fn collect(&mut self, index: usize) {
+        let Some(member) = self.members.get(index) else { return };
+        let Some(endpoint) = self.site.deployment.endpoints.get(member.endpoint) else { return };
+        let Ok(counts) = endpoint.process.get("/control/counts").await else {
+            self.observed.unread.push(member.name.clone());
+            return;
+        };
+        let number = |name: &str| counts.get(name).and_then(Value::as_u64).unwrap_or_default();
+        if member.plan.is_some() {
+            self.observed.duplicates += number("duplicates");
+            self.observed.foreign += number("foreign");
+            if let Ok(requests) = endpoint.process.get("/control/requests").await {
+                self.observed.ran.extend(names_of(&requests));
+            }
+            return;
+        }
+        for runs in counts.get("keys").and_then(Value::as_array).into_iter().flatten() {
+            let name = runs.get("name").and_then(Value::as_str).unwrap_or_default();
+            let runs = runs.get("runs").and_then(Value::as_u64).unwrap_or_default();
+            *self.observed.keys.entry(name.to_owned()).or_default() += runs;
+        }
+    }
+}
+
+/// Returns the requests in an engine's records.
+fn names_of(requests: &Value) -> Vec<String> {
+    let records = requests.get("requests").and_then(Value::as_array).into_iter().flatten();
+    records.filter_map(|record| Some(record.get("request")?.as_str()?.to_owned())).collect()
+}
--- /dev/null
+++ b/crates/load/src/faults/plan.rs
@@ -0,0 +1,150 @@
+//! Which fault happens when.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Serialize;
+use thiserror::Error;
+
+/// Kind of a fault.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FaultKind {
+    /// An engine is killed.
+    Kill,
+    /// An endpoint of the plain service is killed.
+    KillService,
+    /// An engine accepts everything and answers nothing.
+    Freeze,
+    /// An engine takes eight times as long.
+    Slow,
+    /// Each answer of an engine is delayed by 100 ms.
+    Link,
+    /// An entry is stopped with SIGSTOP.
+    SuspendEntry,
+    /// An entry is killed.
+    KillEntry,
+    /// The log service refuses everything.
+    LogDown,
+    /// The instance list refuses reads.
+    ListDown,
+    /// Everything in one zone is killed: engines, service endpoints and entries.
+    ZoneLoss,
+}
+
+impl FaultKind {
+    /// All kinds.
+    pub const ALL: [Self; 10] = [
+        Self::Kill,
+        Self::KillService,
+        Self::Freeze,
+        Self::Slow,
+        Self::Link,
+        Self::SuspendEntry,
+        Self::KillEntry,
+        Self::LogDown,
+        Self::ListDown,
+        Self::ZoneLoss,
+    ];
+
+    /// Returns the name in options and reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Kill => "kill",
+            Self::KillService => "kill-service",
+            Self::Freeze => "freeze",
+            Self::Slow => "slow",
+            Self::Link => "link",
+            Self::SuspendEntry => "suspend-entry",
+            Self::KillEntry => "kill-entry",
+            Self::LogDown => "log-down",
+            Self::ListDown => "list-down",
+            Self::ZoneLoss => "zone-loss",
+        }
+    }
+
+    /// Returns whether the fault can be cleared.
+    pub fn is_reversible(self) -> bool {
+        !matches!(self, Self::Kill | Self::KillService | Self::KillEntry | Self::ZoneLoss)
+    }
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct FaultPlan {
+    /// Kind.
+    pub kind: FaultKind,
+    /// Time since the start of the load.
+    pub at_ms: u64,
+    /// How many are hit at the same moment.
+    pub count: usize,
+    /// Time after which it is cleared; none for the rest of the run.
+    pub lasts_ms: Option<u64>,
+    /// Instance or zone that is hit; a random one without it.
+    pub target: Option<String>,
+}
+
+/// Why a fault could not be read.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum FaultError {
+    /// The text has another form.
+    #[error("fault is {0:?}, expected KIND@SECONDS[xCOUNT][+SECONDS][:TARGET]")]
+    Form(String),
+    /// There is no such kind.
+    #[error("fault {0:?} does not exist, expected one of {known}", known = names())]
+    Kind(String),
+    /// The fault is for ever, but has a length.
+    #[error("fault {0} cannot be cleared, so it has no length")]
+    Length(&'static str),
+}
+
+fn names() -> String {
+    FaultKind::ALL.map(FaultKind::name).join(", ")
+}
+
+impl FromStr for FaultPlan {
+    type Err = FaultError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let form = || FaultError::Form(text.to_owned());
+        let (rest, target) = match text.split_once(':') {
+            Some((rest, target)) => (rest, Some(target.to_owned())),
+            None => (text, None),
+        };
+        let (name, times) = rest.split_once('@').ok_or_else(form)?;
+        let kind = FaultKind::ALL.into_iter().find(|kind| kind.name() == name);
+        let kind = kind.ok_or_else(|| FaultError::Kind(name.to_owned()))?;
+        let (times, lasts) = match times.split_once('+') {
+            Some((times, lasts)) => (times, Some(lasts)),
+            None => (times, None),
+        };
+        let (at, count) = times.split_once('x').unwrap_or((times, "1"));
+        let milliseconds = |text: &str| match text.parse::<f64>() {
+            Ok(seconds) if seconds >= 0.0 => Ok((seconds * 1e3).round() as u64),
+            _ => Err(form()),
+        };
+        if lasts.is_some() && !kind.is_reversible() {
+            return Err(FaultError::Length(kind.name()));
+        }
+        Ok(Self {
+            kind,
+            at_ms: milliseconds(at)?,
+            count: count.parse().map_err(|_| form())?,
+            lasts_ms: lasts.map(milliseconds).transpose()?,
+            target,
+        })
+    }
+}
+
+impl fmt::Display for FaultPlan {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}x{}", self.kind.name(), self.at_ms as f64 / 1e3, self.count)?;
+        if let Some(lasts_ms) = self.lasts_ms {
+            write!(formatter, "+{}", lasts_ms as f64 / 1e3)?;
+        }
+        if let Some(target) = &self.target {
+            write!(formatter, ":{target}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/load/src/layout/mod.rs
+++ b/crates/load/src/layout/mod.rs
@@ -6,4 +6,4 @@
 
 pub use options::{SiteOptions, site_options};
 pub use plan::{EnginePlan, Layout, Speed};
-pub use start::{Site, start};
+pub use start::{Site, engine_options, start};
--- a/crates/load/src/layout/start.rs
+++ b/crates/load/src/layout/start.rs
@@ -2,7 +2,7 @@
 
 use banyannotch_standins::harness::{Binaries, Deployment, EngineSpec};
 
-use super::Layout;
+use super::{Layout, Speed};
 use crate::Result;
 
 /// Name of the plain service in every layout.
@@ -25,22 +25,11 @@
 pub async fn start(binaries: Binaries, layout: Layout, document: &str) -> Result<Site> {
     let mut deployment = Deployment::start(binaries, &[])?;
     for engine in &layout.engines {
-        let speed = engine.speed;
-        let options = [
-            ("--step-us", speed.step_us),
-            ("--item-us", speed.item_us),
-            ("--prefill-us", speed.prefill_us),
-            ("--batch-limit", speed.batch_limit),
-            ("--prefix-cache", layout.prefix_cache),
-        ];
         deployment.add_engine(&EngineSpec {
             instance: engine.instance.clone(),
             zone: engine.zone.clone(),
             layers: engine.layers,
-            options: options
-                .into_iter()
-                .flat_map(|(name, value)| [name.to_owned(), value.to_string()])
-                .collect(),
+            options: engine_options(engine.speed, layout.prefix_cache),
         })?;
     }
     for (instance, zone) in &layout.services {
@@ -52,3 +41,15 @@
     deployment.make_ready_with(document).await?;
     Ok(Site { deployment, layout })
 }
+
+/// Returns the options of an engine stand-in with a speed and a prefix cache.
+pub fn engine_options(speed: Speed, prefix_cache: u64) -> Vec<String> {
+    let options = [
+        ("--step-us", speed.step_us),
+        ("--item-us", speed.item_us),
+        ("--prefill-us", speed.prefill_us),
+        ("--batch-limit", speed.batch_limit),
+        ("--prefix-cache", prefix_cache),
+    ];
+    options.into_iter().flat_map(|(name, value)| [name.to_owned(), value.to_string()]).collect()
+}
--- /dev/null
+++ b/crates/load/src/run/balancer.rs
@@ -0,0 +1,65 @@
+//! The platform's balancer in front of the entries: round robin over those that report ready.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use banyannotch::http::{Client, ClientSettings};
+use banyannotch::pipeline::Address;
+use futures_util::future::join_all;
+
+/// Time between two checks of the entries.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time of a check.
+const CHECK_LIMIT_MS: u64 = 500;
+
+/// Entries and whether they were ready at the last check.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    entries: RefCell<Vec<(Address, bool)>>,
+    next: Cell<usize>,
+}
+
+impl Balancer {
+    /// Creates the balancer; all entries count as ready until the first check.
+    pub fn new(entries: impl IntoIterator<Item = Address>) -> Self {
+        let entries = entries.into_iter().map(|address| (address, true)).collect();
+        Self { entries: RefCell::new(entries), next: Cell::new(0) }
+    }
+
+    /// Adds an entry, which gets requests once it reports ready.
+    pub fn add(&self, entry: Address) {
+        self.entries.borrow_mut().push((entry, false));
+    }
+
+    /// Chooses an entry, if possible another one than `avoided`.
+    pub fn pick(&self, avoided: Option<Address>) -> Option<Address> {
+        let entries = self.entries.borrow();
+        let usable = |with_avoided: bool, with_unready: bool| -> Vec<Address> {
+            let accepted = entries.iter().filter(|(address, ready)| {
+                (*ready || with_unready) && (with_avoided || avoided != Some(*address))
+            });
+            accepted.map(|(address, _)| *address).collect()
+        };
+        let choices = [usable(false, false), usable(true, false), usable(true, true)];
+        let choice = choices.into_iter().find(|choice| !choice.is_empty())?;
+        let next = self.next.get();
+        self.next.set(next.wrapping_add(1));
+        choice.get(next % choice.len()).copied()
+    }
+
+    /// Checks the entries until it is dropped.
+    pub async fn watch(self: Rc<Self>) {
+        let client = Client::new(ClientSettings::default());
+        loop {
+            let addresses: Vec<Address> = self.entries.borrow().iter().map(|(address, _)| *address).collect();
+            let checks = addresses.iter().map(|address| client.get(*address, "/readyz", CHECK_LIMIT_MS));
+            let results = join_all(checks).await;
+            for ((_, ready), result) in self.entries.borrow_mut().iter_mut().zip(results) {
+                *ready = result.is_ok_and(|answer| answer.status == 200);
+            }
+            actix_rt::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/run/figures.rs
@@ -0,0 +1,120 @@
+//! Figures over the records of a run.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::Record;
+use super::judge::gaps_us;
+use crate::bound::{MixMeans, request_us};
+use crate::layout::{EnginePlan, Layout};
+use crate::report::Quantiles;
+use crate::workload::{Mix, Work};
+
+/// Number of reasons in a report.
+const REASON_LIMIT: usize = 12;
+
+/// Figures of one kind of task, over the measured time.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TaskFigures {
+    /// Name of the task.
+    pub task: &'static str,
+    /// Requests.
+    pub offered: u64,
+    /// Whole, right and in time.
+    pub good: u64,
+    /// Time to the whole answer of the good ones.
+    pub whole: Quantiles,
+}
+
+/// Figures of generations, over the measured time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct GenerationFigures {
+    /// Offered in a second.
+    pub offered_per_s: f64,
+    /// Good in a second.
+    pub good_per_s: f64,
+    /// Engine time of the offered ones over that of as many average ones.
+    pub offered_work: f64,
+    /// Engine time of the good ones over that of as many average ones.
+    pub good_work: f64,
+    /// Time to the first token, from the intended send time, of the good ones.
+    pub first: Quantiles,
+    /// Time between tokens of the good ones.
+    pub gaps: Quantiles,
+    /// Time to the whole answer of the good ones.
+    pub whole: Quantiles,
+}
+
+/// Counts the ends of all requests.
+pub fn outcomes(records: &[Record]) -> BTreeMap<&'static str, u64> {
+    let mut outcomes = BTreeMap::new();
+    for record in records {
+        *outcomes.entry(record.kind.name()).or_default() += 1;
+    }
+    let late = records.iter().filter(|record| record.kind == crate::client::Kind::Right && !record.is_good());
+    outcomes.insert("right_but_late", late.count() as u64);
+    outcomes
+}
+
+/// Counts the reasons of the ends that are not right; the most frequent ones first.
+pub fn reasons(records: &[Record]) -> Vec<(String, u64)> {
+    let mut reasons: BTreeMap<String, u64> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.kind != crate::client::Kind::Right) {
+        *reasons.entry(format!("{}: {}", record.kind.name(), record.reason)).or_default() += 1;
+    }
+    let mut reasons: Vec<(String, u64)> = reasons.into_iter().collect();
+    reasons.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    reasons.truncate(REASON_LIMIT);
+    reasons
+}
+
+/// Computes the figures of each task.
+pub fn tasks(mix: &Mix, records: &[&Record]) -> Vec<TaskFigures> {
+    let figures = mix.iter().enumerate().map(|(index, task)| {
+        let own: Vec<&&Record> = records.iter().filter(|record| record.planned.task == index).collect();
+        TaskFigures {
+            task: task.name,
+            offered: own.len() as u64,
+            good: own.iter().filter(|record| record.is_good()).count() as u64,
+            whole: whole(own.iter().map(|record| **record)),
+        }
+    });
+    figures.collect()
+}
+
+/// Computes the figures of all generations.
+pub fn generations(records: &[&Record], layout: &Layout, mean: MixMeans, seconds: f64) -> GenerationFigures {
+    let offered: Vec<&Record> = records.iter().copied().filter(|record| record.is_generation()).collect();
+    let good: Vec<&Record> = offered.iter().copied().filter(|record| record.is_good()).collect();
+    let first =
+        good.iter().filter_map(|record| Some(record.token_us.first()?.saturating_sub(record.planned.at_us)));
+    GenerationFigures {
+        offered_per_s: offered.len() as f64 / seconds,
+        good_per_s: good.len() as f64 / seconds,
+        offered_work: work(&offered, layout, mean),
+        good_work: work(&good, layout, mean),
+        first: Quantiles::of(first),
+        gaps: Quantiles::of(good.iter().flat_map(|record| gaps_us(record))),
+        whole: whole(good.iter().copied()),
+    }
+}
+
+fn whole<'a>(records: impl Iterator<Item = &'a Record>) -> Quantiles {
+    let good = records.filter(|record| record.is_good());
+    Quantiles::of(good.map(|record| record.end_us.saturating_sub(record.planned.at_us)))
+}
+
+/// Returns the engine time of requests relative to as many average ones; 1 when there are none.
+fn work(records: &[&Record], layout: &Layout, mean: MixMeans) -> f64 {
+    let Some(EnginePlan { layers, speed, .. }) = layout.engines.first() else { return 1.0 };
+    let times = records.iter().filter_map(|record| match &record.planned.work {
+        Work::Generate { prompt, max_tokens } => {
+            let prefill = prompt.split_whitespace().count().saturating_sub(1) as f64;
+            Some(request_us(*layers, *speed, MixMeans { tokens: f64::from(*max_tokens), prefill }))
+        }
+        Work::Call { .. } => None,
+    });
+    let average_us = request_us(*layers, *speed, mean);
+    if records.is_empty() { 1.0 } else { times.sum::<f64>() / (records.len() as f64 * average_us) }
+}
--- /dev/null
+++ b/crates/load/src/run/measure.rs
@@ -0,0 +1,116 @@
+//! Starts a scenario, runs its load and faults, and collects the result.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use banyannotch_standins::harness::Binaries;
+
+use super::sender::Sender;
+use super::{Balancer, Record, RunOptions, RunReport, plot};
+use crate::bound::{Bound, MixMeans, bound};
+use crate::faults::{FaultPlan, Injected, Injector, Observed};
+use crate::layout::start;
+use crate::machine::MachineSample;
+use crate::report::{print, write_json};
+use crate::scenario::{Scenario, document};
+use crate::workload::{Arrivals, means, schedule};
+use crate::{Result, Verdict};
+
+/// Time from the start of the load generator to the first request.
+const LEAD: Duration = Duration::from_millis(300);
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Deployment and load.
+    pub scenario: Scenario,
+    /// Seed.
+    pub seed: u64,
+    /// Length of the load.
+    pub length: Duration,
+    /// Generations offered, as a multiple of the bound.
+    pub load: f64,
+    /// How the rate varies.
+    pub arrivals: Arrivals,
+    /// Further tries of a caller.
+    pub retries: usize,
+    /// Faults.
+    pub faults: Vec<FaultPlan>,
+    /// Whether killed instances are replaced.
+    pub replace: bool,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub struct RunResult {
+    /// Bound of the whole layout.
+    pub bound: Bound,
+    /// Means of the generations.
+    pub mix: MixMeans,
+    /// Requests that were planned.
+    pub planned: usize,
+    /// What became of them.
+    pub records: Vec<Record>,
+    /// Faults that were injected.
+    pub injected: Vec<Injected>,
+    /// Counts of the stand-ins and entries.
+    pub observed: Observed,
+    /// Busy share of all processors during the load, by all programs of the machine.
+    pub busy: f64,
+}
+
+/// Runs a scenario and reports. A violation fails the command.
+///
+/// # Errors
+/// Returns [`crate::LoadError`] when the deployment does not start or obey, or a file cannot be written.
+pub async fn run(options: &RunOptions) -> Result<Verdict> {
+    let mut scenario = options.scenario.clone();
+    scenario.layout.prefix_cache = options.prefix_cache;
+    let plan = Plan {
+        scenario,
+        seed: options.seed,
+        length: Duration::from_secs(options.seconds),
+        load: options.load,
+        arrivals: options.arrivals,
+        retries: options.retries,
+        faults: options.faults.clone(),
+        replace: options.replace,
+    };
+    let result = carry_out(&plan, options.site_options.binaries()?).await?;
+    let report = RunReport::new(&plan, &result, Duration::from_secs(options.warm_up_seconds));
+    print(&report.to_string())?;
+    write_json(options.site_options.json.as_deref(), &report)?;
+    if let Some(path) = &options.plot {
+        plot::draw(path, &report)?;
+    }
+    Ok(Verdict::of(report.violations.total() == 0))
+}
+
+/// Runs a plan.
+///
+/// # Errors
+/// Returns [`crate::LoadError`] when the deployment does not start or obey.
+pub async fn carry_out(plan: &Plan, binaries: Binaries) -> Result<RunResult> {
+    let scenario = &plan.scenario;
+    let (mix, generations) = means(&scenario.mix, scenario.layout.prefix_cache > 0);
+    let bound = bound(&scenario.layout, mix);
+    let rate_per_s = plan.load * bound.requests_per_s / generations.max(f64::MIN_POSITIVE);
+    let length_s = plan.length.as_secs_f64();
+    let requests = schedule(plan.seed, &scenario.mix, &scenario.teams, plan.arrivals, rate_per_s, length_s);
+    let planned = requests.len();
+
+    let site = start(binaries, scenario.layout.clone(), &document(&scenario.teams)).await?;
+    let balancer = Rc::new(Balancer::new(site.deployment.entries.iter().map(|entry| entry.callers)));
+    let watch = actix_rt::spawn(Rc::clone(&balancer).watch());
+    let mut injector = Injector::new(site, Rc::clone(&balancer), mix, plan.seed, plan.replace);
+    let begin = Instant::now() + LEAD;
+    let sender = Rc::new(Sender::new(balancer, &scenario.teams, plan.retries, begin));
+    let machine = MachineSample::take();
+    let sending = actix_rt::spawn(sender.send_all(requests));
+    injector.run(begin, begin + plan.length, &plan.faults).await?;
+    let records = sending.await.unwrap_or_default();
+    let busy = MachineSample::take().busy_since(&machine);
+    watch.abort();
+    let (observed, injected, _site) = injector.finish().await;
+    Ok(RunResult { bound, mix, planned, records, injected, observed, busy })
+}
--- /dev/null
+++ b/crates/load/src/run/mod.rs
@@ -0,0 +1,19 @@
+//! An open-loop run of a scenario with faults, judged from the callers' side.
+
+mod balancer;
+mod figures;
+mod judge;
+mod measure;
+mod options;
+mod plot;
+mod report;
+mod sender;
+#[cfg(test)]
+mod tests;
+
+pub use balancer::Balancer;
+pub use judge::{Recovery, Series, Violations};
+pub use measure::{Plan, RunResult, carry_out, run};
+pub use options::{RunOptions, run_options};
+pub use report::RunReport;
+pub use sender::Record;
--- /dev/null
+++ b/crates/load/src/run/options.rs
@@ -0,0 +1,52 @@
+//! Options of a run.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+use crate::faults::FaultPlan;
+use crate::layout::{SiteOptions, site_options};
+use crate::scenario::Scenario;
+use crate::workload::Arrivals;
+
+/// An open-loop run of a scenario.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(run_options))]
+pub struct RunOptions {
+    /// association, claims or small
+    #[bpaf(positional("SCENARIO"))]
+    pub scenario: Scenario,
+    /// Seed of requests, arrivals and targets of faults
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Length of the load
+    #[bpaf(argument("N"), fallback(20), display_fallback)]
+    pub seconds: u64,
+    /// Time at the start that figures leave out
+    #[bpaf(argument("N"), fallback(4), display_fallback)]
+    pub warm_up_seconds: u64,
+    /// Generations offered, as a multiple of the bound
+    #[bpaf(argument("FACTOR"), fallback(0.5), display_fallback)]
+    pub load: f64,
+    /// poisson, bursts or step
+    #[bpaf(argument("KIND"), fallback(Arrivals::Poisson))]
+    pub arrivals: Arrivals,
+    /// Further tries of a caller after "not run" or a broken connection
+    #[bpaf(argument("N"), fallback(2), display_fallback)]
+    pub retries: usize,
+    /// Fault as KIND@SECONDS[xCOUNT][+SECONDS][:TARGET]; may be repeated. Kinds: kill, kill-service, freeze, slow,
+    /// link, suspend-entry, kill-entry, log-down, list-down, zone-loss
+    #[bpaf(long("fault"), argument("FAULT"), many)]
+    pub faults: Vec<FaultPlan>,
+    /// Replace killed instances after 3 s
+    pub replace: bool,
+    /// Positions of the prefix cache of each engine
+    #[bpaf(argument("N"), fallback(0), display_fallback)]
+    pub prefix_cache: u64,
+    /// File for a plot of goodput over time, in SVG
+    #[bpaf(argument("FILE"), optional)]
+    pub plot: Option<PathBuf>,
+    /// Programs and files
+    #[bpaf(external)]
+    pub site_options: SiteOptions,
+}
--- /dev/null
+++ b/crates/load/src/run/plot.rs
@@ -0,0 +1,73 @@
+//! A plot of goodput over time.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::RunReport;
+use crate::{LoadError, Result};
+
+/// Size of the plot in pixels.
+const SIZE: (u32, u32) = (1_000, 480);
+
+/// Room above the highest line.
+const HEADROOM: f64 = 1.15;
+
+/// Draws the windows of a report, with the faults as vertical lines.
+///
+/// # Errors
+/// Returns [`LoadError::Plot`] when the file cannot be written.
+pub fn draw(path: &Path, report: &RunReport) -> Result<()> {
+    draw_chart(path, report).map_err(|detail| LoadError::Plot { name: path.display().to_string(), detail })
+}
+
+fn draw_chart(path: &Path, report: &RunReport) -> std::result::Result<(), String> {
+    let text = |error: &dyn std::fmt::Display| error.to_string();
+    let windows = &report.series.windows;
+    let line = |value: fn(&super::judge::Window) -> f64| -> Vec<(f64, f64)> {
+        windows.iter().map(|window| (window.at_us as f64 / 1e6, value(window))).collect()
+    };
+    let lines = [
+        ("good", BLUE, line(|window| window.good)),
+        ("offered, at the pace before the first fault", GREEN, line(|window| window.expected)),
+        ("bound of the remaining engines", RED, line(|window| window.bound)),
+    ];
+    let highest = lines.iter().flat_map(|(_, _, points)| points).map(|(_, value)| *value).fold(1.0, f64::max);
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE).map_err(|error| text(&error))?;
+    let title = format!(
+        "{} seed {} load {}: generations in a window of 1 s",
+        report.scenario, report.seed, report.load
+    );
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..report.seconds, 0.0..highest * HEADROOM)
+        .map_err(|error| text(&error))?;
+    chart.configure_mesh().x_desc("seconds").y_desc("generations").draw().map_err(|error| text(&error))?;
+    for (name, colour, points) in lines {
+        chart
+            .draw_series(LineSeries::new(points, &colour))
+            .map_err(|error| text(&error))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    for fault in &report.faults {
+        let at_s = fault.at_us as f64 / 1e6;
+        chart
+            .draw_series([PathElement::new([(at_s, 0.0), (at_s, highest * HEADROOM)], BLACK)])
+            .map_err(|error| text(&error))?;
+        let label = Text::new(fault.kind.name(), (at_s, highest * HEADROOM), ("sans-serif", 13));
+        chart.draw_series([label]).map_err(|error| text(&error))?;
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerLeft)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()
+        .map_err(|error| text(&error))?;
+    root.present().map_err(|error| text(&error))
+}
--- a/crates/load/src/script/mod.rs
+++ b/crates/load/src/script/mod.rs
@@ -10,6 +10,7 @@
 
 pub use ask::ask;
 pub use call::call;
+pub(crate) use call::echoes;
 pub use options::{Ask, Call, Get, KeyTime, Post, ask_options, call_options, get_options, post_options};
 pub use raw::{get, post};
 pub use summary::Summary;
