--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -7,6 +7,7 @@
 use crate::overhead::{self, OverheadOptions};
 use crate::run::{self, RunOptions};
 use crate::script::{self, Ask, Call, Get, Post};
+use crate::soak::{self, SoakOptions};
 
 /// Whether what was checked was right.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,6 +56,9 @@
     /// Runs a scenario with open-loop load and faults
     #[bpaf(command)]
     Run(#[bpaf(external(run::run_options))] RunOptions),
+    /// Runs random faults under moderate load and fails on any violation
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::soak_options))] SoakOptions),
 }
 
 /// Returns the parser of the command line.
@@ -77,5 +81,6 @@
         Command::Overhead(options) => overhead::overhead(&options).await,
         Command::Idle(options) => idle::idle(&options).await,
         Command::Run(options) => run::run(&options).await,
+        Command::Soak(options) => soak::soak(&options).await,
     }
 }
--- a/crates/load/src/faults/injector.rs
+++ b/crates/load/src/faults/injector.rs
@@ -31,6 +31,9 @@
 /// Longest time of a control request.
 const CONTROL_LIMIT_MS: u64 = 5_000;
 
+/// Longest time to read the counters of an entry that is about to be killed.
+const LAST_LOOK_LIMIT: Duration = Duration::from_millis(300);
+
 /// Counter of broken invariants on the operators' port.
 const VIOLATIONS: &str = "banyannotch_invariant_violations_total";
 
@@ -169,7 +172,9 @@
             due.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
             let Some((at, next)) = due.pop() else { return Ok(()) };
             if at > end {
-                return Ok(());
+                // What would have been cleared later is cleared now, so that open requests can end and counts be read.
+                due.push((at, next));
+                return self.clear_all(due).await;
             }
             actix_rt::time::sleep_until(at.into()).await;
             let further = self.act(begin, next).await?;
@@ -177,6 +182,15 @@
         }
     }
 
+    async fn clear_all(&mut self, due: Vec<(Instant, Due)>) -> Result<()> {
+        for (_, due) in due {
+            if let Due::End(kind, targets) = due {
+                self.clear(kind, &targets).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Collects the counts of everything that is still alive and returns them with the injected faults.
     pub async fn finish(mut self) -> (Observed, Vec<Injected>, Site) {
         for index in 0..self.members.len() {
@@ -346,8 +360,11 @@
         further: &mut Vec<(Instant, Due)>,
     ) -> Result<Option<String>> {
         let Some(entry) = self.site.deployment.entries.get_mut(index) else { return Ok(None) };
-        let violations = metric(entry.operators, VIOLATIONS).await;
-        self.observed.violations += violations.unwrap_or_default() as u64;
+        // A suspended entry does not answer.
+        match actix_rt::time::timeout(LAST_LOOK_LIMIT, metric(entry.operators, VIOLATIONS)).await {
+            Ok(Some(violations)) => self.observed.violations += violations as u64,
+            Ok(None) | Err(_) => self.observed.unread.push(entry.instance.clone()),
+        }
         entry.process.kill()?;
         if let Some(alive) = self.entries_alive.get_mut(index) {
             *alive = false;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod run;
 pub mod scenario;
 pub mod script;
+pub mod soak;
 pub mod workload;
 
 pub use command::{Command, Verdict, execute, options};
--- a/crates/load/src/run/mod.rs
+++ b/crates/load/src/run/mod.rs
@@ -12,6 +12,7 @@
 mod tests;
 
 pub use balancer::Balancer;
+pub use figures::{outcomes, reasons};
 pub use judge::{Recovery, Series, Violations};
 pub use measure::{Plan, RunResult, carry_out, run};
 pub use options::{RunOptions, run_options};
