--- a/crates/load/src/run/figures.rs
+++ b/crates/load/src/run/figures.rs
@@ -32,7 +32,8 @@
 pub struct GenerationFigures {
     /// Offered in a second.
     pub offered_per_s: f64,
-    /// Good in a second.
+    /// Good ones that ended in a second of the measured time. Those that end after the load would make goodput exceed
+    /// the bound, because engines then work off what has piled up.
     pub good_per_s: f64,
     /// Engine time of the offered ones over that of as many average ones.
     pub offered_work: f64,
@@ -83,17 +84,26 @@
     figures.collect()
 }
 
-/// Computes the figures of all generations.
-pub fn generations(records: &[&Record], layout: &Layout, mean: MixMeans, seconds: f64) -> GenerationFigures {
+/// Computes the figures of all generations. `records` are those that were offered in the measured time, and `ended` those
+/// that ended in it.
+pub fn generations(
+    records: &[&Record],
+    ended: &[&Record],
+    layout: &Layout,
+    mean: MixMeans,
+    seconds: f64,
+) -> GenerationFigures {
+    let served: Vec<&Record> =
+        ended.iter().copied().filter(|record| record.is_generation() && record.is_good()).collect();
     let offered: Vec<&Record> = records.iter().copied().filter(|record| record.is_generation()).collect();
     let good: Vec<&Record> = offered.iter().copied().filter(|record| record.is_good()).collect();
     let first =
         good.iter().filter_map(|record| Some(record.token_us.first()?.saturating_sub(record.planned.at_us)));
     GenerationFigures {
         offered_per_s: offered.len() as f64 / seconds,
-        good_per_s: good.len() as f64 / seconds,
+        good_per_s: served.len() as f64 / seconds,
         offered_work: work(&offered, layout, mean),
-        good_work: work(&good, layout, mean),
+        good_work: work(&served, layout, mean),
         first: Quantiles::of(first),
         gaps: Quantiles::of(good.iter().flat_map(|record| gaps_us(record))),
         whole: whole(good.iter().copied()),
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -84,6 +84,8 @@
         let length_us = u64::try_from(plan.length.as_micros()).unwrap_or(u64::MAX);
         let measured: Vec<&Record> =
             result.records.iter().filter(|record| record.planned.at_us >= warm_up_us).collect();
+        let ended: Vec<&Record> =
+            result.records.iter().filter(|record| (warm_up_us..length_us).contains(&record.end_us)).collect();
         let seconds = plan.length.saturating_sub(warm_up).as_secs_f64();
         let series = series(&result.records, &result.injected, result.bound.requests_per_s, length_us);
         Self {
@@ -103,7 +105,7 @@
             missing: result.planned - result.records.len(),
             outcomes: outcomes(&result.records),
             reasons: reasons(&result.records),
-            generations: generations(&measured, layout, result.mix, seconds.max(f64::MIN_POSITIVE)),
+            generations: generations(&measured, &ended, layout, result.mix, seconds.max(f64::MIN_POSITIVE)),
             tasks: tasks(&plan.scenario.mix, &measured),
             faults: result.injected.clone(),
             recoveries: recoveries(&series, &result.injected, &result.records),
