--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,7 +3,11 @@
 use bpaf::Bpaf;
 
 use crate::Result;
+use crate::idle::{self, IdleOptions};
+use crate::overhead::{self, OverheadOptions};
+use crate::run::{self, RunOptions};
 use crate::script::{self, Ask, Call, Get, Post};
+use crate::soak::{self, SoakOptions};
 
 /// Whether what was checked was right.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +41,24 @@
     /// Fetches a path and prints the answer
     #[bpaf(command)]
     Get(#[bpaf(external(script::get_options))] Get),
+    /// Runs a closed loop against engines without an entry
+    #[bpaf(command)]
+    Direct(#[bpaf(external(overhead::overhead_options))] OverheadOptions),
+    /// Runs the same closed loop through one entry
+    #[bpaf(command)]
+    Routed(#[bpaf(external(overhead::overhead_options))] OverheadOptions),
+    /// Compares the two, and the time between tokens of single requests
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::overhead_options))] OverheadOptions),
+    /// Measures processor time and memory of entries without requests
+    #[bpaf(command)]
+    Idle(#[bpaf(external(idle::idle_options))] IdleOptions),
+    /// Runs a scenario with open-loop load and faults
+    #[bpaf(command)]
+    Run(#[bpaf(external(run::run_options))] RunOptions),
+    /// Runs random faults under moderate load and fails on any violation
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::soak_options))] SoakOptions),
 }
 
 /// Returns the parser of the command line.
@@ -54,5 +76,11 @@
         Command::Call(call) => script::call(&call, &mut std::io::stdout()).await,
         Command::Post(post) => script::post(&post, &mut std::io::stdout()).await,
         Command::Get(get) => script::get(&get, &mut std::io::stdout()).await,
+        Command::Direct(options) => overhead::direct(&options).await,
+        Command::Routed(options) => overhead::routed(&options).await,
+        Command::Overhead(options) => overhead::overhead(&options).await,
+        Command::Idle(options) => idle::idle(&options).await,
+        Command::Run(options) => run::run(&options).await,
+        Command::Soak(options) => soak::soak(&options).await,
     }
 }
