routing: expected time by own work, aged reports and measured steps

The replica choice is a trait with four implementations, named in the settings. Endpoints are grouped by model, version and layers when the table changes; the route is the cheapest chain over layer boundaries. Routing reports capacity with a limit that follows the measured growth of step times.

--- a/crates/banyannotch/src/admission/messages.rs
+++ b/crates/banyannotch/src/admission/messages.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::configuration::Configuration;
-use crate::ids::{RequestId, TeamId};
+use crate::ids::{ModelId, RequestId, ServiceId, TeamId};
 use crate::request::{NotRun, Submission};
 
 /// What admission hears.
@@ -35,12 +35,21 @@
     pub completed: bool,
 }
 
+/// What a request is for. A model and a service may have the same name.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Destination {
+    /// A model.
+    Model(ModelId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
 /// What a model or plain service can carry, as routing estimates it for this entry.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Capacity {
-    /// Name of the model or service.
-    pub target: String,
-    /// Time of one token step through all stages, without waiting.
+    /// The model or service.
+    pub target: Destination,
+    /// Time of one token step through all stages at the present load; 0 means unknown.
     pub token_us: u64,
     /// Time of one prompt position through all stages.
     pub position_us: u64,
--- a/crates/banyannotch/src/admission/mod.rs
+++ b/crates/banyannotch/src/admission/mod.rs
@@ -7,6 +7,6 @@
 mod runtime;
 mod state;
 
-pub use messages::{Action, Capacity, Decision, Event, Finished, Verdict};
+pub use messages::{Action, Capacity, Decision, Destination, Event, Finished, Verdict};
 pub use policy::Admission;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -189,6 +189,7 @@
             s,
             clock,
             routing::Links { inbound: to_routing.receivers, ..routing_links },
+            routing::Surroundings { zone: settings.zone.clone(), settings: settings.routing },
             mix(seed ^ 2),
         )?;
         admission::spawn(s, clock, admission::Links { inbound: to_admission.receivers, ..admission_links })?;
--- a/crates/banyannotch/src/routing/messages.rs
+++ b/crates/banyannotch/src/routing/messages.rs
@@ -78,6 +78,11 @@
     Report(Vec<Capacity>),
     /// Log a decision.
     Decide(Decision),
+    /// Own work counted at the endpoints differs from the placed requests.
+    Violated {
+        /// Difference of the counts.
+        counts: u64,
+    },
 }
 
 /// A request with its assignment.
--- a/crates/banyannotch/src/routing/policy.rs
+++ b/crates/banyannotch/src/routing/policy.rs
@@ -1,286 +1,375 @@
 //! Builds routes over the layer ranges that the engines hold.
 
-use super::state::{Placed, State};
+use std::collections::VecDeque;
+
+use super::balance::{Balance, Picked, View};
+use super::capacity::{Capacities, REPORT_INTERVAL_US};
+use super::chain::{Edge, cheapest};
+use super::index::Group;
+use super::prefixes::Prefixes;
+use super::settings::Surroundings;
+use super::state::{Part, Placed, State, Task};
 use super::{
-    Action, Assignment, Candidate, Cause, Choice, Decision, Event, Found, Need, Pace, Reroute, Start,
-    Substitute,
+    Action, Assignment, Candidate, Cause, Choice, Decision, Event, Found, Pace, Reroute, Start, Substitute,
 };
+use crate::admission::Destination;
 use crate::duty::Duty;
-use crate::ids::{EndpointId, ModelId, RequestId};
-use crate::membership::{Endpoint, Health, Role};
-use crate::pipeline::{LayerRange, Route, Stage, Target};
+use crate::ids::{EndpointId, RequestId};
+use crate::membership::Endpoint;
+use crate::pipeline::{Route, Stage, Target};
 use crate::random::Random;
 use crate::request::{NotRun, Submission, Work};
 
-/// The policy of routing.
+/// Bytes of a prompt for each position, to estimate its positions.
+const PROMPT_BYTES_PER_POSITION: usize = 4;
+
+/// Tokens of an answer that are assumed when a request allows more; most answers end before their limit.
+const USUAL_TOKENS: u32 = 128;
+
+/// The policy of routing, with its choice of replicas.
 #[derive(Debug)]
-pub struct Routing {
+pub struct Routing<B> {
     state: State,
+    balance: B,
     random: Random,
+    surroundings: Surroundings,
+    prefixes: Prefixes,
+    capacities: Capacities,
+    reported_us: u64,
+    report_due_us: Option<u64>,
 }
 
-/// Added to the score of an endpoint that one observer found dead.
-const SUSPECTED_PENALTY_US: u64 = 10_000_000;
+/// One stage or service as it was chosen.
+struct Selected<'a> {
+    group: &'a Group,
+    picked: Picked,
+}
 
-impl Routing {
+impl<B: Balance> Routing<B> {
     /// Creates the policy; the seed determines its random choices.
-    pub fn new(seed: u64) -> Self {
-        Self { state: State::default(), random: Random::seeded(seed) }
+    pub fn new(seed: u64, surroundings: Surroundings, balance: B) -> Self {
+        Self {
+            state: State::default(),
+            balance,
+            random: Random::seeded(seed),
+            surroundings,
+            prefixes: Prefixes::default(),
+            capacities: Capacities::default(),
+            reported_us: 0,
+            report_due_us: None,
+        }
+    }
+
+    /// Returns the own work counted at the endpoints and the own work of the placed requests.
+    pub fn totals(&self) -> (u64, u64) {
+        self.state.totals()
     }
 
-    fn on_place(&mut self, submission: Box<Submission>, actions: &mut Vec<Action>) {
+    fn on_place(&mut self, now_us: u64, submission: Box<Submission>, actions: &mut Vec<Action>) {
+        self.state.set_configuration(&submission.configuration);
         let request = submission.request;
-        let (assignment, choices) = self.assign(&submission, None);
+        let task = Task::new(&submission);
+        let assigned = task.as_ref().and_then(|task| self.assign(now_us, task, &VecDeque::new()));
+        let Some((task, (assignment, parts, choices))) = task.zip(assigned) else {
+            actions.push(Action::Decide(Decision { request, cause: Cause::Placed, choices: Vec::new() }));
+            actions.push(Action::Start(Start { submission, assignment: Err(NotRun::NoRoute) }));
+            return;
+        };
+        self.note_prefix(now_us, &task, &parts);
+        self.state.add(now_us, &parts);
+        let before = self.state.placed.insert(request, Placed { task, parts, failed: VecDeque::new() });
+        self.release(now_us, before, actions);
         actions.push(Action::Decide(Decision { request, cause: Cause::Placed, choices }));
-        if let Some(assignment) = &assignment {
-            self.count(&submission, assignment);
-        }
-        let assignment = assignment.ok_or(NotRun::NoRoute);
-        actions.push(Action::Start(Start { submission, assignment }));
+        actions.push(Action::Start(Start { submission, assignment: Ok(assignment) }));
     }
 
-    fn on_reroute(&mut self, reroute: &Reroute, actions: &mut Vec<Action>) {
+    fn on_reroute(&mut self, now_us: u64, reroute: &Reroute, actions: &mut Vec<Action>) {
         let request = reroute.request;
         let Some(mut placed) = self.state.placed.remove(&request) else { return };
-        let (found, choices) = match reroute.need {
-            Need::Stage { stage } => self.find_stage(&mut placed, stage, &reroute.failed),
-            Need::Route | Need::Service => self.find_assignment(&mut placed, &reroute.failed),
+        placed.note_failed(&reroute.failed);
+        self.state.note_failure(now_us, &reroute.failed);
+        let found = match reroute.need.stage() {
+            Some(stage) => self.replace_stage(now_us, &mut placed, stage, actions),
+            None => self.replace_all(now_us, &mut placed, actions),
         };
         self.state.placed.insert(request, placed);
+        let (found, choices) = found.unwrap_or((Found::Nothing, Vec::new()));
         actions.push(Action::Decide(Decision { request, cause: Cause::Rerouted, choices }));
         actions.push(Action::Substitute(Substitute { request, found }));
     }
 
-    fn find_stage(&mut self, placed: &mut Placed, stage: usize, failed: &EndpointId) -> (Found, Vec<Choice>) {
-        let Work::Generate(order) = &placed.submission.work else { return (Found::Nothing, Vec::new()) };
-        let Some(current) = placed.endpoints.get(stage).cloned() else { return (Found::Nothing, Vec::new()) };
-        let layers = placed.layers.get(stage).copied();
-        let Some(layers) = layers else { return (Found::Nothing, Vec::new()) };
-        let Some((endpoint, choice)) = self.choose(&order.model, layers, &placed.submission, Some(failed))
-        else {
-            return (Found::Nothing, Vec::new());
-        };
-        self.state.subtract(&current);
-        self.state.add(&endpoint.id);
-        if let Some(slot) = placed.endpoints.get_mut(stage) {
-            *slot = endpoint.id.clone();
-        }
-        let found = Found::Stage { stage, target: target(&endpoint), pace: pace(&endpoint) };
-        (found, vec![choice])
+    fn replace_stage(
+        &mut self,
+        now_us: u64,
+        placed: &mut Placed,
+        stage: usize,
+        actions: &mut Vec<Action>,
+    ) -> Option<(Found, Vec<Choice>)> {
+        let Task::Generate { model, version, .. } = &placed.task else { return None };
+        let part = placed.parts.get_mut(stage)?;
+        let group = self.state.index.range(model, *version, part.layers?)?;
+        let members = self.state.substitutes(group, &placed.failed);
+        let view = view(&self.state, &self.surroundings, now_us, &placed.task, &[]);
+        let picked = self.balance.choose(&group.pool_of(&members), &view, &mut self.random)?;
+        let endpoint = self.state.endpoints.get(picked.member)?;
+        let choice = choice(&self.state, group, &picked)?;
+        let pace = pace(&view, group, picked.member);
+        let found = Found::Stage { stage, target: target(endpoint), pace };
+        let new = Part { endpoint: endpoint.id.clone(), ..part.clone() };
+        let old = std::mem::replace(part, new.clone());
+        self.subtract(now_us, &[old], actions);
+        self.state.add(now_us, &[new]);
+        Some((found, vec![choice]))
     }
 
-    fn find_assignment(&mut self, placed: &mut Placed, failed: &EndpointId) -> (Found, Vec<Choice>) {
-        let (assignment, choices) = self.assign(&placed.submission, Some(failed));
-        let Some(assignment) = assignment else { return (Found::Nothing, choices) };
-        for endpoint in std::mem::take(&mut placed.endpoints) {
-            self.state.subtract(&endpoint);
-        }
-        (placed.endpoints, placed.layers) = parts(&assignment);
-        for endpoint in &placed.endpoints {
-            self.state.add(endpoint);
-        }
-        (Found::Assignment(assignment), choices)
+    fn replace_all(
+        &mut self,
+        now_us: u64,
+        placed: &mut Placed,
+        actions: &mut Vec<Action>,
+    ) -> Option<(Found, Vec<Choice>)> {
+        let (assignment, parts, choices) = self.assign(now_us, &placed.task, &placed.failed)?;
+        self.subtract(now_us, &placed.parts, actions);
+        self.state.add(now_us, &parts);
+        placed.parts = parts;
+        Some((Found::Assignment(assignment), choices))
     }
 
     fn assign(
         &mut self,
-        submission: &Submission,
-        failed: Option<&EndpointId>,
-    ) -> (Option<Assignment>, Vec<Choice>) {
-        match &submission.work {
-            Work::Generate(order) => self.assign_pipeline(submission, &order.model, failed),
-            Work::Call(order) => {
-                let candidates = self.state.usable().filter(|endpoint| {
-                    matches!(&endpoint.role, Role::Service { service } if *service == order.service)
-                });
-                let scored = self.score(candidates, submission, failed);
-                let Some((endpoint, choice)) = self.pick(scored, None) else { return (None, Vec::new()) };
-                (Some(Assignment::Service(target(&endpoint))), vec![choice])
+        now_us: u64,
+        task: &Task,
+        failed: &VecDeque<EndpointId>,
+    ) -> Option<(Assignment, Vec<Part>, Vec<Choice>)> {
+        let holders = self.holders(now_us, task);
+        let view = view(&self.state, &self.surroundings, now_us, task, &holders);
+        let mut select =
+            |group| select(&self.state, &mut self.balance, &mut self.random, &view, group, failed);
+        match task {
+            Task::Call { service } => {
+                let selected = select(self.state.index.service(service)?)?;
+                let endpoint = self.state.endpoints.get(selected.picked.member)?;
+                let part = Part { endpoint: endpoint.id.clone(), layers: None, share: 1.0 };
+                let choice = choice(&self.state, selected.group, &selected.picked)?;
+                Some((Assignment::Service(target(endpoint)), vec![part], vec![choice]))
             }
-        }
-    }
-
-    /// Chains layer ranges from the first layer to the last, the cheapest replica for each.
-    fn assign_pipeline(
-        &mut self,
-        submission: &Submission,
-        model: &ModelId,
-        failed: Option<&EndpointId>,
-    ) -> (Option<Assignment>, Vec<Choice>) {
-        let Some(configured) = submission.configuration.document.model(model) else {
-            return (None, Vec::new());
-        };
-        let (layers, version) = (configured.layers, configured.version);
-        let Some(ranges) = self.chain(submission, model, layers) else { return (None, Vec::new()) };
-        let (mut stages, mut paces, mut choices) = (Vec::new(), Vec::new(), Vec::new());
-        for range in ranges {
-            let Some((endpoint, choice)) = self.choose(model, range, submission, failed) else {
-                return (None, choices);
-            };
-            paces.push(pace(&endpoint));
-            stages.push(Stage { target: target(&endpoint), layers: range });
-            choices.push(choice);
-        }
-        match Route::new(model.clone(), version, layers, stages) {
-            Ok(route) => (Some(Assignment::Pipeline { route, paces }), choices),
-            Err(_) => (None, choices),
-        }
-    }
-
-    /// Finds the chain with the fewest ranges that covers all layers.
-    fn chain(&self, submission: &Submission, model: &ModelId, layers: u16) -> Option<Vec<LayerRange>> {
-        let version = submission.configuration.document.model(model)?.version;
-        let mut ranges: Vec<LayerRange> = self
-            .state
-            .usable()
-            .filter_map(|endpoint| match &endpoint.role {
-                Role::Engine { model: held, version: at, layers } if held == model && *at == version => {
-                    Some(*layers)
-                }
-                _ => None,
-            })
-            .collect();
-        ranges.sort();
-        ranges.dedup();
-        let mut best: Vec<Option<Vec<LayerRange>>> = vec![None; usize::from(layers) + 1];
-        *best.first_mut()? = Some(Vec::new());
-        for begin in 0..layers {
-            let Some(chain) = best.get(usize::from(begin)).cloned().flatten() else { continue };
-            for range in ranges.iter().filter(|range| range.begin == begin && !range.is_empty()) {
-                let Some(slot) = best.get_mut(usize::from(range.end)) else { continue };
-                if slot.as_ref().is_none_or(|known| known.len() > chain.len() + 1) {
-                    let mut longer = chain.clone();
-                    longer.push(*range);
-                    *slot = Some(longer);
-                }
+            Task::Generate { model, version, layers, .. } => {
+                let groups = self.state.index.model(model, *version);
+                let selected: Vec<Selected<'_>> = groups.iter().filter_map(select).collect();
+                let path = cheapest(&edges(&selected), *layers)?;
+                let chosen: Vec<&Selected<'_>> =
+                    path.iter().filter_map(|index| selected.get(*index)).collect();
+                pipeline(&self.state, &view, task, &chosen)
             }
         }
-        best.pop().flatten()
     }
 
-    fn choose(
-        &mut self,
-        model: &ModelId,
-        layers: LayerRange,
-        submission: &Submission,
-        failed: Option<&EndpointId>,
-    ) -> Option<(Endpoint, Choice)> {
-        let version = submission.configuration.document.model(model)?.version;
-        let candidates = self.state.usable().filter(|endpoint| match &endpoint.role {
-            Role::Engine { model: held, version: at, layers: range } => {
-                held == model && *at == version && *range == layers
-            }
-            Role::Service { .. } => false,
-        });
-        let scored = self.score(candidates, submission, failed);
-        self.pick(scored, Some(layers))
+    fn holders(&self, now_us: u64, task: &Task) -> Vec<usize> {
+        let Task::Generate { prefix, .. } = task else { return Vec::new() };
+        self.prefixes.holders(now_us, *prefix).iter().filter_map(|id| self.state.place(id)).collect()
     }
 
-    fn score<'a>(
-        &self,
-        candidates: impl Iterator<Item = &'a Endpoint>,
-        submission: &Submission,
-        failed: Option<&EndpointId>,
-    ) -> Vec<(u64, Endpoint)> {
-        let drain = &submission.configuration.active().drain;
-        let mut scored: Vec<(u64, Endpoint)> = candidates
-            .filter(|endpoint| failed != Some(&endpoint.id) && !drain.contains(&endpoint.id.instance))
-            .map(|endpoint| (self.score_us(endpoint), endpoint.clone()))
-            .collect();
-        scored.sort_by(|a, b| (a.0, &a.1.id).cmp(&(b.0, &b.1.id)));
-        scored
+    fn note_prefix(&mut self, now_us: u64, task: &Task, parts: &[Part]) {
+        let Task::Generate { prefix, .. } = task else { return };
+        let endpoints: Vec<EndpointId> = parts.iter().map(|part| part.endpoint.clone()).collect();
+        self.prefixes.note(now_us, *prefix, &endpoints);
     }
 
-    fn score_us(&self, endpoint: &Endpoint) -> u64 {
-        let own = u64::from(self.state.in_flight(&endpoint.id));
-        let reported = u64::from(endpoint.load.running + endpoint.load.queued);
-        let penalty_us = if endpoint.health == Health::Suspected { SUSPECTED_PENALTY_US } else { 0 };
-        penalty_us + endpoint.load.step_us.max(1) * (1 + own.max(reported))
+    fn on_finished(&mut self, now_us: u64, request: RequestId, actions: &mut Vec<Action>) {
+        let placed = self.state.placed.remove(&request);
+        self.release(now_us, placed, actions);
     }
 
-    /// Takes the better of two random candidates, so that entries with the same lagging reports do not all choose one.
-    fn pick(
-        &mut self,
-        mut scored: Vec<(u64, Endpoint)>,
-        layers: Option<LayerRange>,
-    ) -> Option<(Endpoint, Choice)> {
-        let mut compared = Vec::new();
-        for _ in 0..2 {
-            if scored.is_empty() {
-                break;
-            }
-            let index = self.random.below(scored.len());
-            compared.push(scored.swap_remove(index));
+    fn release(&mut self, now_us: u64, placed: Option<Placed>, actions: &mut Vec<Action>) {
+        if let Some(placed) = placed {
+            self.subtract(now_us, &placed.parts, actions);
         }
-        compared.sort_by_key(|(score_us, _)| *score_us);
-        let candidates = compared
-            .iter()
-            .map(|(score_us, endpoint)| Candidate { endpoint: endpoint.id.clone(), score_us: *score_us })
-            .collect();
-        let (_, endpoint) = compared.into_iter().next()?;
-        let choice = Choice { layers, endpoint: endpoint.id.clone(), candidates };
-        Some((endpoint, choice))
     }
 
-    fn count(&mut self, submission: &Submission, assignment: &Assignment) {
-        let (endpoints, layers) = parts(assignment);
-        for endpoint in &endpoints {
-            self.state.add(endpoint);
+    fn subtract(&mut self, now_us: u64, parts: &[Part], actions: &mut Vec<Action>) {
+        let missing = self.state.subtract(now_us, parts);
+        if missing > 0 {
+            actions.push(Action::Violated { counts: missing });
         }
-        let placed = Placed { submission: Box::new(submission.clone()), endpoints, layers };
-        self.state.placed.insert(submission.request, placed);
     }
 
-    fn on_finished(&mut self, request: RequestId) {
-        if let Some(placed) = self.state.placed.remove(&request) {
-            for endpoint in &placed.endpoints {
-                self.state.subtract(endpoint);
-            }
+    /// Reports the capacity at the next time that is allowed.
+    fn schedule_report(&mut self, now_us: u64) {
+        let allowed_us = self.reported_us + REPORT_INTERVAL_US;
+        self.report_due_us.get_or_insert(allowed_us.max(now_us));
+    }
+
+    fn report(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.reported_us = now_us;
+        let (counted, placed) = self.state.totals();
+        if counted != placed {
+            actions.push(Action::Violated { counts: counted.abs_diff(placed) });
+        }
+        let view = View {
+            now_us,
+            endpoints: &self.state.endpoints,
+            meters: &self.state.meters,
+            surroundings: &self.surroundings,
+            positions_per_token: 0.0,
+            holders: &[],
+        };
+        let report = self.capacities.report(&self.state, &view, self.surroundings.settings.entries);
+        if let Some(capacities) = report {
+            actions.push(Action::Report(capacities));
         }
     }
 }
 
-impl Duty for Routing {
+impl<B: Balance> Duty for Routing<B> {
     type Event = Event;
     type Action = Action;
 
-    fn on_event(&mut self, _now_us: u64, event: Event, actions: &mut Vec<Action>) {
+    fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Place(submission) => self.on_place(submission, actions),
+            Event::Place(submission) => self.on_place(now_us, submission, actions),
+            // The counts stay until execution reports the end, because the step in progress is still load.
             Event::Cancel(request) => actions.push(Action::Cancel(request)),
-            Event::Reroute(reroute) => self.on_reroute(&reroute, actions),
-            Event::Finished(request) => self.on_finished(request),
-            Event::Endpoints(endpoints) => {
-                self.state.endpoints = endpoints;
-                let known = std::sync::Arc::clone(&self.state.endpoints);
-                self.state.in_flight.retain(|id, count| {
-                    *count > 0 || known.binary_search_by(|endpoint| endpoint.id.cmp(id)).is_ok()
-                });
-            }
-            Event::Observed(_) | Event::Configured(_) => {}
+            Event::Reroute(reroute) => self.on_reroute(now_us, &reroute, actions),
+            Event::Finished(request) => self.on_finished(now_us, request, actions),
+            Event::Endpoints(endpoints) => self.state.set_endpoints(endpoints),
+            Event::Observed(observations) => self.state.observe(now_us, &observations),
+            Event::Configured(configuration) => self.state.set_configuration(&configuration),
         }
+        self.schedule_report(now_us);
     }
 
     fn next_timer_us(&self) -> Option<u64> {
-        None
+        self.report_due_us
     }
 
-    fn on_timer(&mut self, _now_us: u64, _actions: &mut Vec<Action>) {}
+    fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        if self.report_due_us.take_if(|due_us| *due_us <= now_us).is_some() {
+            self.report(now_us, actions);
+        }
+    }
 }
 
-fn parts(assignment: &Assignment) -> (Vec<EndpointId>, Vec<LayerRange>) {
-    match assignment {
-        Assignment::Pipeline { route, .. } => {
-            route.stages().iter().map(|stage| (stage.target.endpoint.clone(), stage.layers)).unzip()
+impl Task {
+    /// Returns what a request needs; none if its configuration does not know the model.
+    fn new(submission: &Submission) -> Option<Self> {
+        match &submission.work {
+            Work::Call(call) => Some(Self::Call { service: call.service.clone() }),
+            Work::Generate(generation) => {
+                let model = submission.configuration.document.model(&generation.model)?;
+                let positions = generation.prompt.len() / PROMPT_BYTES_PER_POSITION;
+                Some(Self::Generate {
+                    model: generation.model.clone(),
+                    version: model.version,
+                    layers: model.layers,
+                    positions: u32::try_from(positions).unwrap_or(u32::MAX),
+                    tokens: generation.max_tokens,
+                    prefix: Prefixes::digest(generation),
+                })
+            }
+        }
+    }
+
+    /// Returns the model or service.
+    pub(super) fn destination(&self) -> Destination {
+        match self {
+            Self::Generate { model, .. } => Destination::Model(model.clone()),
+            Self::Call { service } => Destination::Service(service.clone()),
+        }
+    }
+
+    fn positions_per_token(&self) -> f64 {
+        match self {
+            Self::Generate { positions, tokens, .. } => {
+                f64::from(*positions) / f64::from((*tokens).clamp(1, USUAL_TOKENS))
+            }
+            Self::Call { .. } => 0.0,
         }
-        Assignment::Service(target) => (vec![target.endpoint.clone()], Vec::new()),
     }
 }
 
+fn view<'a>(
+    state: &'a State,
+    surroundings: &'a Surroundings,
+    now_us: u64,
+    task: &Task,
+    holders: &'a [usize],
+) -> View<'a> {
+    View {
+        now_us,
+        endpoints: &state.endpoints,
+        meters: &state.meters,
+        surroundings,
+        positions_per_token: task.positions_per_token(),
+        holders,
+    }
+}
+
+fn select<'a, B: Balance>(
+    state: &State,
+    balance: &mut B,
+    random: &mut Random,
+    view: &View<'_>,
+    group: &'a Group,
+    failed: &VecDeque<EndpointId>,
+) -> Option<Selected<'a>> {
+    let picked = if failed.is_empty() {
+        balance.choose(&group.pool(), view, random)?
+    } else {
+        balance.choose(&group.pool_of(&state.substitutes(group, failed)), view, random)?
+    };
+    Some(Selected { group, picked })
+}
+
+fn edges(selected: &[Selected<'_>]) -> Vec<Edge> {
+    let edge = |selected: &Selected<'_>| {
+        Some(Edge { layers: selected.group.layers?, cost_us: selected.picked.cost_us })
+    };
+    selected.iter().filter_map(edge).collect()
+}
+
+fn pipeline(
+    state: &State,
+    view: &View<'_>,
+    task: &Task,
+    chosen: &[&Selected<'_>],
+) -> Option<(Assignment, Vec<Part>, Vec<Choice>)> {
+    let Task::Generate { model, version, layers, .. } = task else { return None };
+    let (mut stages, mut paces, mut parts, mut choices) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    let total_us: f64 = chosen.iter().map(|selected| selected.step_us(view)).sum();
+    for selected in chosen {
+        let endpoint = state.endpoints.get(selected.picked.member)?;
+        let range = selected.group.layers?;
+        let share = selected.step_us(view) / total_us.max(1.0);
+        stages.push(Stage { target: target(endpoint), layers: range });
+        paces.push(pace(view, selected.group, selected.picked.member));
+        parts.push(Part { endpoint: endpoint.id.clone(), layers: Some(range), share });
+        choices.push(choice(state, selected.group, &selected.picked)?);
+    }
+    let route = Route::new(model.clone(), *version, *layers, stages).ok()?;
+    Some((Assignment::Pipeline { route, paces }, parts, choices))
+}
+
+impl Selected<'_> {
+    fn step_us(&self, view: &View<'_>) -> f64 {
+        view.step_us(self.picked.member, self.group.mean_others)
+    }
+}
+
+fn choice(state: &State, group: &Group, picked: &Picked) -> Option<Choice> {
+    let endpoint = state.endpoints.get(picked.member)?.id.clone();
+    let candidate = |(member, score_us): (usize, f64)| {
+        let endpoint = state.endpoints.get(member)?.id.clone();
+        Some(Candidate { endpoint, score_us: score_us as u64 })
+    };
+    let candidates = picked.compared().filter_map(candidate).collect();
+    Some(Choice { layers: group.layers, endpoint, candidates })
+}
+
 fn target(endpoint: &Endpoint) -> Target {
     Target { endpoint: endpoint.id.clone(), address: endpoint.address, zone: endpoint.zone.clone() }
 }
 
-fn pace(endpoint: &Endpoint) -> Pace {
-    Pace { step_us: endpoint.load.step_us, position_us: endpoint.load.prefill_us_per_position }
+fn pace(view: &View<'_>, group: &Group, member: usize) -> Pace {
+    let position_us = view.meters.get(member).map_or(0.0, |meter| meter.position_us());
+    Pace { step_us: view.step_us(member, group.mean_others) as u64, position_us: position_us as u64 }
 }
--- a/crates/banyannotch/src/routing/runtime.rs
+++ b/crates/banyannotch/src/routing/runtime.rs
@@ -1,6 +1,9 @@
 //! Thread of routing: rings in, rings out. Nothing is decided here.
 
-use super::{Action, Event, Routing};
+use super::{
+    Action, Balance, BalanceName, Event, ExpectedTime, LeastReported, RoundRobin, Routing, Surroundings,
+    Uniform,
+};
 use crate::admission;
 use crate::clock::Clock;
 use crate::duty::{self, Ports, Supervisor};
@@ -31,12 +34,34 @@
     supervisor: &Supervisor,
     clock: C,
     links: Links,
+    surroundings: Surroundings,
     seed: u64,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    match surroundings.settings.policy {
+        BalanceName::ExpectedTime => {
+            spawn_with(supervisor, clock, links, surroundings, seed, ExpectedTime::default())
+        }
+        BalanceName::LeastReported => spawn_with(supervisor, clock, links, surroundings, seed, LeastReported),
+        BalanceName::Random => spawn_with(supervisor, clock, links, surroundings, seed, Uniform),
+        BalanceName::RoundRobin => {
+            spawn_with(supervisor, clock, links, surroundings, seed, RoundRobin::default())
+        }
+    }
+}
+
+fn spawn_with<C: Clock, B: Balance + Send + 'static>(
+    supervisor: &Supervisor,
+    clock: C,
+    links: Links,
+    surroundings: Surroundings,
+    seed: u64,
+    balance: B,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
     let own = supervisor.clone();
     supervisor.spawn("routing", move || async move {
         let bell = links.bell.clone();
-        duty::run(clock, bell, Routing::new(seed), RoutingPorts { links, supervisor: own }).await;
+        let routing = Routing::new(seed, surroundings, balance);
+        duty::run(clock, bell, routing, RoutingPorts { links, supervisor: own }).await;
     })
 }
 
@@ -64,6 +89,11 @@
                 let event = admission::Event::Capacity(capacities);
                 self.links.admission.send_or_fail(event, "routing_admission", &self.supervisor);
             }
+            Action::Violated { counts } => {
+                metrics::counter!("banyannotch_invariant_violations_total", "invariant" => "own_work_counts")
+                    .increment(1);
+                log::error!("event=invariant_violated invariant=own_work_counts difference={counts}");
+            }
             Action::Decide(decision) => {
                 Note::Decision(Decision::Routing(decision)).send(&mut self.links.telemetry);
             }
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -10,6 +10,7 @@
 use crate::intake::IntakeSettings;
 use crate::membership::MembershipSettings;
 use crate::pipeline::Address;
+use crate::routing::RoutingSettings;
 
 /// Settings of an entry.
 #[derive(Clone, Debug, Deserialize)]
@@ -38,6 +39,9 @@
     /// Intervals of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
+    /// Choice of replicas.
+    #[serde(default)]
+    pub routing: RoutingSettings,
 }
 
 impl Settings {
