--- a/crates/banyannotch/src/admission/runtime.rs
+++ b/crates/banyannotch/src/admission/runtime.rs
@@ -1,6 +1,6 @@
 //! Thread of admission: rings in, rings out. Nothing is decided here.
 
-use super::{Action, Admission, Event};
+use super::{Action, Admission, AdmissionSettings, Event};
 use crate::clock::Clock;
 use crate::duty::{self, Ports, Supervisor};
 use crate::intake;
@@ -32,11 +32,12 @@
     supervisor: &Supervisor,
     clock: C,
     links: Links,
+    settings: AdmissionSettings,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
     let own = supervisor.clone();
     supervisor.spawn("admission", move || async move {
         let bell = links.bell.clone();
-        duty::run(clock, bell, Admission::default(), AdmissionPorts { links, supervisor: own }).await;
+        duty::run(clock, bell, Admission::new(settings), AdmissionPorts { links, supervisor: own }).await;
     })
 }
 
--- /dev/null
+++ b/crates/banyannotch/src/admission/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of admission.
+
+mod cost;
+mod decisions;
+mod fixtures;
+mod invariants;
+mod shares;
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -192,7 +192,12 @@
             routing::Surroundings { zone: settings.zone.clone(), settings: settings.routing },
             mix(seed ^ 2),
         )?;
-        admission::spawn(s, clock, admission::Links { inbound: to_admission.receivers, ..admission_links })?;
+        admission::spawn(
+            s,
+            clock,
+            admission::Links { inbound: to_admission.receivers, ..admission_links },
+            settings.admission,
+        )?;
         membership::spawn(
             s,
             clock,
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use super::{Result, SettingsError};
+use crate::admission::AdmissionSettings;
 use crate::execution::ExecutionSettings;
 use crate::ids::{InstanceId, Zone};
 use crate::intake::IntakeSettings;
@@ -39,6 +40,9 @@
     /// Intervals of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
+    /// Limits of admission.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// Choice of replicas.
     #[serde(default)]
     pub routing: RoutingSettings,
