--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use super::{Result, SettingsError};
+use crate::admission::AdmissionSettings;
 use crate::configuration::ConfigurationSettings;
 use crate::execution::ExecutionSettings;
 use crate::ids::{InstanceId, Zone};
@@ -13,6 +14,7 @@
 use crate::peers::ExchangeSettings;
 use crate::pipeline::Address;
 use crate::placement::PlacementSettings;
+use crate::routing::RoutingSettings;
 
 /// Settings of an entry.
 #[derive(Clone, Debug, Deserialize)]
@@ -53,6 +55,12 @@
     /// Limits of placement.
     #[serde(default)]
     pub placement: PlacementSettings,
+    /// Limits of admission.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
+    /// Choice of replicas.
+    #[serde(default)]
+    pub routing: RoutingSettings,
 }
 
 impl Settings {
