ledger: claims are granted by the order of the log

A claim is appended with others of the same few milliseconds, and is granted when it was read back as the first one of its key.

--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -177,7 +177,15 @@
             (settings.instance.to_string(), settings.zone.clone()),
         )?;
         peers::spawn(s, peers::Links { bell: bells.peers.clone(), inbound: to_peers.receivers })?;
-        ledger::spawn(s, ledger::Links { inbound: to_ledger.receivers, ..ledger_links })?;
+        ledger::spawn(
+            s,
+            clock,
+            ledger::Links { inbound: to_ledger.receivers, ..ledger_links },
+            settings.ledger,
+            settings.instance.clone(),
+            settings.log,
+            mix(seed ^ 4),
+        )?;
         execution::spawn(
             s,
             clock,
--- a/crates/banyannotch/src/ledger/messages.rs
+++ b/crates/banyannotch/src/ledger/messages.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Fingerprint, RequestId};
+use super::records::{Batch, Page};
+use crate::ids::{Fingerprint, LogOffset, RequestId};
 use crate::request::{Doubt, Failure, IdempotencyKey, NotRun};
 
 /// Random number that tells one claim from every other; only its holder may dispatch.
@@ -23,6 +24,100 @@
     Abandon(RequestId),
 }
 
+/// What the policy hears.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Input {
+    /// The wall clock. It comes before the other inputs of a batch.
+    Clock {
+        /// Milliseconds since the Unix epoch.
+        unix_ms: u64,
+    },
+    /// From execution.
+    Asked(Event),
+    /// A read of a shard's stream ended.
+    Read {
+        /// Shard that was read.
+        shard: usize,
+        /// The page, or none when the log could not be read.
+        page: Option<Page>,
+    },
+    /// An append to a shard's stream ended.
+    Appended {
+        /// Shard that was appended to.
+        shard: usize,
+        /// What is known of the append.
+        result: Appending,
+    },
+}
+
+/// What is known of an append after its call has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Appending {
+    /// The record is in the log.
+    Done,
+    /// Nothing was appended, and nothing will be.
+    Refused,
+    /// The record may be in the log, or may come into it later.
+    Unclear,
+}
+
+/// What the policy wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Read a shard's stream.
+    Read {
+        /// Shard to read.
+        shard: usize,
+        /// First offset to read.
+        from: LogOffset,
+        /// Most records to read.
+        max: u32,
+        /// How long the log waits for a record.
+        wait_ms: u64,
+        /// How long to wait before reading.
+        after_ms: u64,
+    },
+    /// Append a record to a shard's stream.
+    Append {
+        /// Shard to append to.
+        shard: usize,
+        /// Record to append.
+        batch: Batch,
+        /// How long the append may take.
+        limit_ms: u64,
+    },
+    /// Answer execution.
+    Answer(Answer),
+    /// Log a decision.
+    Decide(Decision),
+    /// Count and log that an invariant does not hold.
+    Violated {
+        /// Invariant that does not hold.
+        invariant: Invariant,
+        /// Claim that it was seen at.
+        nonce: Nonce,
+    },
+}
+
+/// An invariant that guards the guarantee. It is checked in release builds too.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Invariant {
+    /// A key is granted to at most one claim that was not recorded as not run.
+    GrantedOnce,
+    /// Only the holder of a key records its outcome.
+    OutcomeOfHolder,
+}
+
+impl Invariant {
+    /// Returns the name that logs and metrics use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::GrantedOnce => "granted_once",
+            Self::OutcomeOfHolder => "outcome_of_holder",
+        }
+    }
+}
+
 /// Asks for the right to dispatch a non-idempotent request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Claim {
@@ -119,7 +214,27 @@
     }
 }
 
+impl Verdict {
+    /// Returns the name of the kind of verdict.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Granted(_) => "granted",
+            Self::Recorded(_) => "recorded",
+            Self::Refused(_) => "refused",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 impl Recorded {
+    /// Returns the bytes of the service's result.
+    pub fn result_bytes(&self) -> usize {
+        match self {
+            Self::Completed { result } => result.len(),
+            Self::Failed(_) | Self::NotRun(_) | Self::Unknown(_) => 0,
+        }
+    }
+
     /// Returns the name of the kind of outcome.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -8,6 +8,7 @@
 use crate::execution::ExecutionSettings;
 use crate::ids::{InstanceId, Zone};
 use crate::intake::IntakeSettings;
+use crate::ledger::LedgerSettings;
 use crate::membership::MembershipSettings;
 use crate::pipeline::Address;
 
@@ -35,6 +36,9 @@
     /// Limits of execution.
     #[serde(default)]
     pub execution: ExecutionSettings,
+    /// Limits of the ledger.
+    #[serde(default)]
+    pub ledger: LedgerSettings,
     /// Intervals of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -89,6 +93,9 @@
             let allowed = "at least twice intake.credit_batch_tokens";
             return refuse("execution.credit_tokens", self.execution.credit_tokens.to_string(), allowed);
         }
+        if let Some((key, value, allowed)) = self.ledger.fault() {
+            return refuse(key, value.to_string(), allowed);
+        }
         Ok(())
     }
 }
