--- a/crates/banyannotch/src/ledger/policy.rs
+++ b/crates/banyannotch/src/ledger/policy.rs
@@ -114,22 +114,20 @@
         let waiting: usize =
             self.shards.iter().map(|shard| shard.pending.len() + shard.waiting_items()).sum();
         let give_up_us = claim.deadline_us.saturating_sub(self.settings.answer_margin_ms * US_PER_MS);
-        let refusal = if claim.key.made_ms > unix_ms + self.settings.clock_margin_ms {
-            Some(NotRun::KeyFromFuture)
-        } else if give_up_us <= now_us {
-            Some(NotRun::Deadline)
-        } else if waiting >= self.settings.pending_limit || key_bytes(&claim.key) > KEY_LIMIT_BYTES {
-            Some(NotRun::LedgerUnavailable)
-        } else {
-            None
-        };
-        if let Some(reason) = refusal {
-            return answer(request, Verdict::Refused(reason), actions);
+        if claim.key.made_ms > unix_ms + self.settings.clock_margin_ms {
+            return answer(request, Verdict::Refused(NotRun::KeyFromFuture), actions);
         }
+        let overloaded = waiting >= self.settings.pending_limit || key_bytes(&claim.key) > KEY_LIMIT_BYTES;
         let deadline_ms = unix_ms + claim.deadline_us.saturating_sub(now_us) / US_PER_MS;
         let pending = Pending { claim, deadline_ms, give_up_us, stage: Stage::Waiting };
         let Some(shard) = self.shards.get_mut(index) else { return };
         shard.pending.insert(request, pending);
+        if give_up_us <= now_us {
+            return self.give_up(now_us, index, request, NotRun::Deadline, actions);
+        }
+        if overloaded {
+            return self.give_up(now_us, index, request, NotRun::LedgerUnavailable, actions);
+        }
         self.give_up_us = Some(self.give_up_us.map_or(give_up_us, |planned| planned.min(give_up_us)));
         self.sweep_us.get_or_insert(now_us + SWEEP_US);
         self.advance(now_us, index, request, actions);
@@ -407,18 +405,19 @@
     /// Stops serving the keys whose claims may be among records that expired before they were read.
     ///
     /// A record's claims are of keys made at most two clock margins after it. The time of the missing records is bounded
-    /// by that of the record behind them. If there is none, it is bounded by the time of this read, or, for a stream that
-    /// is read for the first time, by the retention that the settings state.
+    /// by that of the record behind them or, if there is none, by the time of the read. Before the first page, records
+    /// that are missing have expired regularly, so that the retention in the settings bounds their time.
     fn check_gap(&mut self, now_us: u64, unix_ms: u64, index: usize, page: &Page, actions: &mut Vec<Action>) {
         let settings = &self.settings;
         let Some(shard) = self.shards.get_mut(index) else { return };
         if page.first <= shard.next {
             return;
         }
-        let last_missing_ms = match page.rows.first() {
-            Some(row) => row.time_ms,
-            None if shard.touched => unix_ms + settings.clock_margin_ms,
-            None => (unix_ms + settings.clock_margin_ms).saturating_sub(settings.retention_ms),
+        let read_ms = unix_ms + settings.clock_margin_ms;
+        let last_missing_ms = if shard.touched {
+            page.rows.first().map_or(read_ms, |row| row.time_ms)
+        } else {
+            read_ms.saturating_sub(settings.retention_ms)
         };
         let floor_ms = settings.newest_made_ms(last_missing_ms);
         shard.index.floor_ms = shard.index.floor_ms.max(floor_ms);
--- a/crates/banyannotch/src/ledger/tests.rs
+++ b/crates/banyannotch/src/ledger/tests.rs
@@ -1,1 +1,4 @@
-//! Tests of the ledger.
+//! Tests of the ledger: tables of faults, and random runs over several entries.
+
+mod simulation;
+mod world;
