--- a/crates/banyannotch/src/ledger/tests.rs
+++ b/crates/banyannotch/src/ledger/tests.rs
@@ -1,4 +1,6 @@
-//! Tests of the ledger: tables of faults, and random runs over several entries.
+//! Tests of the ledger: tables of faults, the form of the records, and random runs over several entries.
 
+mod faults;
+mod records;
 mod simulation;
 mod world;
--- a/crates/banyannotch/src/ledger/tests/world.rs
+++ b/crates/banyannotch/src/ledger/tests/world.rs
@@ -214,6 +214,14 @@
         self.wake(node);
     }
 
+    /// Lets a node go on in the middle of a batch: the clock was read and the timers had their turn before the pause.
+    pub fn resume_between_inputs(&mut self, node: usize) {
+        self.nodes[node].paused = false;
+        while let Some(input) = self.nodes[node].inbox.pop_front() {
+            self.input(node, input);
+        }
+    }
+
     pub fn is_live(&self, node: usize) -> bool {
         self.nodes[node].ledger.is_some() && !self.nodes[node].paused
     }
