--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -211,7 +211,15 @@
             own.clone(),
             settings.known_peers,
         )?;
-        ledger::spawn(s, ledger::Links { inbound: to_ledger.receivers, ..ledger_links })?;
+        ledger::spawn(
+            s,
+            clock,
+            ledger::Links { inbound: to_ledger.receivers, ..ledger_links },
+            settings.ledger,
+            settings.instance.clone(),
+            settings.log,
+            mix(seed ^ 5),
+        )?;
         execution::spawn(
             s,
             clock,
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -10,6 +10,7 @@
 use crate::execution::ExecutionSettings;
 use crate::ids::{InstanceId, Zone};
 use crate::intake::IntakeSettings;
+use crate::ledger::LedgerSettings;
 use crate::membership::MembershipSettings;
 use crate::peers::ExchangeSettings;
 use crate::pipeline::Address;
@@ -49,6 +50,9 @@
     /// Limits of execution.
     #[serde(default)]
     pub execution: ExecutionSettings,
+    /// Limits of the ledger.
+    #[serde(default)]
+    pub ledger: LedgerSettings,
     /// Intervals of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -124,6 +128,9 @@
             let allowed = "at least twice intake.credit_batch_tokens";
             return refuse("execution.credit_tokens", self.execution.credit_tokens.to_string(), allowed);
         }
+        if let Some((key, value, allowed)) = self.ledger.fault() {
+            return refuse(key, value.to_string(), allowed);
+        }
         Ok(())
     }
 }
