--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod scenario;
 pub mod script;
 pub mod soak;
+#[cfg(test)]
+mod tests;
 pub mod workload;
 
 pub use command::{Command, Verdict, execute, options};
--- a/crates/load/src/run/judge.rs
+++ b/crates/load/src/run/judge.rs
@@ -10,9 +10,6 @@
 use crate::report::Quantiles;
 use crate::workload::Work;
 
-/// Length of the sliding window.
-pub const WINDOW_US: u64 = 1_000_000;
-
 /// Distance between two windows.
 const STEP_US: u64 = 100_000;
 
@@ -44,6 +41,8 @@
 /// Goodput over time.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Series {
+    /// Length of each window.
+    pub window_us: u64,
     /// Windows in order.
     pub windows: Vec<Window>,
     /// Share of the windows before the first fault that are below the mark only by chance.
@@ -130,7 +129,13 @@
 }
 
 /// Computes goodput over time. `bound_per_s` is what all engines can do; each fault brings its own.
-pub fn series(records: &[Record], faults: &[Injected], bound_per_s: f64, length_us: u64) -> Series {
+pub fn series(
+    records: &[Record],
+    faults: &[Injected],
+    bound_per_s: f64,
+    length_us: u64,
+    window_us: u64,
+) -> Series {
     let first_fault_us = faults.first().map_or(length_us, |fault| fault.at_us);
     let generations: Vec<&Record> = records.iter().filter(|record| record.is_generation()).collect();
     let pace = pace(&generations, first_fault_us);
@@ -144,19 +149,19 @@
         Work::Call { .. } => None,
     }));
     let within = |set: &BTreeSet<(u64, usize)>, end_us: u64| -> f64 {
-        set.range((end_us.saturating_sub(WINDOW_US), 0)..(end_us, 0)).count() as f64
+        set.range((end_us.saturating_sub(window_us), 0)..(end_us, 0)).count() as f64
     };
     let bound_at = |at_us: u64| {
         let last = faults.iter().rev().find(|fault| fault.at_us <= at_us);
         last.map_or(bound_per_s, |fault| fault.bound.requests_per_s)
     };
-    let windows: Vec<Window> = (WINDOW_US..=length_us)
+    let windows: Vec<Window> = (window_us..=length_us)
         .step_by(STEP_US as usize)
         .map(|at_us| Window {
             at_us,
             good: within(&good, at_us),
             expected: within(&expected, at_us),
-            bound: bound_at(at_us) * WINDOW_US as f64 / 1e6,
+            bound: bound_at(at_us) * window_us as f64 / 1e6,
         })
         .collect();
     let before: Vec<&Window> = windows
@@ -164,7 +169,7 @@
         .filter(|window| window.at_us > first_fault_us / 3 && window.at_us <= first_fault_us)
         .collect();
     let below = before.iter().filter(|window| window.is_below()).count() as f64;
-    Series { below_before_faults: below / before.len().max(1) as f64, windows }
+    Series { window_us, below_before_faults: below / before.len().max(1) as f64, windows }
 }
 
 /// Computes the recovery after each fault.
--- a/crates/load/src/run/measure.rs
+++ b/crates/load/src/run/measure.rs
@@ -77,7 +77,8 @@
         replace: options.replace,
     };
     let result = carry_out(&plan, options.site_options.binaries()?).await?;
-    let report = RunReport::new(&plan, &result, Duration::from_secs(options.warm_up_seconds));
+    let warm_up = Duration::from_secs(options.warm_up_seconds);
+    let report = RunReport::new(&plan, &result, warm_up, Duration::from_millis(options.window_ms));
     print(&report.to_string())?;
     write_json(options.site_options.json.as_deref(), &report)?;
     if let Some(path) = &options.plot {
--- a/crates/load/src/run/options.rs
+++ b/crates/load/src/run/options.rs
@@ -13,9 +13,6 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(run_options))]
 pub struct RunOptions {
-    /// association, claims or small
-    #[bpaf(positional("SCENARIO"))]
-    pub scenario: Scenario,
     /// Seed of requests, arrivals and targets of faults
     #[bpaf(argument("N"), fallback(1), display_fallback)]
     pub seed: u64,
@@ -25,6 +22,9 @@
     /// Time at the start that figures leave out
     #[bpaf(argument("N"), fallback(4), display_fallback)]
     pub warm_up_seconds: u64,
+    /// Sliding window for goodput over time; a longer one has less noise and shows recovery later
+    #[bpaf(argument("MS"), fallback(1_000), display_fallback)]
+    pub window_ms: u64,
     /// Generations offered, as a multiple of the bound
     #[bpaf(argument("FACTOR"), fallback(0.5), display_fallback)]
     pub load: f64,
@@ -49,4 +49,7 @@
     /// Programs and files
     #[bpaf(external)]
     pub site_options: SiteOptions,
+    /// association, claims or small
+    #[bpaf(positional("SCENARIO"))]
+    pub scenario: Scenario,
 }
--- a/crates/load/src/run/plot.rs
+++ b/crates/load/src/run/plot.rs
@@ -36,8 +36,11 @@
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
     root.fill(&WHITE).map_err(|error| text(&error))?;
     let title = format!(
-        "{} seed {} load {}: generations in a window of 1 s",
-        report.scenario, report.seed, report.load
+        "{} seed {} load {}: generations in a window of {:.1} s",
+        report.scenario,
+        report.seed,
+        report.load,
+        report.series.window_us as f64 / 1e6
     );
     let mut chart = ChartBuilder::on(&root)
         .caption(title, ("sans-serif", 18))
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -78,16 +78,18 @@
 
 impl RunReport {
     /// Computes the report.
-    pub fn new(plan: &Plan, result: &RunResult, warm_up: Duration) -> Self {
+    pub fn new(plan: &Plan, result: &RunResult, warm_up: Duration, window: Duration) -> Self {
         let layout = &plan.scenario.layout;
         let warm_up_us = u64::try_from(warm_up.as_micros()).unwrap_or(u64::MAX);
+        let window_us = u64::try_from(window.as_micros()).unwrap_or(u64::MAX).max(1);
         let length_us = u64::try_from(plan.length.as_micros()).unwrap_or(u64::MAX);
         let measured: Vec<&Record> =
             result.records.iter().filter(|record| record.planned.at_us >= warm_up_us).collect();
         let ended: Vec<&Record> =
             result.records.iter().filter(|record| (warm_up_us..length_us).contains(&record.end_us)).collect();
         let seconds = plan.length.saturating_sub(warm_up).as_secs_f64();
-        let series = series(&result.records, &result.injected, result.bound.requests_per_s, length_us);
+        let series =
+            series(&result.records, &result.injected, result.bound.requests_per_s, length_us, window_us);
         Self {
             scenario: plan.scenario.name,
             seed: plan.seed,
@@ -215,7 +217,8 @@
         if !self.faults.is_empty() {
             writeln!(
                 formatter,
-                "windows below the mark by chance, before the first fault: {:.2} of all",
+                "windows of {:.1} s below the mark by chance, before the first fault: {:.2} of all",
+                self.series.window_us as f64 / 1e6,
                 self.series.below_before_faults
             )?;
         }
--- a/crates/load/src/run/sender.rs
+++ b/crates/load/src/run/sender.rs
@@ -137,8 +137,8 @@
             let hides = received.kind == Kind::NotRun && record.kind == Kind::Broken;
             if !hides || record.tries.len() == 1 {
                 record.kind = received.kind;
+                record.reason = received.reason;
             }
-            record.reason = received.reason;
             let again = matches!(received.kind, Kind::NotRun | Kind::Broken);
             if !again || record.tries.len() > self.retries {
                 return record;
