--- a/crates/load/src/tests.rs
+++ b/crates/load/src/tests.rs
@@ -3,13 +3,24 @@
 
 use super::options;
 
+static COMMANDS: [[&str; 2]; 10] = [
+    ["ask", "--help"],
+    ["call", "--help"],
+    ["post", "--help"],
+    ["get", "--help"],
+    ["direct", "--help"],
+    ["routed", "--help"],
+    ["overhead", "--help"],
+    ["idle", "--help"],
+    ["run", "--help"],
+    ["soak", "--help"],
+];
+
 #[test]
 fn every_command_has_a_help_text() {
     options().check_invariants(true);
-    let commands = ["ask", "call", "post", "get", "direct", "routed", "overhead", "idle", "run", "soak"];
-    for command in commands {
-        let arguments = [command, "--help"];
-        let help = options().run_inner(&arguments).expect_err("help is no command").unwrap_stdout();
-        assert!(help.contains("Usage:"), "{command}: {help}");
+    for command in &COMMANDS {
+        let help = options().run_inner(command).expect_err("help is no command").unwrap_stdout();
+        assert!(help.contains("Usage:"), "{command:?}: {help}");
     }
 }
