--- a/crates/load/src/faults/injector.rs
+++ b/crates/load/src/faults/injector.rs
@@ -110,6 +110,7 @@
     replacements: usize,
     observed: Observed,
     injected: Vec<Injected>,
+    bounds: Vec<(u64, f64)>,
 }
 
 impl Injector {
@@ -130,7 +131,7 @@
             })
             .collect();
         let entries_alive = vec![true; site.deployment.entries.len()];
-        Self {
+        let mut injector = Self {
             site,
             balancer,
             mix,
@@ -141,7 +142,15 @@
             replacements: 0,
             observed: Observed::default(),
             injected: Vec::new(),
-        }
+            bounds: Vec::new(),
+        };
+        injector.bounds.push((0, injector.remaining().requests_per_s));
+        injector
+    }
+
+    /// Returns what the working engines could do in a second, each from its time on.
+    pub fn bounds(&self) -> &[(u64, f64)] {
+        &self.bounds
     }
 
     /// Returns what the engines that still work can do.
@@ -179,6 +188,8 @@
             actix_rt::time::sleep_until(at.into()).await;
             let further = self.act(begin, next).await?;
             due.extend(further);
+            let now_us = u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX);
+            self.bounds.push((now_us, self.remaining().requests_per_s));
         }
     }
 
--- a/crates/load/src/run/judge.rs
+++ b/crates/load/src/run/judge.rs
@@ -128,11 +128,11 @@
     gap_us: u64,
 }
 
-/// Computes goodput over time. `bound_per_s` is what all engines can do; each fault brings its own.
+/// Computes goodput over time. `bounds` are what the working engines can do in a second, each from its time on.
 pub fn series(
     records: &[Record],
     faults: &[Injected],
-    bound_per_s: f64,
+    bounds: &[(u64, f64)],
     length_us: u64,
     window_us: u64,
 ) -> Series {
@@ -152,8 +152,8 @@
         set.range((end_us.saturating_sub(window_us), 0)..(end_us, 0)).count() as f64
     };
     let bound_at = |at_us: u64| {
-        let last = faults.iter().rev().find(|fault| fault.at_us <= at_us);
-        last.map_or(bound_per_s, |fault| fault.bound.requests_per_s)
+        let last = bounds.iter().rev().find(|(from_us, _)| *from_us <= at_us);
+        last.map_or(f64::INFINITY, |(_, bound_per_s)| *bound_per_s)
     };
     let windows: Vec<Window> = (window_us..=length_us)
         .step_by(STEP_US as usize)
--- a/crates/load/src/run/measure.rs
+++ b/crates/load/src/run/measure.rs
@@ -51,6 +51,8 @@
     pub planned: usize,
     /// What became of them.
     pub records: Vec<Record>,
+    /// What the working engines can do in a second, each from its time on.
+    pub bounds: Vec<(u64, f64)>,
     /// Faults that were injected.
     pub injected: Vec<Injected>,
     /// Counts of the stand-ins and entries.
@@ -112,6 +114,7 @@
     let records = sending.await.unwrap_or_default();
     let busy = MachineSample::take().busy_since(&machine);
     watch.abort();
+    let bounds = injector.bounds().to_vec();
     let (observed, injected, _site) = injector.finish().await;
-    Ok(RunResult { bound, mix, planned, records, injected, observed, busy })
+    Ok(RunResult { bound, mix, planned, records, bounds, injected, observed, busy })
 }
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -88,8 +88,7 @@
         let ended: Vec<&Record> =
             result.records.iter().filter(|record| (warm_up_us..length_us).contains(&record.end_us)).collect();
         let seconds = plan.length.saturating_sub(warm_up).as_secs_f64();
-        let series =
-            series(&result.records, &result.injected, result.bound.requests_per_s, length_us, window_us);
+        let series = series(&result.records, &result.injected, &result.bounds, length_us, window_us);
         Self {
             scenario: plan.scenario.name,
             seed: plan.seed,
--- a/crates/load/src/run/tests.rs
+++ b/crates/load/src/run/tests.rs
@@ -55,7 +55,7 @@
         .collect();
     let bound = Bound { requests_per_s: 200.0, tokens_per_s: 200.0 };
     let fault = Injected { kind: FaultKind::Kill, at_us: 4_000_000, targets: Vec::new(), bound };
-    let series = series(&records, std::slice::from_ref(&fault), 200.0, 10 * SECOND_US, SECOND_US);
+    let series = series(&records, std::slice::from_ref(&fault), &[(0, 200.0)], 10 * SECOND_US, SECOND_US);
     assert_eq!(series.below_before_faults, 0.0);
     let recovery = recoveries(&series, &[fault], &records)[0];
     // The window of one second has 95 good answers again 0.95 s after the loss ends; windows end every 0.1 s.
@@ -73,8 +73,13 @@
         .collect();
     let bound = Bound { requests_per_s: 50.0, tokens_per_s: 50.0 };
     let fault = Injected { kind: FaultKind::Kill, at_us: 4_000_000, targets: Vec::new(), bound };
-    let series = series(&records, std::slice::from_ref(&fault), 200.0, 10 * SECOND_US, SECOND_US);
-    assert_eq!(recoveries(&series, &[fault], &records)[0].recovered_us, Some(0));
+    let judged = |bounds: &[(u64, f64)]| {
+        let series = series(&records, std::slice::from_ref(&fault), bounds, 10 * SECOND_US, SECOND_US);
+        recoveries(&series, std::slice::from_ref(&fault), &records)[0].recovered_us
+    };
+    assert_eq!(judged(&[(0, 200.0), (4_000_000, 50.0)]), Some(0));
+    // Once the fault is cleared, half of what is offered is no longer enough.
+    assert_eq!(judged(&[(0, 200.0), (4_000_000, 50.0), (6_000_000, 200.0)]), None);
 }
 
 #[test]
