intake: a refused resend is unknown unless the ledger says that nothing ran

Cause: a caller sends a payout, the entry dies, the resend through another entry is refused before the ledger is asked (queue full, no route, deadline, log down, key expired). It was told 'not run' although the first sending may have run; a new key would then pay twice. Found by reading the ledger's report. Ruled out: asking the ledger first, which cannot answer while the log is down. Change: a keyed call whose key is older than 1 s at arrival may be a resend; a 'not run' that does not cover earlier sendings becomes 'unknown' with reason earlier_sending. Within 1 s of the key's time it stays 'not run'. Remaining: the same key sent to two entries within that second, where one refuses it before the ledger is asked. Before: the new test's seven refusals were all 'not run'; after: five of them are unknown for a resend.

--- a/crates/banyannotch/src/admission/messages.rs
+++ b/crates/banyannotch/src/admission/messages.rs
@@ -29,7 +29,7 @@
     pub request: RequestId,
     /// Tokens that it generated.
     pub tokens: u32,
-    /// Time from dispatch to the end.
+    /// Time from arrival to the end.
     pub service_us: u64,
     /// Whether it was completed.
     pub completed: bool,
--- a/crates/banyannotch/src/intake/error.rs
+++ b/crates/banyannotch/src/intake/error.rs
@@ -63,6 +63,18 @@
         }
     }
 
+    /// Returns whether another sending of the same request could have been accepted.
+    pub fn is_of_this_sending(&self) -> bool {
+        match self {
+            Self::Unconfigured
+            | Self::Draining
+            | Self::UnknownTeam
+            | Self::UnknownModel { .. }
+            | Self::UnknownService { .. } => true,
+            Self::Missing { .. } | Self::OutOfRange { .. } => false,
+        }
+    }
+
     /// Returns the typed reason, as callers and logs see it.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/crates/banyannotch/src/intake/front.rs
+++ b/crates/banyannotch/src/intake/front.rs
@@ -10,7 +10,8 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{CallerRequest, CallerWork, Event};
+use super::{CallerRequest, CallerWork, Event, Rejection};
+use crate::clock::Clock;
 use crate::duty::Mailbox;
 use crate::http::{
     EventStream, Handler, InputError, Request, Response, ServerSettings, StreamEnd, events,
@@ -68,12 +69,13 @@
 
 /// Handles callers' HTTP requests.
 #[derive(Clone, Debug)]
-pub(super) struct FrontHandler {
+pub(super) struct FrontHandler<C> {
     pub front: Rc<Front>,
     pub settings: ServerSettings,
+    pub clock: C,
 }
 
-impl Handler for FrontHandler {
+impl<C: Clock> Handler for FrontHandler<C> {
     async fn handle(&self, mut request: Request) -> Response {
         let path = request.path().to_owned();
         match (request.method().as_str(), path.as_str()) {
@@ -97,7 +99,7 @@
     }
 }
 
-impl FrontHandler {
+impl<C: Clock> FrontHandler<C> {
     async fn decode(
         &self,
         path: &str,
@@ -112,6 +114,7 @@
                 token_sha256,
                 deadline_ms: body.deadline_ms,
                 priority: body.priority,
+                arrived_ms: self.clock.unix_ms(),
                 reference: body.request_id,
                 work: CallerWork::Generate {
                     model: body.model,
@@ -126,6 +129,7 @@
             token_sha256,
             deadline_ms: body.deadline_ms,
             priority: body.priority,
+            arrived_ms: self.clock.unix_ms(),
             reference: body.request_id,
             work: CallerWork::Call {
                 service: body.service,
@@ -208,9 +212,12 @@
     }
 
     /// Answers a caller that the request is rejected.
-    pub fn reject(&self, request: RequestId, status: u16, reason: &str, detail: &str) {
+    pub fn reject(&self, request: RequestId, rejection: &Rejection, may_have_run: bool) {
         if let Some(Channel::Head(sender)) = self.channels.borrow_mut().remove(&request) {
-            let _ = sender.send(json_response(status, &rejected(reason, detail)));
+            let outcome = if may_have_run { "unknown" } else { "not_run" };
+            let body =
+                json!({ "outcome": outcome, "reason": rejection.reason(), "error": rejection.to_string() });
+            let _ = sender.send(json_response(rejection.status(), &body));
         }
     }
 
--- a/crates/banyannotch/src/intake/messages.rs
+++ b/crates/banyannotch/src/intake/messages.rs
@@ -42,6 +42,8 @@
     pub deadline_ms: Option<u64>,
     /// Priority, if the caller gave one.
     pub priority: Option<u8>,
+    /// When it arrived, in Unix milliseconds, to compare with the time of its key.
+    pub arrived_ms: u64,
     /// Caller's own identifier.
     pub reference: Option<String>,
     /// What is asked for.
@@ -88,6 +90,8 @@
         request: RequestId,
         /// What is wrong.
         rejection: Rejection,
+        /// Whether an earlier sending with the same key may have run.
+        may_have_run: bool,
     },
     /// Send the caller a token.
     Token {
--- a/crates/banyannotch/src/intake/policy.rs
+++ b/crates/banyannotch/src/intake/policy.rs
@@ -11,7 +11,7 @@
 use crate::duty::Duty;
 use crate::execution::Invariant;
 use crate::ids::{ModelId, RequestId, ServiceId, TeamId};
-use crate::request::{Call, Generation, IdempotencyKey, Outcome, Repeat, Reply, Submission, Work};
+use crate::request::{Call, Doubt, Generation, IdempotencyKey, Outcome, Repeat, Reply, Submission, Work};
 use crate::table::Table;
 
 /// Highest priority; the lowest is 0.
@@ -20,6 +20,10 @@
 /// Priority of a request that gives none.
 const DEFAULT_PRIORITY: u8 = 5;
 
+/// A key that is older than this at arrival may have been sent before: a caller makes a key right before it is first
+/// sent, and resends only after a failure or a timeout.
+const FIRST_SENDING_AGE_MS: u64 = 1_000;
+
 /// Longest key of a non-idempotent request.
 const KEY_LIMIT_BYTES: u64 = 256;
 
@@ -50,12 +54,16 @@
 
     fn on_arrived(&mut self, now_us: u64, arrived: CallerRequest, actions: &mut Vec<Action>) {
         let request = arrived.request;
+        let may_be_resent = may_be_resent(&arrived);
         match self.check(now_us, arrived) {
             Ok(submission) => {
-                self.open.insert(request, Open::default());
+                self.open.insert(request, Open { may_be_resent, ..Open::default() });
                 actions.push(Action::Submit(Box::new(submission)));
             }
-            Err(rejection) => actions.push(Action::Reject { request, rejection }),
+            Err(rejection) => {
+                let may_have_run = may_be_resent && rejection.is_of_this_sending();
+                actions.push(Action::Reject { request, rejection, may_have_run });
+            }
         }
     }
 
@@ -103,6 +111,7 @@
             return;
         };
         if !open.gone {
+            let outcome = outcome_of_all_sendings(outcome, open.may_be_resent);
             actions.push(Action::End { request, outcome, tokens: open.next_index });
         }
         self.check_drained(actions);
@@ -177,6 +186,26 @@
     found.cloned().ok_or(Rejection::UnknownTeam)
 }
 
+/// Whether the caller may have sent the request before with the same key.
+fn may_be_resent(arrived: &CallerRequest) -> bool {
+    match &arrived.work {
+        CallerWork::Call { idempotent: false, key_time_ms: Some(made_ms), .. } => {
+            arrived.arrived_ms.saturating_sub(*made_ms) > FIRST_SENDING_AGE_MS
+        }
+        CallerWork::Call { .. } | CallerWork::Generate { .. } => false,
+    }
+}
+
+/// "Not run" is about the request, not about one sending of it: when an earlier sending may have run, it is not known.
+fn outcome_of_all_sendings(outcome: Outcome, may_be_resent: bool) -> Outcome {
+    match outcome {
+        Outcome::NotRun(reason) if may_be_resent && !reason.covers_earlier_sendings() => {
+            Outcome::Unknown(Doubt::EarlierSending)
+        }
+        other => other,
+    }
+}
+
 fn check_work(
     configuration: &Configuration,
     preset: &Preset,
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -48,7 +48,11 @@
         let bell = links.bell.clone();
         let mailbox = Mailbox::new(&bell);
         let front = Rc::new(Front::new(mailbox.clone(), id_prefix));
-        let handler = FrontHandler { front: Rc::clone(&front), settings: ServerSettings::default() };
+        let handler = FrontHandler {
+            front: Rc::clone(&front),
+            settings: ServerSettings::default(),
+            clock: clock.clone(),
+        };
         match listener_from_std(listener) {
             Ok(listener) => {
                 actix_rt::spawn(serve(listener, handler.settings, handler));
@@ -121,13 +125,13 @@
                     self.mailbox.put(Event::Reply(Reply::Ended { request, outcome }));
                 }
             }
-            Action::Reject { request, rejection } => {
+            Action::Reject { request, rejection, may_have_run } => {
                 log::info!(
                     "event=rejected request={request} reason={} detail=\"{rejection}\"",
                     rejection.reason()
                 );
                 metrics::counter!("banyannotch_rejected_total", "reason" => rejection.reason()).increment(1);
-                self.front.reject(request, rejection.status(), rejection.reason(), &rejection.to_string());
+                self.front.reject(request, &rejection, may_have_run);
             }
             Action::Token { request, index, id, text } => self.front.token(request, index, id, &text),
             Action::End { request, outcome, tokens } => self.front.end(request, &outcome, tokens),
--- a/crates/banyannotch/src/intake/state.rs
+++ b/crates/banyannotch/src/intake/state.rs
@@ -27,4 +27,6 @@
     pub uncredited_tokens: u32,
     /// Whether the caller has gone.
     pub gone: bool,
+    /// Whether the caller may have sent it before with the same key.
+    pub may_be_resent: bool,
 }
--- a/crates/banyannotch/src/intake/tests.rs
+++ b/crates/banyannotch/src/intake/tests.rs
@@ -10,7 +10,7 @@
 use crate::configuration::{Configuration, Document, Model, PresetName, Service, Team};
 use crate::duty::Duty;
 use crate::ids::{ConfigVersion, ModelVersion, RequestId};
-use crate::request::{Completion, Outcome, Reply};
+use crate::request::{Completion, NotRun, Outcome, Reply};
 
 fn hash(token: &str) -> String {
     Sha256::digest(token.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
@@ -35,6 +35,7 @@
         token_sha256: hash("portal-secret"),
         deadline_ms: Some(1_000),
         priority: None,
+        arrived_ms: 2_000,
         reference: None,
         work: CallerWork::Generate { model: "writer".into(), prompt: "p".into(), max_tokens: Some(5) },
     }
@@ -95,13 +96,10 @@
             Action::Submit(s) => {
                 format!("submit {} team={} deadline_us={} {:?}", s.request.0, s.team, s.deadline_us, s.work)
             }
-            Action::Reject { request, rejection } => {
-                format!(
-                    "reject {} status={} reason={}: {rejection}",
-                    request.0,
-                    rejection.status(),
-                    rejection.reason()
-                )
+            Action::Reject { request, rejection, may_have_run } => {
+                let may = if *may_have_run { " may_have_run" } else { "" };
+                let (status, reason) = (rejection.status(), rejection.reason());
+                format!("reject {}{may} status={status} reason={reason}: {rejection}", request.0)
             }
             other => format!("{other:?}"),
         };
@@ -140,7 +138,7 @@
         ("deadline in the past", CallerRequest { deadline_ms: Some(0), ..generate(1) }),
         ("deadline too far", CallerRequest { deadline_ms: Some(9_999_999), ..generate(1) }),
         ("priority too high", CallerRequest { priority: Some(10), ..generate(1) }),
-        ("call with key", call(Some("k"), Some(17), false)),
+        ("call with key", call(Some("k"), Some(1_700), false)),
         ("idempotent call", call(None, None, true)),
         ("call without key", call(None, Some(17), false)),
         ("call without key time", call(Some("k"), None, false)),
@@ -232,3 +230,32 @@
     add("the second ends", &run.take(ended(2, 0)));
     insta::assert_snapshot!(report);
 }
+
+/// Guards against "not run" about a request whose earlier sending, through another entry, may have run.
+#[test]
+fn a_refused_resend_is_not_reported_as_not_run_unless_the_ledger_says_so() {
+    let refusals = [
+        NotRun::QueueFull,
+        NotRun::NoRoute,
+        NotRun::Deadline,
+        NotRun::LedgerUnavailable,
+        NotRun::KeyExpired,
+        NotRun::KeyConflict,
+        NotRun::Refused,
+    ];
+    let mut report = String::new();
+    for (name, made_ms) in [("first sending", 1_500), ("possible resend", 500)] {
+        for reason in refusals {
+            let mut run = Run::new();
+            run.arrive(call(Some("k"), Some(made_ms), false));
+            let outcome = Outcome::NotRun(reason);
+            let actions = run.take(Event::Reply(Reply::Ended { request: RequestId(1), outcome }));
+            write!(report, "{name}, {reason}\n{}", lines(&actions)).expect("a string takes text");
+        }
+        let mut run = Run::new();
+        run.take(Event::Certain(false));
+        let actions = run.arrive(call(Some("k"), Some(made_ms), false));
+        write!(report, "{name}, uncertain\n{}", lines(&actions)).expect("a string takes text");
+    }
+    insta::assert_snapshot!(report);
+}
--- a/crates/banyannotch/src/request.rs
+++ b/crates/banyannotch/src/request.rs
@@ -167,6 +167,25 @@
     Unconfigured,
 }
 
+impl NotRun {
+    /// Returns whether the reason also says that no earlier sending with the same key ran. The others are found without
+    /// the ledger, or when it cannot tell.
+    pub fn covers_earlier_sendings(self) -> bool {
+        match self {
+            Self::KeyConflict | Self::KeyFromFuture | Self::Refused => true,
+            Self::Cancelled
+            | Self::Deadline
+            | Self::Draining
+            | Self::KeyExpired
+            | Self::LedgerUnavailable
+            | Self::NoRoute
+            | Self::QueueFull
+            | Self::Quarantined
+            | Self::Unconfigured => false,
+        }
+    }
+}
+
 /// Why a request that ran did not finish.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -191,6 +210,8 @@
 pub enum Doubt {
     /// The connection broke after the request could have left.
     ConnectionLost,
+    /// This sending did not run, and it is not known here whether an earlier one with the same key did.
+    EarlierSending,
     /// Another entry dispatched it, and its outcome is not recorded.
     HolderLost,
     /// No answer before the deadline.
