--- a/crates/banyannotch/src/ledger/policy.rs
+++ b/crates/banyannotch/src/ledger/policy.rs
@@ -14,7 +14,7 @@
 use crate::request::{Doubt, IdempotencyKey, NotRun};
 
 /// How long a read waits for a record once the stream was read to its end.
-const READ_WAIT_MS: u64 = 1_000;
+const READ_WAIT_MS: u64 = 2_500;
 
 /// Pause before the log is read again after a failure.
 const READ_RETRY_MS: u64 = 100;
--- a/crates/banyannotch/src/placement/runtime.rs
+++ b/crates/banyannotch/src/placement/runtime.rs
@@ -17,7 +17,7 @@
 use crate::telemetry::{Decision, Note};
 
 /// How long a read waits for a record.
-const READ_WAIT_MS: u64 = 1_000;
+const READ_WAIT_MS: u64 = 2_500;
 
 /// How long an append may take. Its answer decides nothing.
 const APPEND_LIMIT_MS: u64 = 2_000;
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -7,6 +7,7 @@
 use crate::overhead::{self, OverheadOptions};
 use crate::run::{self, RunOptions};
 use crate::script::{self, Ask, Call, Get, Post};
+use crate::slopes::{self, SlopesOptions};
 use crate::soak::{self, SoakOptions};
 
 /// Whether what was checked was right.
@@ -53,6 +54,9 @@
     /// Measures processor time and memory of entries without requests
     #[bpaf(command)]
     Idle(#[bpaf(external(idle::idle_options))] IdleOptions),
+    /// Measures what one more endpoint, entry, team or configuration change costs an entry
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::slopes_options))] SlopesOptions),
     /// Runs a scenario with open-loop load and faults
     #[bpaf(command)]
     Run(#[bpaf(external(run::run_options))] RunOptions),
@@ -80,6 +84,7 @@
         Command::Routed(options) => overhead::routed(&options).await,
         Command::Overhead(options) => overhead::overhead(&options).await,
         Command::Idle(options) => idle::idle(&options).await,
+        Command::Slopes(options) => slopes::slopes(&options).await,
         Command::Run(options) => run::run(&options).await,
         Command::Soak(options) => soak::soak(&options).await,
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod run;
 pub mod scenario;
 pub mod script;
+pub mod slopes;
 pub mod soak;
 #[cfg(test)]
 mod tests;
