settings: ranges for every numeric key, all errors at once, and the page of all keys

Ranges refuse values in a wrong unit. Rules between two keys are judged once each key is within its range, because they would name wrong causes before. A test compares docs/configuration.md with the code in both directions.

--- a/crates/banyannotch/src/admission/settings.rs
+++ b/crates/banyannotch/src/admission/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of admission.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// Settings of admission. The limits per team are part of the preset.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionSettings {
     /// Most requests queued for one model or service, of all teams together.
--- a/crates/banyannotch/src/configuration/state.rs
+++ b/crates/banyannotch/src/configuration/state.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::{Configuration, Document, PresetName, Result};
 use crate::ids::{ConfigVersion, Fingerprint};
 use crate::request::digest;
 
 /// Times of configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ConfigurationSettings {
     /// Time without contact to the log and to any peer after which it is no longer known what is in force.
--- a/crates/banyannotch/src/execution/state.rs
+++ b/crates/banyannotch/src/execution/state.rs
@@ -1,6 +1,6 @@
 //! Settings of execution, and what its parts share while they handle one event.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::Action;
 use super::budget::RetryBudget;
@@ -9,7 +9,7 @@
 use crate::random::Random;
 
 /// Limits of execution.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ExecutionSettings {
     /// Time beyond four times the expected one after which a step is late and its endpoint is probed.
--- a/crates/banyannotch/src/intake/state.rs
+++ b/crates/banyannotch/src/intake/state.rs
@@ -1,9 +1,9 @@
 //! Settings of intake and its requests in flight.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// Limits of intake.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct IntakeSettings {
     /// Tokens that are collected before execution gets credit for them, so that not each token costs a message.
--- a/crates/banyannotch/src/ledger/state.rs
+++ b/crates/banyannotch/src/ledger/state.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::VecDeque;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::records::{Batch, Item, key_bytes};
 use super::{Nonce, Recorded};
@@ -13,7 +13,7 @@
 
 /// Limits and intervals of the ledger. `shards`, `retention_ms`, `retention_margin_ms` and `clock_margin_ms` must be
 /// the same on every entry, because they decide how a record is read.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LedgerSettings {
     /// Streams that the keys are spread over.
--- a/crates/banyannotch/src/membership/state.rs
+++ b/crates/banyannotch/src/membership/state.rs
@@ -1,6 +1,6 @@
 //! Settings of membership and what it knows of each endpoint.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::{EndpointKind, Health, Load, Role};
 use crate::ids::{Incarnation, Zone};
@@ -8,7 +8,7 @@
 use crate::platform::Fencing;
 
 /// Intervals and limits of membership.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MembershipSettings {
     /// How often the instance list is fetched.
--- a/crates/banyannotch/src/peers/state.rs
+++ b/crates/banyannotch/src/peers/state.rs
@@ -1,11 +1,11 @@
 //! Settings of the exchange, and what is known of each other entry.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{ConfigVersion, EndpointId};
 
 /// Times and limits of the exchange between entries.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ExchangeSettings {
     /// Time between two rounds.
--- a/crates/banyannotch/src/placement/messages.rs
+++ b/crates/banyannotch/src/placement/messages.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::LeaseRecord;
 use crate::configuration::Configuration;
@@ -13,7 +13,7 @@
 use crate::platform::Records;
 
 /// Settings of placement.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlacementSettings {
     /// Whether this entry takes part in control. While it is off, layouts stay as they are.
--- a/crates/banyannotch/src/routing/settings.rs
+++ b/crates/banyannotch/src/routing/settings.rs
@@ -1,11 +1,11 @@
 //! Settings of routing.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::Zone;
 
 /// Settings of routing.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RoutingSettings {
     /// How a replica is chosen.
@@ -25,7 +25,7 @@
 }
 
 /// Name of a replica choice.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BalanceName {
     /// The better of two random replicas by expected time.
--- a/crates/banyannotch/src/settings/error.rs
+++ b/crates/banyannotch/src/settings/error.rs
@@ -34,6 +34,6 @@
         /// Value that was given.
         value: String,
         /// What is allowed.
-        allowed: &'static str,
+        allowed: String,
     },
 }
--- a/crates/banyannotch/src/settings/file.rs
+++ b/crates/banyannotch/src/settings/file.rs
@@ -2,9 +2,9 @@
 
 use std::path::Path;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
-use super::{Result, SettingsError};
+use super::{Result, SettingsError, check};
 use crate::admission::AdmissionSettings;
 use crate::configuration::ConfigurationSettings;
 use crate::execution::ExecutionSettings;
@@ -18,7 +18,7 @@
 use crate::routing::RoutingSettings;
 
 /// Settings of an entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the instance.
@@ -79,58 +79,22 @@
         Self::parse(&name, &text)
     }
 
-    /// Checks the text of a settings file.
+    /// Checks the text of a settings file and returns the settings or the first error.
     ///
     /// # Errors
     /// Returns [`SettingsError`], which names the file, the key, the value and what is allowed.
     pub fn parse(path: &str, text: &str) -> Result<Self> {
-        let settings: Self = toml::from_str(text)
-            .map_err(|error| SettingsError::Syntax { path: path.to_owned(), detail: error.to_string() })?;
-        settings.check(path)?;
-        Ok(settings)
+        let (settings, errors) = check::read(path, text);
+        match errors.into_iter().next() {
+            Some(error) => Err(error),
+            None => settings
+                .ok_or_else(|| SettingsError::Syntax { path: path.into(), detail: "no settings".into() }),
+        }
     }
 
-    fn check(&self, path: &str) -> Result<()> {
-        let refuse = |key, value: String, allowed| {
-            Err(SettingsError::NotAllowed { path: path.to_owned(), key, value, allowed })
-        };
-        if self.instance.as_str().is_empty() {
-            return refuse("instance", "\"\"".to_owned(), "a name that is not empty");
-        }
-        if self.zone.as_str().is_empty() {
-            return refuse("zone", "\"\"".to_owned(), "a name that is not empty");
-        }
-        let own = [("callers", self.callers), ("peers", self.peers), ("operators", self.operators)];
-        for (index, (key, address)) in own.iter().enumerate() {
-            let twice = own.iter().skip(index + 1).any(|(_, other)| other == address);
-            if twice && address.port() != 0 {
-                return refuse(key, address.to_string(), "an address that no other listener has");
-            }
-        }
-        for (key, address) in [("log", self.log), ("instance_list", self.instance_list)] {
-            if address.port() == 0 {
-                return refuse(key, address.to_string(), "an address with a port");
-            }
-        }
-        let at_least_one = [
-            ("configuration.uncertain_after_ms", self.configuration.uncertain_after_ms),
-            ("configuration.retention_ms", self.configuration.retention_ms),
-            ("exchange.interval_ms", self.exchange.interval_ms),
-            ("exchange.fanout", self.exchange.fanout as u64),
-            ("exchange.call_timeout_ms", self.exchange.call_timeout_ms),
-        ];
-        for (key, value) in at_least_one {
-            if value == 0 {
-                return refuse(key, value.to_string(), "at least 1");
-            }
-        }
-        if self.execution.credit_tokens < 2 * self.intake.credit_batch_tokens {
-            let allowed = "at least twice intake.credit_batch_tokens";
-            return refuse("execution.credit_tokens", self.execution.credit_tokens.to_string(), allowed);
-        }
-        if let Some((key, value, allowed)) = self.ledger.fault() {
-            return refuse(key, value.to_string(), allowed);
-        }
-        Ok(())
+    /// Returns every error of a text, for the operator who wrote it. Syntax errors hide each other, because the TOML
+    /// reader stops at the first one. Rules between two keys are judged once each key is within its range.
+    pub fn check_text(path: &str, text: &str) -> Vec<SettingsError> {
+        check::read(path, text).1
     }
 }
--- a/crates/banyannotch/src/settings/mod.rs
+++ b/crates/banyannotch/src/settings/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Every key is listed in `docs/configuration.md`.
 
+mod check;
 mod error;
 mod file;
 #[cfg(test)]
--- a/crates/banyannotch/src/settings/tests.rs
+++ b/crates/banyannotch/src/settings/tests.rs
@@ -2,7 +2,14 @@
 
 use std::fmt::Write;
 
+use toml::{Table, Value};
+
 use super::Settings;
+use super::check::RANGES;
+use crate::configuration::{Document, DocumentError, Model, Service, Team};
+use crate::ids::{ModelVersion, TeamId};
+
+const PAGE: &str = include_str!("../../../../docs/configuration.md");
 
 const RIGHT: &str = r#"
 instance = "entry-1"
@@ -40,3 +47,171 @@
     }
     insta::assert_snapshot!(report);
 }
+
+/// Guards against an operator who corrects one error only to be told the next one.
+#[test]
+fn every_wrong_setting_is_named_at_once() {
+    let text = RIGHT.replace("riga-1", "").replace("8082", "8080");
+    let parts = "[execution]\nstep_timeout_ms = 0\nsuspect_limit = -1\n[routing]\nentries = 0\n[ledger]\nshards = 65\n";
+    let relations = "[execution]\ncredit_tokens = 8\n[ledger]\nbackoff_max_ms = 5\n[membership]\nidle_interval_ms = 2_500\n";
+    let mut report = String::new();
+    for (name, text) in [
+        ("ranges", format!("{text}\n{parts}")),
+        ("range and type", format!("{text}\n{parts}[placement]\nenabled = 1\n")),
+        ("relations", format!("{text}\n{relations}")),
+    ] {
+        writeln!(report, "## {name}").expect("a string takes text");
+        for error in Settings::check_text("entry.toml", &text) {
+            writeln!(report, "{}", error.to_string().trim_end()).expect("a string takes text");
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+/// Guards against a limit that can be exceeded by one, and against a key whose range is not checked.
+#[test]
+fn both_ends_of_each_range_are_kept() {
+    let refused = |key: &str, value: i64| {
+        let (part, name) = key.split_once('.').expect("each key belongs to a part");
+        Settings::check_text("entry.toml", &format!("{RIGHT}\n[{part}]\n{name} = {value}\n"))
+            .iter()
+            .any(|error| error.to_string().contains(&format!("{key} = {value}: allowed is {}", allowed(key))))
+    };
+    for range in RANGES {
+        assert!(!refused(range.key, range.least) && !refused(range.key, range.most), "{}", range.key);
+        assert!(refused(range.key, range.least - 1) && refused(range.key, range.most + 1), "{}", range.key);
+    }
+    let numeric = leaves(&defaults()).into_iter().filter(|(_, value)| value.is_integer());
+    let mut numeric: Vec<String> = numeric.map(|(key, _)| key).collect();
+    let mut ranges: Vec<String> = RANGES.iter().map(|range| range.key.to_owned()).collect();
+    numeric.sort();
+    ranges.sort();
+    assert_eq!(ranges, numeric);
+}
+
+/// Guards against a key that is not on the page, a key on the page that does not exist, and a default or range that
+/// was changed in the code only.
+#[test]
+fn the_page_lists_every_key_with_its_default_and_range() {
+    let required = ["instance", "zone", "callers", "peers", "operators", "log", "instance_list"];
+    let mut settings: Vec<Row> = leaves(&defaults())
+        .into_iter()
+        .map(|(key, value)| {
+            let default =
+                if required.contains(&key.as_str()) { "required".to_owned() } else { literal(&value) };
+            let range = value.is_integer().then(|| allowed(&key));
+            Row { key, default, range }
+        })
+        .collect();
+    settings.sort();
+    assert_eq!(page_rows("## Settings of an entry", &settings), settings);
+    let mut document = document_rows();
+    document.sort();
+    assert_eq!(page_rows("## Configuration document", &document), document);
+}
+
+/// A key with its default and, if it is a number, its range.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Row {
+    key: String,
+    default: String,
+    range: Option<String>,
+}
+
+/// Reads the tables below a heading. The range of a key that the code gives none is prose and not compared.
+fn page_rows(heading: &str, expected: &[Row]) -> Vec<Row> {
+    let section = PAGE.split_once(heading).expect("the page has the heading").1;
+    let section = section.split("\n## ").next().unwrap_or_default();
+    let mut rows: Vec<Row> = section
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(|line| {
+            let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+            assert_eq!(cells.len(), 7, "key, unit, default, range and meaning: {line}");
+            assert!(cells.iter().skip(1).take(5).all(|cell| !cell.is_empty()), "no empty cell: {line}");
+            let key = cells[1].trim_matches('`').to_owned();
+            let ranged = expected.iter().any(|row| row.key == key && row.range.is_some());
+            let range = ranged.then(|| cells[4].to_owned());
+            Row { key, default: cells[3].trim_matches('`').to_owned(), range }
+        })
+        .collect();
+    rows.sort();
+    rows
+}
+
+fn allowed(key: &str) -> String {
+    RANGES.iter().find(|range| range.key == key).expect("each number has a range").allowed()
+}
+
+fn defaults() -> Table {
+    let settings = Settings::parse("entry.toml", RIGHT).expect("the settings are right");
+    Table::try_from(&settings).expect("settings can be written as TOML")
+}
+
+fn literal(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+/// Returns the keys of a table with their values, those of tables in it with the names of the tables before them.
+fn leaves(table: &Table) -> Vec<(String, Value)> {
+    table
+        .iter()
+        .flat_map(|(key, value)| match value {
+            Value::Table(inner) => {
+                leaves(inner).into_iter().map(|(name, value)| (format!("{key}.{name}"), value)).collect()
+            }
+            _ => vec![(key.clone(), value.clone())],
+        })
+        .collect()
+}
+
+/// A document with one item in each list and with numbers that are all out of range.
+fn wrong_document() -> Document {
+    let mut document = Document {
+        models: vec![Model { name: "m".into(), version: ModelVersion(0), layers: 0, hidden_bytes: 0 }],
+        services: vec![Service { name: "s".into() }],
+        teams: vec![Team { name: TeamId::from("t"), token_sha256: "0".repeat(64), weight: 0 }],
+        ..Document::default()
+    };
+    let preset = &mut document.presets.ordinary;
+    preset.in_flight_limit = 0;
+    preset.queue_limit = u32::MAX;
+    preset.default_deadline_ms = 0;
+    // The longest deadline bounds the default one, so it is out of range in another preset.
+    preset.max_deadline_ms = 86_400_000;
+    preset.max_tokens = 0;
+    preset.retry_budget_percent = u32::MAX;
+    document.presets.peak.max_deadline_ms = 0;
+    document
+}
+
+fn document_rows() -> Vec<Row> {
+    let document = wrong_document();
+    let text = toml::to_string(&document).expect("a document can be written as TOML");
+    let ranges: Vec<(String, String)> = Document::check_text(&text)
+        .into_iter()
+        .filter_map(|error| match error {
+            DocumentError::Range { key, allowed, .. } => Some((key, allowed)),
+            _ => None,
+        })
+        .collect();
+    let range_of =
+        |key: &str| ranges.iter().find(|(name, _)| name == key).map(|(_, allowed)| allowed.clone());
+    let table = Table::try_from(&document).expect("a document can be written as TOML");
+    let mut rows = Vec::new();
+    for (list, item) in [("models", "m"), ("services", "s"), ("teams", "t")] {
+        let first = table[list][0].as_table().expect("the list has an item");
+        for (name, _) in leaves(first) {
+            let range = range_of(&format!("{list}.{item}.{name}"));
+            rows.push(Row { key: format!("{list}.{name}"), default: "required".to_owned(), range });
+        }
+    }
+    let defaults = Table::try_from(Document::default()).expect("a document can be written as TOML");
+    let preset = defaults["presets"]["ordinary"].as_table().expect("a preset is a table");
+    for (name, value) in leaves(preset) {
+        let range =
+            ["ordinary", "peak"].iter().find_map(|preset| range_of(&format!("presets.{preset}.{name}")));
+        rows.push(Row { key: format!("presets.NAME.{name}"), default: literal(&value), range });
+    }
+    rows
+}
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -12,8 +12,12 @@
 pub fn run(options: &CheckOptions) -> Result<()> {
     let mut errors = Vec::new();
     for path in &options.settings {
-        if let Err(error) = Settings::read(path) {
-            errors.push(error.to_string());
+        match read(path) {
+            Ok(text) => {
+                let found = Settings::check_text(&path.display().to_string(), &text);
+                errors.extend(found.iter().map(|error| error.to_string().trim_end().to_owned()));
+            }
+            Err(error) => errors.push(error.to_string()),
         }
     }
     for path in &options.configuration {
