--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -2,14 +2,15 @@
 
 use std::path::Path;
 
-use banyannotch::configuration::Document;
+use banyannotch::configuration::{Document, PresetName};
 use banyannotch::settings::Settings;
 
+use crate::coverage::{find_gaps, known_endpoints};
 use crate::error::{CommandError, Result};
-use crate::options::CheckOptions;
+use crate::options::{CheckOptions, Fleet};
 
 /// Prints every error of the files.
-pub fn run(options: &CheckOptions) -> Result<()> {
+pub async fn run(options: &CheckOptions) -> Result<()> {
     let mut errors = Vec::new();
     for path in &options.settings {
         match read(path) {
@@ -23,12 +24,35 @@
     for path in &options.configuration {
         errors.extend(document_errors(path)?);
     }
+    errors.extend(coverage_errors(options).await?);
     for error in &errors {
         println!("{error}");
     }
     if errors.is_empty() { Ok(()) } else { Err(CommandError::Invalid { errors: errors.len() }) }
 }
 
+/// Returns what the drain set of any preset leaves without an endpoint, if entries are given. All presets are judged,
+/// because each of them can be switched to later.
+async fn coverage_errors(options: &CheckOptions) -> Result<Vec<String>> {
+    if options.operators.is_empty() {
+        return Ok(Vec::new());
+    }
+    let fleet = Fleet { operators: options.operators.clone(), timeout_ms: 0 };
+    let Some(status) = known_endpoints(&fleet).await else {
+        return Err(CommandError::NoEntry("none that answers knows any endpoint".into()));
+    };
+    let mut errors = Vec::new();
+    for path in &options.configuration {
+        let Ok(document) = Document::parse(&read(path)?) else { continue };
+        for preset in [PresetName::Ordinary, PresetName::Peak, PresetName::Maintenance] {
+            let gaps = find_gaps(&document, preset, &status.endpoints);
+            errors
+                .extend(gaps.iter().map(|gap| format!("{}: presets.{preset}.drain: {gap}", path.display())));
+        }
+    }
+    Ok(errors)
+}
+
 /// Reads a document, or prints its errors.
 pub fn read_document(path: &Path) -> Result<String> {
     let errors = document_errors(path)?;
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
+use banyannotch::configuration::PresetName;
 use banyannotch::http::{Client, ClientSettings};
+use banyannotch::ids::{ModelId, ModelVersion, ServiceId};
+use banyannotch::pipeline::LayerRange;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -37,7 +40,7 @@
     /// Version.
     pub version: u64,
     /// Preset.
-    pub preset: String,
+    pub preset: PresetName,
 }
 
 /// Last version that another entry reported.
@@ -63,7 +66,7 @@
     /// `live`, `suspected` or `leaving`.
     pub health: String,
     /// What it offers.
-    pub role: Value,
+    pub role: RoleStatus,
     /// Steps or calls that are running.
     pub running: u32,
     /// Steps that wait.
@@ -72,6 +75,27 @@
     pub step_us: u64,
 }
 
+/// What an endpoint offers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+pub enum RoleStatus {
+    /// An engine with a range of layers.
+    Engine {
+        /// Model that is loaded.
+        model: ModelId,
+        /// Version that is loaded.
+        version: ModelVersion,
+        /// Layers that are loaded.
+        #[serde(flatten)]
+        layers: LayerRange,
+    },
+    /// A plain service.
+    Service {
+        /// Service that it offers.
+        service: ServiceId,
+    },
+}
+
 /// One entry that was asked, with its status or why there is none.
 #[derive(Debug)]
 pub struct Asked {
--- /dev/null
+++ b/crates/cli/src/coverage/gaps.rs
@@ -0,0 +1,82 @@
+//! Layers and services without an endpoint.
+
+use std::fmt;
+
+use banyannotch::configuration::{Document, Model, PresetName};
+use banyannotch::ids::{InstanceId, ModelId, ServiceId};
+use banyannotch::pipeline::LayerRange;
+use banyannotch::placement::uncovered;
+
+use crate::client::{EndpointStatus, RoleStatus};
+
+/// Health of an endpoint that certainly gets work. A suspected one may be gone, so nothing should depend on it alone.
+const LIVE: &str = "live";
+
+/// What a drain set leaves without an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Gap {
+    /// Layers of a model that no chain of engines reaches.
+    Layers {
+        /// The model.
+        model: ModelId,
+        /// The layers.
+        missing: Vec<LayerRange>,
+    },
+    /// A service that no endpoint offers.
+    Service(ServiceId),
+}
+
+impl fmt::Display for Gap {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Layers { model, missing } => {
+                write!(formatter, "model {model} would have no engine for layers ")?;
+                let ranges: Vec<String> = missing.iter().map(LayerRange::to_string).collect();
+                formatter.write_str(&ranges.join(", "))
+            }
+            Self::Service(service) => write!(formatter, "service {service} would have no endpoint"),
+        }
+    }
+}
+
+/// Returns what is missing because of the drain set of a preset. What is missing anyway, such as a model that is new
+/// and not loaded yet, is no reason against the preset.
+pub fn find_gaps(document: &Document, preset: PresetName, endpoints: &[EndpointStatus]) -> Vec<Gap> {
+    let drain = document.presets.get(preset).drain.as_slice();
+    let models = document.models.iter().filter_map(|model| {
+        let missing = uncovered(&held(model, endpoints, drain), model.layers);
+        let before = uncovered(&held(model, endpoints, &[]), model.layers);
+        (missing != before).then(|| Gap::Layers { model: model.name.clone(), missing })
+    });
+    let services = document.services.iter().filter_map(|service| {
+        let offered = |drain: &[InstanceId]| {
+            live(endpoints, drain).any(
+                |endpoint| matches!(&endpoint.role, RoleStatus::Service { service: name } if *name == service.name),
+            )
+        };
+        (offered(&[]) && !offered(drain)).then(|| Gap::Service(service.name.clone()))
+    });
+    models.chain(services).collect()
+}
+
+fn held(model: &Model, endpoints: &[EndpointStatus], drain: &[InstanceId]) -> Vec<LayerRange> {
+    live(endpoints, drain)
+        .filter_map(|endpoint| match &endpoint.role {
+            RoleStatus::Engine { model: name, version, layers }
+                if *name == model.name && *version == model.version =>
+            {
+                Some(*layers)
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn live<'a>(
+    endpoints: &'a [EndpointStatus],
+    drain: &'a [InstanceId],
+) -> impl Iterator<Item = &'a EndpointStatus> {
+    endpoints.iter().filter(move |endpoint| {
+        endpoint.health == LIVE && !drain.iter().any(|name| name.as_str() == endpoint.instance)
+    })
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,5 +1,6 @@
 //! Failures of a command, and their exit codes.
 
+use banyannotch::configuration::PresetName;
 use banyannotch::http::CallError;
 use banyannotch::platform::LogError;
 use thiserror::Error;
@@ -49,6 +50,16 @@
     /// The record was refused by the entries.
     #[error("refused: {0}")]
     Refused(String),
+    /// The drain set takes the last endpoint of something; nothing was published.
+    #[error(
+        "nothing was published, because preset {preset} drains too much: {gaps}; --force publishes it all the same"
+    )]
+    Uncovered {
+        /// Preset whose drain set it is.
+        preset: PresetName,
+        /// What would be missing.
+        gaps: String,
+    },
     /// The record is in the log, but not in force everywhere yet.
     #[error("version {version} is in the log, but not in force at: {missing}")]
     NotEverywhere {
@@ -68,7 +79,7 @@
         match self {
             Self::NoEntry(_) | Self::Answer { .. } | Self::NotAppended(_) | Self::Call(_) => 1,
             Self::File { .. } | Self::Invalid { .. } => 2,
-            Self::Refused(_) => 3,
+            Self::Refused(_) | Self::Uncovered { .. } => 3,
             Self::MaybeAppended(_) | Self::NotEverywhere { .. } => 4,
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod client;
+mod coverage;
 mod drain;
 mod error;
 mod explain;
@@ -29,7 +30,7 @@
 
 async fn run(command: Command) -> error::Result<()> {
     match command {
-        Command::Check(options) => check::run(&options),
+        Command::Check(options) => check::run(&options).await,
         Command::Publish(options) => publish::run(&options).await,
         Command::Preset(PresetCommand::Show(options)) => preset::show(&options).await,
         Command::Preset(PresetCommand::Switch(options)) => preset::switch(&options).await,
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -56,6 +56,9 @@
     /// Configuration document
     #[bpaf(long, argument("FILE"))]
     pub configuration: Vec<PathBuf>,
+    /// Operators' port of an entry whose endpoints the drain set of each preset is compared with
+    #[bpaf(long, argument("IP:PORT"))]
+    pub operators: Vec<SocketAddr>,
 }
 
 /// Where entries and the log are, and how long to wait.
@@ -81,6 +84,9 @@
     /// Version to build on; without it the one in force
     #[bpaf(long, argument("VERSION"))]
     pub base: Option<u64>,
+    /// Publish even if the active preset drains the last endpoint of some layers or of a service
+    #[bpaf(long)]
+    pub force: bool,
     #[bpaf(external)]
     pub fleet: Fleet,
 }
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -11,6 +11,7 @@
 
 use crate::check;
 use crate::client::{any_status, ask_all, get};
+use crate::coverage::check_change;
 use crate::error::{CommandError, Result};
 use crate::options::{Fleet, PublishOptions, Publishing};
 
@@ -25,6 +26,9 @@
 
 /// Appends a change, reports the record that took precedence if one did, and waits until it is in force everywhere.
 pub async fn publish(publishing: &Publishing, change: Change) -> Result<()> {
+    if !publishing.force {
+        check_change(&publishing.fleet, &change).await?;
+    }
     let base = match publishing.base {
         Some(base) => base,
         None => any_status(&publishing.fleet).await?.configuration.map_or(0, |in_force| in_force.version),
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use crate::client::{Asked, EndpointStatus, EntryStatus, ask_all};
+use crate::client::{Asked, EndpointStatus, EntryStatus, RoleStatus, ask_all};
 use crate::error::{CommandError, Result};
 use crate::options::StatusOptions;
 
@@ -40,8 +40,8 @@
             continue;
         };
         let (version, preset) = match &status.configuration {
-            Some(in_force) => (in_force.version.to_string(), in_force.preset.as_str()),
-            None => ("-".to_owned(), "-"),
+            Some(in_force) => (in_force.version.to_string(), in_force.preset.to_string()),
+            None => ("-".to_owned(), "-".to_owned()),
         };
         let state = if status.draining { "draining" } else { "live" };
         println!("{:<16} {:<12} {version:>8} {preset:<12} {state:<8}", status.instance, status.zone);
@@ -69,17 +69,8 @@
 }
 
 fn role(endpoint: &EndpointStatus) -> String {
-    let text = |key| endpoint.role.get(key).and_then(Value::as_str);
-    let number = |key| endpoint.role.get(key).and_then(Value::as_u64).unwrap_or(0);
-    match text("model") {
-        Some(model) => {
-            format!(
-                "{model} v{} layers {}..{}",
-                number("version"),
-                number("layer_begin"),
-                number("layer_end")
-            )
-        }
-        None => text("service").unwrap_or("-").to_owned(),
+    match &endpoint.role {
+        RoleStatus::Engine { model, version, layers } => format!("{model} v{version} layers {layers}"),
+        RoleStatus::Service { service } => service.to_string(),
     }
 }
--- a/crates/standins/tests/operators.rs
+++ b/crates/standins/tests/operators.rs
@@ -114,3 +114,31 @@
         insta::assert_snapshot!(report.replace(&name, "FILE"));
     });
 }
+
+/// Guards against a switch that drains the last engine of some layers, which would answer every request with no route.
+#[test]
+fn a_preset_that_drains_the_last_engines_is_refused_until_forced() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment(1, 1);
+        deployment.make_ready().await.expect("the deployment is ready");
+        let file = std::env::temp_dir().join(format!("banyannotch-drain-{}.toml", std::process::id()));
+        let name = file.display().to_string();
+        let document = format!("{DOCUMENT}\n[presets.maintenance]\ndrain = [\"engine-1-1\", \"desk-1\"]\n");
+        std::fs::write(&file, document).expect("the file is written");
+        let operators = operators(&deployment);
+        let mut checked = vec!["check", "--configuration", &name];
+        checked.extend(operators.iter().map(String::as_str));
+        let outputs = [
+            run(&checked),
+            with_fleet(&deployment, &["publish", &name]),
+            with_fleet(&deployment, &["preset", "switch", "maintenance"]),
+            with_fleet(&deployment, &["preset", "switch", "maintenance", "--force"]),
+            with_fleet(&deployment, &["publish", &name]),
+            with_fleet(&deployment, &["preset", "switch", "ordinary"]),
+            with_fleet(&deployment, &["drain", "endpoint", "engine-0-1"]),
+        ];
+        std::fs::remove_file(&file).expect("the file is removed");
+        let report = outputs.iter().map(text).collect::<Vec<_>>().join("\n");
+        insta::assert_snapshot!(report.replace(&name, "FILE"));
+    });
+}
