--- a/crates/standins/tests/operators.rs
+++ b/crates/standins/tests/operators.rs
@@ -10,11 +10,15 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::time::Duration;
 
 use banyannotch_standins::caller::Caller;
-use banyannotch_standins::harness::{DOCUMENT, Deployment, TOKEN};
+use banyannotch_standins::harness::{DOCUMENT, Deployment, TOKEN, status, wait_until};
 use common::{body, check, check_clean, deployment};
 
+/// Longest time until entries have exchanged their addresses.
+const PEERS_LIMIT: Duration = Duration::from_secs(20);
+
 /// The command beside the stand-ins, where cargo puts both.
 fn command() -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_banyannotch-standin")).with_file_name("banyannotch")
@@ -114,3 +118,56 @@
         insta::assert_snapshot!(report.replace(&name, "FILE"));
     });
 }
+
+/// Guards against a switch that drains the last engine of some layers, which would answer every request with no route.
+#[test]
+fn a_preset_that_drains_the_last_engines_is_refused_until_forced() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment(1, 1);
+        deployment.make_ready().await.expect("the deployment is ready");
+        let file = std::env::temp_dir().join(format!("banyannotch-drain-{}.toml", std::process::id()));
+        let name = file.display().to_string();
+        let document = format!("{DOCUMENT}\n[presets.maintenance]\ndrain = [\"engine-1-1\", \"desk-1\"]\n");
+        std::fs::write(&file, document).expect("the file is written");
+        let operators = operators(&deployment);
+        let mut checked = vec!["check", "--configuration", &name];
+        checked.extend(operators.iter().map(String::as_str));
+        let outputs = [
+            run(&checked),
+            with_fleet(&deployment, &["publish", &name]),
+            with_fleet(&deployment, &["preset", "switch", "maintenance"]),
+            with_fleet(&deployment, &["preset", "switch", "maintenance", "--force"]),
+            with_fleet(&deployment, &["publish", &name]),
+            with_fleet(&deployment, &["preset", "switch", "ordinary"]),
+            with_fleet(&deployment, &["drain", "endpoint", "engine-0-1"]),
+        ];
+        std::fs::remove_file(&file).expect("the file is removed");
+        let report = outputs.iter().map(text).collect::<Vec<_>>().join("\n");
+        insta::assert_snapshot!(report.replace(&name, "FILE"));
+    });
+}
+
+/// Guards against a request that cannot be explained because its operator asked another entry than the one that took it.
+#[test]
+fn any_entry_leads_to_the_one_that_handled_a_request() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment(1, 3);
+        deployment.make_ready().await.expect("the deployment is ready");
+        let (first, last) = (&deployment.entries[0], &deployment.entries[2]);
+        wait_until(PEERS_LIMIT, async || {
+            let status = status(first.operators).await.unwrap_or_default();
+            let peers = status["peers"].as_array().cloned().unwrap_or_default();
+            peers.iter().any(|peer| peer["operators"] == last.operators.to_string())
+        })
+        .await
+        .expect("the entries know each other");
+        let answer =
+            Caller::new(TOKEN).generate_whole(last.callers, &body("explain", 3)).await.expect("an answer");
+        check(&answer, "explain", 3);
+        let request = answer.outcome.request.expect("the entry gave it an identifier");
+        let output = run(&["explain", "--operators", &first.operators.to_string(), &request]);
+        let lines = text(&output);
+        assert_eq!(output.status.code(), Some(0), "{lines}");
+        assert!(lines.contains("decision=dispatched") && lines.contains(&request), "{lines}");
+    });
+}
