execution: share the turns of suspects between entries

Cause: a caller that sends a crashing request through two entries at the same time cost three or four engines, because each entry tried the content again at once, before it had heard of the other's crash. A resend after the outcome could also reach the other entry before the second crash was announced there. Ruled out: the exchange is not slow; news arrives within a few milliseconds of a crash, but only after the next dispatch. Change: a content that crashed an endpoint in its first step there, or is quarantined, pauses for 30 to 60 ms before it is tried again or its outcome is reported. A content that another entry reported is held back for 300 ms. Of two entries that see the same crash, the one whose name comes later holds back. A request that the endpoint had served before goes on at once, as before. More than two entries that dispatch the same content before its first crash still cost an engine each.

--- a/crates/banyannotch/src/execution/driver.rs
+++ b/crates/banyannotch/src/execution/driver.rs
@@ -128,7 +128,15 @@
     /// Sends a step, or lets a suspect wait for its turn at the endpoint.
     fn send_in_turn(&mut self, now_us: u64, request: RequestId, stage: usize, actions: &mut Vec<Action>) {
         let Some(Run::Generation(generation)) = self.runs.get_mut(&request) else { return };
-        let suspect = self.suspects.is_suspect(generation.submission.fingerprint());
+        let fingerprint = generation.submission.fingerprint();
+        if self.suspects.is_held(fingerprint, now_us) {
+            generation.awaiting = Awaiting::News { stage };
+            return;
+        }
+        if self.suspects.is_quarantined(fingerprint) {
+            return self.end(now_us, request, Ending::Quarantined, actions);
+        }
+        let suspect = self.suspects.is_suspect(fingerprint);
         let endpoint = generation.target(stage).map(|target| target.endpoint.clone());
         let has_turn = match endpoint {
             Some(endpoint) if suspect => self.suspects.take_turn(&endpoint, request),
@@ -261,15 +269,16 @@
             match self.runs.get(&request) {
                 Some(Run::Generation(generation)) => {
                     let checked = match &generation.awaiting {
-                        Awaiting::CrashCheck { target, .. } if target.endpoint == *endpoint => {
-                            Some(target.clone())
+                        Awaiting::CrashCheck { target, first, .. } if target.endpoint == *endpoint => {
+                            Some((target.clone(), *first))
                         }
                         _ => None,
                     };
                     match checked {
-                        Some(target) => {
+                        Some((target, first)) => {
                             if progress == Progress::Refused {
                                 self.blame(now_us, request, &target, &mut blamed);
+                                self.await_news(now_us, request, first);
                             }
                             self.after_crash_check(now_us, request, actions);
                         }
@@ -302,6 +311,19 @@
         blamed.push(suspicion);
     }
 
+    /// Holds back a content that crashed an endpoint in its first step, or is quarantined now. The other entries hear of
+    /// the crash before the request is tried again here, and before its caller can resend it to one of them. A request
+    /// that the endpoint had served before goes on at once.
+    fn await_news(&mut self, now_us: u64, request: RequestId, first: bool) {
+        let Some(run) = self.runs.get(&request) else { return };
+        let fingerprint = run.submission().fingerprint();
+        if first || self.suspects.is_quarantined(fingerprint) {
+            let least_us = self.settings.suspect_pause_ms * US_PER_MS;
+            let further_us = self.random.below(usize::try_from(least_us).unwrap_or(usize::MAX)) as u64;
+            self.suspects.hold(fingerprint, now_us + least_us + further_us);
+        }
+    }
+
     /// Goes on after a broken connection, unless the request's content is what breaks endpoints.
     fn after_crash_check(&mut self, now_us: u64, request: RequestId, actions: &mut Vec<Action>) {
         let Some(run) = self.runs.get(&request) else { return };
@@ -309,11 +331,20 @@
         if self.suspects.is_quarantined(fingerprint) {
             let endpoints = self.suspects.blamed_endpoints(fingerprint).to_vec();
             actions.push(Action::Decide(Decision::Quarantined { fingerprint, endpoints }));
+            self.pass_turn(now_us, request, actions);
+            if let Some(Run::Generation(generation)) = self.runs.get_mut(&request)
+                && let Awaiting::CrashCheck { stage, .. } = &generation.awaiting
+            {
+                generation.awaiting = Awaiting::News { stage: *stage };
+                return;
+            }
             return self.end(now_us, request, Ending::Quarantined, actions);
         }
         self.pass_turn(now_us, request, actions);
         self.on_generation(now_us, request, actions, |generation, context| {
-            let Awaiting::CrashCheck { stage, target } = &generation.awaiting else { return Flow::Continue };
+            let Awaiting::CrashCheck { stage, target, .. } = &generation.awaiting else {
+                return Flow::Continue;
+            };
             let (stage, failed) = (*stage, target.endpoint.clone());
             generation.ask_substitute(stage, &failed, true, context)
         });
@@ -373,6 +404,10 @@
                 let fingerprint = suspicion.fingerprint;
                 actions.push(Action::Decide(Decision::Quarantined { fingerprint, endpoints }));
             }
+            if !now {
+                let until_us = now_us + self.settings.shared_turn_ms * US_PER_MS;
+                self.suspects.hold(suspicion.fingerprint, until_us);
+            }
         }
     }
 
@@ -441,6 +476,9 @@
                 self.on_call(now_us, request, actions, Call::on_timer);
             }
             Run::Generation(generation) => {
+                if let Awaiting::News { stage } = generation.awaiting {
+                    return self.send_in_turn(now_us, request, stage, actions);
+                }
                 generation.retry_reroute(&mut context!(self, now_us, actions));
                 let late = match &generation.awaiting {
                     Awaiting::Step(outstanding) if outstanding.due_us <= now_us => {
--- a/crates/banyannotch/src/execution/generation.rs
+++ b/crates/banyannotch/src/execution/generation.rs
@@ -55,6 +55,8 @@
         stage: usize,
         /// The endpoint.
         target: Target,
+        /// Whether the endpoint had finished no step of the request in this cache.
+        first: bool,
     },
     /// A substitute from routing.
     Substitute {
@@ -67,6 +69,11 @@
         /// When to ask again; none while an answer is due.
         retry_us: Option<u64>,
     },
+    /// News from other entries, because its content may be crashing endpoints there too.
+    News {
+        /// Index of the stage.
+        stage: usize,
+    },
     /// Its turn at an endpoint, because its content may crash it.
     Turn {
         /// Index of the stage.
@@ -182,6 +189,7 @@
     pub fn on_fault(&mut self, fault: &StepFault, context: &mut Context<'_>) -> Flow {
         let Awaiting::Step(outstanding) = &self.awaiting else { return Flow::Continue };
         let (stage, target) = (outstanding.stage, outstanding.target.clone());
+        let first = outstanding.position == 0;
         let not_started = fault.not_started();
         let may_have_run = not_started.is_none();
         self.phase.mark_failed(not_started);
@@ -192,7 +200,7 @@
         }));
         match fault {
             StepFault::Broken => {
-                self.awaiting = Awaiting::CrashCheck { stage, target };
+                self.awaiting = Awaiting::CrashCheck { stage, target, first };
                 Flow::Continue
             }
             StepFault::Refused { .. } | StepFault::NotSent | StepFault::TimedOut | StepFault::BadAnswer => {
--- a/crates/banyannotch/src/execution/state.rs
+++ b/crates/banyannotch/src/execution/state.rs
@@ -30,6 +30,12 @@
     pub suspect_memory_ms: u64,
     /// Most contents that are remembered.
     pub suspect_limit: usize,
+    /// Shortest pause of a request whose first step crashed an endpoint, so that news of the same content from another
+    /// entry arrives first; the pause is random up to twice as long.
+    pub suspect_pause_ms: u64,
+    /// How long a content is held back here after another entry reported a crash with it, because that entry is trying
+    /// it again.
+    pub shared_turn_ms: u64,
     /// Endpoints of one zone that fail within the window before nobody is blamed.
     pub common_cause_endpoints: usize,
     /// Window for failures of one zone.
@@ -48,6 +54,8 @@
             credit_tokens: 64,
             suspect_memory_ms: 600_000,
             suspect_limit: 1_024,
+            suspect_pause_ms: 30,
+            shared_turn_ms: 300,
             common_cause_endpoints: 3,
             common_cause_window_ms: 2_000,
         }
--- a/crates/banyannotch/src/execution/suspects.rs
+++ b/crates/banyannotch/src/execution/suspects.rs
@@ -18,6 +18,8 @@
 struct Blame {
     endpoints: Vec<EndpointId>,
     last_us: u64,
+    /// No request with the content is sent before this time.
+    held_until_us: u64,
 }
 
 /// A failure of an endpoint, for telling a common cause from a poison request.
@@ -103,6 +105,18 @@
         self.blames.get(&fingerprint).map_or(&[], |blame| &blame.endpoints)
     }
 
+    /// Holds back the requests with a suspected content.
+    pub fn hold(&mut self, fingerprint: Fingerprint, until_us: u64) {
+        if let Some(blame) = self.blames.get_mut(&fingerprint) {
+            blame.held_until_us = blame.held_until_us.max(until_us);
+        }
+    }
+
+    /// Returns whether the requests with a content are held back at present.
+    pub fn is_held(&self, fingerprint: Fingerprint, now_us: u64) -> bool {
+        self.blames.get(&fingerprint).is_some_and(|blame| now_us < blame.held_until_us)
+    }
+
     /// Clears a content that an endpoint has survived.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         if !self.is_quarantined(fingerprint) {
--- a/crates/banyannotch/src/execution/tests/poison.rs
+++ b/crates/banyannotch/src/execution/tests/poison.rs
@@ -126,3 +126,17 @@
     assert_eq!(world.outcome(1), &Outcome::Failed(Failure::Quarantined));
     assert_eq!(dead(&world), 1);
 }
+
+#[test]
+fn a_content_that_another_entry_tries_again_waits_for_its_news() {
+    let mut world = poisoned(4);
+    let fingerprint = crate::request::digest(&["m", "poison"]);
+    let crashed =
+        |name| Event::Suspected(vec![Suspicion { fingerprint, endpoint: EndpointId::new(name, 1) }]);
+    world.event(0, crashed("e91"));
+    world.event(100_000, crashed("e92"));
+    world.generate(1, "poison", 5, 20_000);
+    world.run();
+    assert_eq!(world.outcome(1), &Outcome::NotRun(NotRun::Quarantined));
+    assert_eq!(dead(&world), 0);
+}
--- a/crates/banyannotch/src/peers/findings.rs
+++ b/crates/banyannotch/src/peers/findings.rs
@@ -56,6 +56,11 @@
         true
     }
 
+    /// Returns whether this entry found it itself.
+    pub fn holds_own(&self, finding: &Finding) -> bool {
+        self.rows.get(finding).is_some_and(|held| held.source.is_none())
+    }
+
     /// Forgets what is old.
     pub fn expire(&mut self, now_us: u64) {
         self.rows.retain(|_, held| held.expires_us > now_us);
--- a/crates/banyannotch/src/peers/policy.rs
+++ b/crates/banyannotch/src/peers/policy.rs
@@ -174,8 +174,9 @@
         actions.push(Action::Report(Box::new(report)));
         let (mut observations, mut suspicions) = (Vec::new(), Vec::new());
         for found in &digest.findings {
+            let yields = self.yields(&found.finding, &digest.entry.instance);
             if self.is_own(&found.finding)
-                || !self.findings.add(now_us, found, &digest.entry.instance, &self.settings)
+                || !(self.findings.add(now_us, found, &digest.entry.instance, &self.settings) || yields)
             {
                 continue;
             }
@@ -201,6 +202,14 @@
         matches!(finding, Finding::Observed { observer, .. } if *observer == self.own.instance)
     }
 
+    /// Whether this entry and another one saw the same crash with the same content. Execution of the entry whose name
+    /// comes later hears of it, so that not both try the content again at the same time.
+    fn yields(&self, finding: &Finding, other: &InstanceId) -> bool {
+        matches!(finding, Finding::Suspected(_))
+            && *other < self.own.instance
+            && self.findings.holds_own(finding)
+    }
+
     /// Calls entries at once, because there is news.
     fn hurry(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         self.round += 1;
--- a/crates/banyannotch/src/peers/tests/rounds.rs
+++ b/crates/banyannotch/src/peers/tests/rounds.rs
@@ -311,3 +311,16 @@
     }
     insta::assert_snapshot!(report);
 }
+
+/// Guards against two entries that see the same crash and both try its suspect again at the same time.
+#[test]
+fn the_later_of_two_entries_that_see_the_same_crash_hears_of_the_other() {
+    let heard = |other: &str| {
+        let mut run = Run::start(&[1]);
+        run.event(0, "suspected", Event::Suspected(vec![suspicion(7, "engine-1")]));
+        run.answer(1, 1, digest_of(other, None, vec![suspected(7, "engine-1", 0)]));
+        run.lines.contains("suspected 1")
+    };
+    assert!(heard("a9"), "e0 comes after a9");
+    assert!(!heard("e1"), "e0 comes before e1");
+}
