--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -168,6 +168,16 @@
         if status.success() { Ok(()) } else { Err(error(status.to_string())) }
     }
 
+    /// Returns whether the process has ended.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Observe`] when the operating system refuses.
+    pub fn has_ended(&mut self) -> Result<bool> {
+        let id = self.id();
+        let status = self.child.0.try_wait().map_err(|source| HarnessError::Observe { id, source })?;
+        Ok(status.is_some())
+    }
+
     /// Waits for the process to end and returns its exit code, or none when a signal ended it.
     ///
     /// # Errors
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -6,13 +6,16 @@
 )]
 #![allow(dead_code, reason = "each test binary uses a part of the helpers")]
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use banyannotch::engine::Token;
 use banyannotch::pipeline::{Address, LayerRange};
 use banyannotch_standins::caller::{Answer, AnswerStream, Caller, CallerError, Event, GenerateBody};
-use banyannotch_standins::harness::{Binaries, Deployment, EngineSpec, EntryProcess, LAYERS, MODEL, metric};
+use banyannotch_standins::harness::{
+    Binaries, Deployment, EngineSpec, EntryProcess, LAYERS, Logs, MODEL, metric,
+};
 use banyannotch_standins::model::{Model, reference_answer};
 use bytes::Bytes;
 use futures_util::Stream;
@@ -148,3 +151,54 @@
     }
     unreachable!("no middle stage runs the request");
 }
+
+/// Lets the tests of one binary run one after another, so that few processes run at the same time.
+pub fn in_turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    // A test that failed must not make the others fail.
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The platform without log lines, unless `BANYANNOTCH_TEST_LOGS` names a directory for them.
+pub fn quiet_platform(log_options: &[&str]) -> Deployment {
+    let mut binaries = Binaries::beside(Path::new(env!("CARGO_BIN_EXE_banyannotch-standin")));
+    let directory = std::env::var_os("BANYANNOTCH_TEST_LOGS").map(PathBuf::from);
+    binaries.logs = directory.map_or(Logs::Discard, Logs::Directory);
+    Deployment::start(binaries, log_options).expect("the platform starts")
+}
+
+/// Adds a replica of one of three stages, in the zone of its number.
+pub fn add_replica(deployment: &mut Deployment, stage: u16, replica: usize, options: &[&str]) {
+    let options = ["--step-us", "200"].iter().chain(options).map(|option| (*option).to_owned()).collect();
+    let spec = EngineSpec {
+        instance: format!("engine-{stage}-{replica}"),
+        zone: format!("zone-{replica}"),
+        layers: LayerRange::new(stage * 4, stage * 4 + 4),
+        options,
+    };
+    deployment.add_engine(&spec).expect("the engine starts");
+}
+
+/// Adds all three stages with some replicas each, and the plain service.
+pub fn add_replicas(deployment: &mut Deployment, replicas: usize) {
+    for replica in 1..=replicas {
+        for stage in 0..3 {
+            add_replica(deployment, stage, replica, &[]);
+        }
+    }
+    deployment.add_service("desk", "desk-1", "zone-1").expect("the service starts");
+}
+
+/// Adds entries with further lines in their settings.
+pub fn add_entries(deployment: &mut Deployment, entries: usize, more: &str) {
+    for number in 1..=entries {
+        let zone = format!("zone-{number}");
+        deployment.add_entry(&format!("entry-{number}"), &zone, more).expect("the entry starts");
+    }
+}
+
+/// Counts the endpoints whose processes have ended.
+pub fn lost_endpoints(deployment: &mut Deployment) -> usize {
+    let ended = deployment.endpoints.iter_mut().map(|endpoint| endpoint.process.has_ended());
+    ended.filter(|ended| *ended.as_ref().expect("the process can be observed")).count()
+}
