standins: report a connection that ended early as broken, not as unsent

Cause: the caller took every connection error of its client for "no connection", also the one for a connection that ended before the response. Ruled out: the router's own client already tells the two apart. Change: only a refused connection, or one that was never made, counts as not sent. Before: a call whose entry was killed was reported as not sent. After: as broken.

--- a/crates/standins/src/caller/client.rs
+++ b/crates/standins/src/caller/client.rs
@@ -1,6 +1,8 @@
 //! HTTP client of the callers' protocol.
 
-use awc::error::{PayloadError, SendRequestError};
+use std::io::ErrorKind;
+
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use banyannotch::pipeline::Address;
 use bytes::Bytes;
 use futures_util::Stream;
@@ -64,6 +66,12 @@
             .post(format!("http://{entry}{path}"))
             .insert_header(("authorization", self.authorization.as_str()));
         let response = request.send_json(body).await.map_err(|error| match error {
+            // The client's names for a connection that ended before the head of the response.
+            SendRequestError::Connect(error @ (ConnectError::Disconnected | ConnectError::Io(_)))
+                if !is_refused(&error) =>
+            {
+                CallerError::Broken(error.to_string())
+            }
             SendRequestError::Connect(error) => CallerError::NotSent(error.to_string()),
             error => CallerError::Broken(error.to_string()),
         })?;
@@ -74,3 +82,7 @@
         Ok(AnswerStream::new(response.status().as_u16(), streamed, response))
     }
 }
+
+fn is_refused(error: &ConnectError) -> bool {
+    matches!(error, ConnectError::Io(error) if error.kind() == ErrorKind::ConnectionRefused)
+}
