--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -6,15 +6,18 @@
 )]
 #![allow(dead_code, reason = "each test binary uses a part of the helpers")]
 
+use std::cell::{Cell, RefCell};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use banyannotch::engine::Token;
+use banyannotch::http::{Client, ClientSettings};
 use banyannotch::pipeline::{Address, LayerRange};
 use banyannotch_standins::caller::{Answer, AnswerStream, Caller, CallerError, Event, GenerateBody};
 use banyannotch_standins::harness::{
-    Binaries, Deployment, EngineSpec, EntryProcess, LAYERS, Logs, MODEL, metric,
+    Binaries, Deployment, EngineSpec, EntryProcess, LAYERS, Logs, MODEL, TOKEN, metric,
 };
 use banyannotch_standins::model::{Model, reference_answer};
 use bytes::Bytes;
@@ -202,3 +205,101 @@
     let ended = deployment.endpoints.iter_mut().map(|endpoint| endpoint.process.has_ended());
     ended.filter(|ended| *ended.as_ref().expect("the process can be observed")).count()
 }
+
+/// Longest time that a balancer waits for `/readyz`.
+const READY_CHECK_LIMIT_MS: u64 = 200;
+
+/// Sends of one request after which a test gives up.
+const SEND_LIMIT: usize = 200;
+
+/// The platform's balancer: passes requests to the entries in turn, but only to those whose `/readyz` answers 200.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    entries: RefCell<Vec<Address>>,
+    next: Cell<usize>,
+    /// Requests that were answered in full.
+    pub answered: Cell<u32>,
+    /// Why requests were sent again.
+    pub resends: RefCell<Vec<String>>,
+}
+
+impl Balancer {
+    pub fn new(deployment: &Deployment) -> Rc<Self> {
+        let balancer = Self::default();
+        balancer.set_entries(deployment.entries.iter().map(|entry| entry.callers).collect());
+        Rc::new(balancer)
+    }
+
+    pub fn set_entries(&self, entries: Vec<Address>) {
+        *self.entries.borrow_mut() = entries;
+    }
+
+    /// Returns the next entry that is ready.
+    async fn ready_entry(&self) -> Address {
+        let client = Client::new(ClientSettings::default());
+        for _ in 0..SEND_LIMIT {
+            let entry = {
+                let entries = self.entries.borrow();
+                let number = self.next.get();
+                self.next.set(number + 1);
+                *entries.get(number % entries.len()).expect("an entry")
+            };
+            let answer = client.get(entry, "/readyz", READY_CHECK_LIMIT_MS).await;
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                return entry;
+            }
+        }
+        unreachable!("no entry is ready")
+    }
+
+    /// Sends a request until it is answered in full, and again only after a refusal or a broken connection.
+    pub async fn ask(&self, caller: &Caller, prompt: &str, max_tokens: u32) {
+        for _ in 0..SEND_LIMIT {
+            let entry = self.ready_entry().await;
+            let reason = match caller.generate_whole(entry, &body(prompt, max_tokens)).await {
+                Ok(answer) if answer.outcome.outcome == "not_run" => format!("{entry} {answer:?}"),
+                Ok(answer) => {
+                    check(&answer, prompt, max_tokens);
+                    self.answered.set(self.answered.get() + 1);
+                    return;
+                }
+                Err(error) => format!("{entry} {error}"),
+            };
+            self.resends.borrow_mut().push(reason);
+        }
+        unreachable!("{prompt:?} is not answered: {:?}", self.resends.borrow())
+    }
+}
+
+/// Callers who send one request after another until they are told to stop.
+pub struct Load {
+    stopping: Rc<Cell<bool>>,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+impl Load {
+    pub fn start(balancer: &Rc<Balancer>, callers: usize, max_tokens: u32) -> Self {
+        let stopping = Rc::new(Cell::new(false));
+        let tasks = (0..callers).map(|number| {
+            let (balancer, stopping) = (Rc::clone(balancer), Rc::clone(&stopping));
+            actix_rt::spawn(async move {
+                let caller = Caller::new(TOKEN);
+                let mut request = 0;
+                while !stopping.get() {
+                    let prompt = format!("caller {number} request {request}");
+                    balancer.ask(&caller, &prompt, max_tokens).await;
+                    request += 1;
+                }
+            })
+        });
+        Self { tasks: tasks.collect(), stopping }
+    }
+
+    /// Waits until every caller has the answer to their last request.
+    pub async fn stop(self) {
+        self.stopping.set(true);
+        for task in self.tasks {
+            task.await.expect("the caller gets whole answers");
+        }
+    }
+}
