--- a/crates/banyannotch/src/settings/check.rs
+++ b/crates/banyannotch/src/settings/check.rs
@@ -61,6 +61,8 @@
     range("execution.suspect_memory_ms", 1_000, DAY_MS),
     // Without room for suspects, no request that crashes endpoints would be found.
     range("execution.suspect_limit", 1, ITEMS),
+    range("execution.suspect_pause_ms", 1, 1_000),
+    range("execution.shared_turn_ms", 0, 10_000),
     // With one endpoint, each crash would count as a common cause and nobody would be blamed.
     range("execution.common_cause_endpoints", 2, 10_000),
     range("execution.common_cause_window_ms", 1, MINUTE_MS),
