--- a/crates/banyannotch/src/duty.rs
+++ b/crates/banyannotch/src/duty.rs
@@ -29,6 +29,9 @@
 
     /// Handles every deadline up to the given time.
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Self::Action>);
+
+    /// Tells the sizes of the state that operators watch, as names and values of gauges.
+    fn measure(&self, _gauge: impl FnMut(&'static str, f64)) {}
 }
 
 /// The edges of a duty's thread: rings, sockets and logs. Nothing is decided here.
@@ -51,6 +54,9 @@
 /// Most events that a thread takes from one source before it carries out the actions.
 pub const EVENT_BATCH: usize = 256;
 
+/// Shortest time between two measurements of a duty. They are made when the thread wakes up anyway.
+const MEASURE_INTERVAL_US: u64 = 500_000;
+
 /// Events that the thread's own tasks (sockets, timers) leave for its policy.
 #[derive(Debug)]
 pub struct Mailbox<E> {
@@ -91,6 +97,7 @@
 {
     let mut events = Vec::with_capacity(EVENT_BATCH);
     let mut actions = Vec::with_capacity(EVENT_BATCH);
+    let mut measure_us = 0;
     loop {
         ports.flush();
         ports.receive(&mut events);
@@ -106,6 +113,11 @@
             ports.perform(now_us, action);
         }
         if idle {
+            let now_us = clock.now_us();
+            if now_us >= measure_us {
+                duty.measure(|name, value| metrics::gauge!(name).set(value));
+                measure_us = now_us + MEASURE_INTERVAL_US;
+            }
             sleep_until(&clock, &bell, duty.next_timer_us()).await;
         } else {
             // Lets the socket tasks of this thread run between two batches.
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/wiring.rs
@@ -12,7 +12,7 @@
 use crate::random::mix;
 use crate::ring::{Doorbell, Receiver, Sender, link};
 use crate::settings::Settings;
-use crate::telemetry::Note;
+use crate::telemetry::{Note, Rings};
 use crate::{
     admission, configuration, execution, intake, ledger, membership, peers, placement, routing, telemetry,
 };
@@ -72,16 +72,18 @@
 struct Inbox<E> {
     bell: Doorbell,
     receivers: Vec<Receiver<E>>,
+    rings: Rings,
 }
 
 impl<E> Inbox<E> {
     fn new(bell: &Doorbell) -> Self {
-        Self { bell: bell.clone(), receivers: Vec::new() }
+        Self { bell: bell.clone(), receivers: Vec::new(), rings: Rings::new() }
     }
 
-    fn ring_from(&mut self, sender_bell: &Doorbell, held_limit: usize) -> Sender<E> {
+    fn ring_from(&mut self, name: &'static str, sender_bell: &Doorbell, held_limit: usize) -> Sender<E> {
         let (sender, receiver) = link(RING_ITEMS, held_limit, sender_bell, &self.bell);
         self.receivers.push(receiver);
+        self.rings.push((name, sender.fill()));
         sender
     }
 }
@@ -117,75 +119,88 @@
         let intake_links = intake::Links {
             bell: bells.intake.clone(),
             inbound: Vec::new(),
-            admission: to_admission.ring_from(&bells.intake, HELD_REQUESTS),
-            execution: to_execution.ring_from(&bells.intake, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.intake, HELD_NOTES),
+            admission: to_admission.ring_from("intake_admission", &bells.intake, HELD_REQUESTS),
+            execution: to_execution.ring_from("intake_execution", &bells.intake, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("intake_telemetry", &bells.intake, HELD_NOTES),
             drained: drained.clone(),
         };
         let admission_links = admission::Links {
             bell: bells.admission.clone(),
             inbound: Vec::new(),
-            intake: to_intake.ring_from(&bells.admission, HELD_ITEMS),
-            routing: to_routing.ring_from(&bells.admission, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.admission, HELD_NOTES),
+            intake: to_intake.ring_from("admission_intake", &bells.admission, HELD_ITEMS),
+            routing: to_routing.ring_from("admission_routing", &bells.admission, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("admission_telemetry", &bells.admission, HELD_NOTES),
         };
         let routing_links = routing::Links {
             bell: bells.routing.clone(),
             inbound: Vec::new(),
-            execution: to_execution.ring_from(&bells.routing, HELD_ITEMS),
-            admission: to_admission.ring_from(&bells.routing, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.routing, HELD_NOTES),
+            execution: to_execution.ring_from("routing_execution", &bells.routing, HELD_ITEMS),
+            admission: to_admission.ring_from("routing_admission", &bells.routing, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("routing_telemetry", &bells.routing, HELD_NOTES),
         };
         let execution_links = execution::Links {
             bell: bells.execution.clone(),
             inbound: Vec::new(),
-            intake: to_intake.ring_from(&bells.execution, HELD_ITEMS),
-            admission: to_admission.ring_from(&bells.execution, HELD_ITEMS),
-            routing: to_routing.ring_from(&bells.execution, HELD_ITEMS),
-            ledger: to_ledger.ring_from(&bells.execution, HELD_ITEMS),
-            membership: to_membership.ring_from(&bells.execution, HELD_ITEMS),
-            peers: to_peers.ring_from(&bells.execution, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.execution, HELD_NOTES),
+            intake: to_intake.ring_from("execution_intake", &bells.execution, HELD_ITEMS),
+            admission: to_admission.ring_from("execution_admission", &bells.execution, HELD_ITEMS),
+            routing: to_routing.ring_from("execution_routing", &bells.execution, HELD_ITEMS),
+            ledger: to_ledger.ring_from("execution_ledger", &bells.execution, HELD_ITEMS),
+            membership: to_membership.ring_from("execution_membership", &bells.execution, HELD_ITEMS),
+            peers: to_peers.ring_from("execution_peers", &bells.execution, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("execution_telemetry", &bells.execution, HELD_NOTES),
         };
         let ledger_links = ledger::Links {
             bell: bells.ledger.clone(),
             inbound: Vec::new(),
-            execution: to_execution.ring_from(&bells.ledger, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.ledger, HELD_NOTES),
+            execution: to_execution.ring_from("ledger_execution", &bells.ledger, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("ledger_telemetry", &bells.ledger, HELD_NOTES),
         };
         let configuration_links = configuration::Links {
             bell: bells.configuration.clone(),
             inbound: Vec::new(),
-            intake: to_intake.ring_from(&bells.configuration, HELD_ITEMS),
-            admission: to_admission.ring_from(&bells.configuration, HELD_ITEMS),
-            routing: to_routing.ring_from(&bells.configuration, HELD_ITEMS),
-            peers: to_peers.ring_from(&bells.configuration, HELD_ITEMS),
-            placement: to_placement.ring_from(&bells.configuration, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.configuration, HELD_NOTES),
+            intake: to_intake.ring_from("configuration_intake", &bells.configuration, HELD_ITEMS),
+            admission: to_admission.ring_from("configuration_admission", &bells.configuration, HELD_ITEMS),
+            routing: to_routing.ring_from("configuration_routing", &bells.configuration, HELD_ITEMS),
+            peers: to_peers.ring_from("configuration_peers", &bells.configuration, HELD_ITEMS),
+            placement: to_placement.ring_from("configuration_placement", &bells.configuration, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("configuration_telemetry", &bells.configuration, HELD_NOTES),
         };
         let membership_links = membership::Links {
             bell: bells.membership.clone(),
             inbound: Vec::new(),
-            routing: to_routing.ring_from(&bells.membership, HELD_ITEMS),
-            peers: to_peers.ring_from(&bells.membership, HELD_ITEMS),
-            placement: to_placement.ring_from(&bells.membership, HELD_ITEMS),
-            telemetry: to_telemetry.ring_from(&bells.membership, HELD_NOTES),
+            routing: to_routing.ring_from("membership_routing", &bells.membership, HELD_ITEMS),
+            peers: to_peers.ring_from("membership_peers", &bells.membership, HELD_ITEMS),
+            placement: to_placement.ring_from("membership_placement", &bells.membership, HELD_ITEMS),
+            telemetry: to_telemetry.ring_from("membership_telemetry", &bells.membership, HELD_NOTES),
         };
         let peers_links = peers::Links {
             bell: bells.peers.clone(),
             inbound: Vec::new(),
-            configuration: to_configuration.ring_from(&bells.peers, HELD_REPORTS),
-            membership: to_membership.ring_from(&bells.peers, HELD_REPORTS),
-            execution: to_execution.ring_from(&bells.peers, HELD_REPORTS),
+            configuration: to_configuration.ring_from("peers_configuration", &bells.peers, HELD_REPORTS),
+            membership: to_membership.ring_from("peers_membership", &bells.peers, HELD_REPORTS),
+            execution: to_execution.ring_from("peers_execution", &bells.peers, HELD_REPORTS),
         };
         let placement_links = placement::Links {
             bell: bells.placement.clone(),
             inbound: Vec::new(),
-            telemetry: to_telemetry.ring_from(&bells.placement, HELD_NOTES),
+            telemetry: to_telemetry.ring_from("placement_telemetry", &bells.placement, HELD_NOTES),
         };
-        let telemetry_intake = to_intake.ring_from(&bells.telemetry, HELD_ITEMS);
-        let stop = to_intake.ring_from(&Doorbell::default(), HELD_ITEMS);
+        let telemetry_intake = to_intake.ring_from("telemetry_intake", &bells.telemetry, HELD_ITEMS);
+        let stop = to_intake.ring_from("daemon_intake", &Doorbell::default(), HELD_ITEMS);
 
+        let rings: Rings = [
+            to_intake.rings,
+            to_admission.rings,
+            to_routing.rings,
+            to_execution.rings,
+            to_ledger.rings,
+            to_configuration.rings,
+            to_membership.rings,
+            to_peers.rings,
+            to_placement.rings,
+            to_telemetry.rings,
+        ]
+        .concat();
         let seed = start_seed(&settings, &clock);
         let own =
             EndpointId { instance: settings.instance.clone(), incarnation: Incarnation(clock.unix_ms()) };
@@ -197,6 +212,7 @@
                 bell: bells.telemetry.clone(),
                 inbound: to_telemetry.receivers,
                 intake: telemetry_intake,
+                rings,
             },
             operators,
             metrics,
--- a/crates/banyannotch/src/ledger/policy.rs
+++ b/crates/banyannotch/src/ledger/policy.rs
@@ -634,6 +634,13 @@
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         self.settle(now_us, actions);
     }
+
+    fn measure(&self, mut gauge: impl FnMut(&'static str, f64)) {
+        let (bytes, keys) = self.index_size();
+        gauge("banyannotch_ledger_index_bytes", bytes as f64);
+        gauge("banyannotch_ledger_index_keys", keys as f64);
+        gauge("banyannotch_ledger_caught_up", f64::from(u8::from(self.is_caught_up())));
+    }
 }
 
 fn answer(request: RequestId, verdict: Verdict, actions: &mut Vec<Action>) {
--- a/crates/banyannotch/src/ring/link.rs
+++ b/crates/banyannotch/src/ring/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use super::{Doorbell, Full, Result};
 
@@ -15,6 +15,18 @@
     starved: Arc<AtomicBool>,
     held: VecDeque<T>,
     held_limit: usize,
+    fill: Fill,
+}
+
+/// How many items wait in the queue of a sender, readable from any thread.
+#[derive(Clone, Debug, Default)]
+pub struct Fill(Arc<AtomicUsize>);
+
+impl Fill {
+    /// Returns how many items waited when the sender last sent or flushed.
+    pub fn held(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 /// Receiving end.
@@ -41,6 +53,7 @@
         starved: Arc::clone(&starved),
         held: VecDeque::new(),
         held_limit,
+        fill: Fill::default(),
     };
     let receiver = Receiver { consumer, sender_bell: sender_bell.clone(), starved };
     (sender, receiver)
@@ -85,11 +98,19 @@
         if moved {
             self.receiver_bell.ring();
         }
+        if moved {
+            self.note_fill();
+        }
         if !self.held.is_empty() {
             self.ask_for_room();
         }
     }
 
+    /// Returns a handle on the number of items that wait, for metrics.
+    pub fn fill(&self) -> Fill {
+        self.fill.clone()
+    }
+
     /// Returns how many items wait in the sender's queue.
     pub fn held(&self) -> usize {
         self.held.len()
@@ -105,10 +126,15 @@
             return Err(Full(item));
         }
         self.held.push_back(item);
+        self.note_fill();
         self.ask_for_room();
         Ok(())
     }
 
+    fn note_fill(&self) {
+        self.fill.0.store(self.held.len(), Ordering::Relaxed);
+    }
+
     fn ask_for_room(&mut self) {
         self.starved.store(true, Ordering::SeqCst);
         // The receiver may have emptied the ring before the flag was set, and would then ring nobody.
--- a/crates/banyannotch/src/ring/tests.rs
+++ b/crates/banyannotch/src/ring/tests.rs
@@ -46,3 +46,20 @@
     producer.join().expect("the producer ends");
     assert!(received.iter().copied().eq(0..ITEMS));
 }
+
+/// Guards against a metric that shows an empty queue while items are held back, or a full one after they have moved.
+#[test]
+fn the_fill_follows_the_held_items() {
+    let (mut sender, mut receiver) = link(1, 2, &Doorbell::default(), &Doorbell::default());
+    let fill = sender.fill();
+    let mut seen = vec![fill.held()];
+    for item in 1..=4 {
+        let _ = sender.send(item);
+        seen.push(fill.held());
+    }
+    while receiver.receive().is_some() {
+        sender.flush();
+        seen.push(fill.held());
+    }
+    assert_eq!(seen, [0, 0, 1, 2, 2, 1, 0, 0]);
+}
--- /dev/null
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -0,0 +1,76 @@
+//! Names and meanings of all metrics, and those that are measured when somebody asks for them.
+
+use metrics::Unit;
+
+use crate::membership::{Endpoint, Health};
+use crate::ring::Fill;
+
+/// The rings of an entry by name, sender first.
+pub type Rings = Vec<(&'static str, Fill)>;
+
+/// Kind of a metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Kind {
+    Counter,
+    Gauge,
+    Histogram,
+}
+
+use Kind::{Counter, Gauge, Histogram};
+
+/// All metrics with their meaning.
+pub(super) const METRICS: &[(&str, Kind, &str)] = &[
+    ("banyannotch_configuration_certain", Gauge, "1 while it is known which configuration is in force"),
+    ("banyannotch_configuration_gaps_total", Counter, "Expired records that the entry never read"),
+    ("banyannotch_configuration_refused_total", Counter, "Configuration records that were refused"),
+    ("banyannotch_configuration_version", Gauge, "Version of the configuration in force"),
+    ("banyannotch_endpoints", Gauge, "Endpoints by health"),
+    (
+        "banyannotch_faults_total",
+        Counter,
+        "Steps or calls that an endpoint did not answer in time or broke off",
+    ),
+    ("banyannotch_foreign_answers_total", Counter, "Answers to another step than the endpoint was asked"),
+    ("banyannotch_in_flight", Gauge, "Requests in flight at the last decision of admission"),
+    ("banyannotch_invariant_violations_total", Counter, "Invariants that did not hold"),
+    ("banyannotch_ledger_answers_total", Counter, "Answers of the ledger by verdict"),
+    ("banyannotch_ledger_appends_total", Counter, "Appends of the ledger by result"),
+    ("banyannotch_ledger_caught_up", Gauge, "1 once the ledger has read its streams to their end"),
+    ("banyannotch_ledger_index_bytes", Gauge, "Memory of the ledger's keys"),
+    ("banyannotch_ledger_index_keys", Gauge, "Keys that the ledger remembers"),
+    ("banyannotch_ledger_items_total", Counter, "Items that the ledger appended"),
+    ("banyannotch_ledger_unreadable_records_total", Counter, "Records of the ledger that cannot be read"),
+    ("banyannotch_notes_lost_total", Counter, "Decisions that were not logged because telemetry fell behind"),
+    ("banyannotch_peer_calls_total", Counter, "Exchanges with other entries by result"),
+    ("banyannotch_peer_reports_lost_total", Counter, "Reports of other entries that found a full ring"),
+    ("banyannotch_quarantined_total", Counter, "Requests that were quarantined because they crash endpoints"),
+    ("banyannotch_recoveries_total", Counter, "Recoveries of requests by method"),
+    ("banyannotch_recovery_stall_seconds", Histogram, "Time without a token during a recovery"),
+    ("banyannotch_rejected_total", Counter, "Requests that intake rejected by reason"),
+    ("banyannotch_requests_total", Counter, "Requests by outcome"),
+    ("banyannotch_ring_held_items", Gauge, "Items that a sender holds back because the ring is full"),
+];
+
+/// Registers the meanings with the recorder.
+pub(super) fn describe() {
+    for (name, kind, help) in METRICS {
+        match kind {
+            Counter => metrics::describe_counter!(*name, *help),
+            Gauge => metrics::describe_gauge!(*name, *help),
+            Histogram => metrics::describe_histogram!(*name, Unit::Seconds, *help),
+        }
+    }
+}
+
+/// Sets the metrics that are sampled when an operator asks.
+pub(super) fn sample(rings: &[(&'static str, Fill)], endpoints: &[Endpoint]) {
+    for (name, fill) in rings {
+        metrics::gauge!("banyannotch_ring_held_items", "ring" => *name).set(fill.held() as f64);
+    }
+    for (name, health) in
+        [("live", Health::Live), ("suspected", Health::Suspected), ("leaving", Health::Leaving)]
+    {
+        let count = endpoints.iter().filter(|endpoint| endpoint.health == health).count();
+        metrics::gauge!("banyannotch_endpoints", "health" => name).set(count as f64);
+    }
+}
--- a/crates/banyannotch/src/telemetry/mod.rs
+++ b/crates/banyannotch/src/telemetry/mod.rs
@@ -3,9 +3,13 @@
 //! See "Operators' port" in `docs/design.md`.
 
 mod messages;
+mod metric;
 mod operators;
 mod runtime;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use messages::{Decision, Note, Switch};
+pub use metric::Rings;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/telemetry/operators.rs
+++ b/crates/banyannotch/src/telemetry/operators.rs
@@ -7,12 +7,13 @@
 use serde_json::{Value, json};
 
 use super::Switch;
+use super::metric::sample;
 use super::state::State;
 use crate::configuration::Configuration;
 use crate::http::{Handler, Request, Response, empty, json as json_response, text};
 use crate::intake;
 use crate::membership::{Endpoint, Health, Role};
-use crate::ring::Sender;
+use crate::ring::{Fill, Sender};
 
 /// Answers operators from the state of telemetry.
 #[derive(Clone)]
@@ -20,6 +21,7 @@
     pub state: Rc<RefCell<State>>,
     pub metrics: PrometheusHandle,
     pub intake: Rc<RefCell<Sender<intake::Event>>>,
+    pub rings: Rc<[(&'static str, Fill)]>,
 }
 
 impl Handler for Operators {
@@ -28,7 +30,10 @@
         match (request.method().as_str(), path.as_str()) {
             ("GET", "/healthz") => json_response(200, &json!({ "status": "ok" })),
             ("GET", "/readyz") => self.ready(),
-            ("GET", "/metrics") => text(200, self.metrics.render()),
+            ("GET", "/metrics") => {
+                sample(&self.rings, &self.state.borrow().endpoints);
+                text(200, self.metrics.render())
+            }
             ("GET", "/v1/status") => json_response(200, &status(&self.state.borrow())),
             ("GET", "/v1/explain") => self.explain(request.uri().query().unwrap_or("")),
             ("GET", "/v1/configuration") => self.configuration(),
--- a/crates/banyannotch/src/telemetry/runtime.rs
+++ b/crates/banyannotch/src/telemetry/runtime.rs
@@ -6,6 +6,7 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use super::metric::{Rings, describe};
 use super::operators::Operators;
 use super::state::{Line, RecordVerdict, State};
 use super::{Decision, Note};
@@ -25,6 +26,8 @@
     pub inbound: Vec<Receiver<Note>>,
     /// To intake, for draining.
     pub intake: Sender<intake::Event>,
+    /// Fill of the entry's rings, for metrics.
+    pub rings: Rings,
 }
 
 /// Starts the thread.
@@ -40,10 +43,15 @@
     identity: (String, Zone),
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
     supervisor.spawn("telemetry", move || async move {
-        let Links { bell, mut inbound, intake } = links;
+        let Links { bell, mut inbound, intake, rings } = links;
+        describe();
         let state = Rc::new(RefCell::new(State::new(identity.0, identity.1)));
-        let operators =
-            Operators { state: Rc::clone(&state), metrics, intake: Rc::new(RefCell::new(intake)) };
+        let operators = Operators {
+            state: Rc::clone(&state),
+            metrics,
+            intake: Rc::new(RefCell::new(intake)),
+            rings: rings.into(),
+        };
         match listener_from_std(listener) {
             Ok(listener) => {
                 actix_rt::spawn(serve(listener, ServerSettings::default(), operators));
--- a/crates/standins/tests/operators.rs
+++ b/crates/standins/tests/operators.rs
@@ -12,6 +12,7 @@
 use std::process::{Command, Output};
 use std::time::Duration;
 
+use banyannotch::http::{Client, ClientSettings};
 use banyannotch_standins::caller::Caller;
 use banyannotch_standins::harness::{DOCUMENT, Deployment, TOKEN, status, wait_until};
 use common::{body, check, check_clean, deployment};
@@ -171,3 +172,34 @@
         assert!(lines.contains("decision=dispatched") && lines.contains(&request), "{lines}");
     });
 }
+
+/// Guards against metrics that are described and never set, and against help texts that are not served.
+#[test]
+fn the_state_of_an_entry_is_in_its_metrics() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment(1, 1);
+        deployment.make_ready().await.expect("the deployment is ready");
+        let operators = deployment.entries[0].operators;
+        let expected = [
+            "banyannotch_endpoints{health=\"live\"} 4",
+            "banyannotch_endpoints{health=\"leaving\"} 0",
+            "banyannotch_ring_held_items{ring=\"intake_admission\"} 0",
+            "banyannotch_ring_held_items{ring=\"ledger_execution\"} 0",
+            "banyannotch_ledger_caught_up 1",
+            "banyannotch_ledger_index_keys 0",
+            "# HELP banyannotch_configuration_version Version of the configuration in force",
+        ];
+        let mut seen = String::new();
+        let all = wait_until(PEERS_LIMIT, async || {
+            let client = Client::new(ClientSettings::default());
+            let answer = client.get(operators, "/metrics", 5_000).await;
+            seen = answer.map_or_else(
+                |error| error.to_string(),
+                |answer| String::from_utf8_lossy(&answer.body).into(),
+            );
+            expected.iter().all(|line| seen.lines().any(|shown| shown == *line))
+        });
+        let all = all.await.is_ok();
+        assert!(all, "{seen}");
+    });
+}
