telemetry: queue length and retry budget

A duty is measured at most twice a second while its state changes, and once more after its last change, so that a gauge does not stay at an old value.

--- a/crates/banyannotch/src/admission/policy.rs
+++ b/crates/banyannotch/src/admission/policy.rs
@@ -284,4 +284,9 @@
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         self.refuse_late(now_us, actions);
     }
+
+    fn measure(&self, mut gauge: impl FnMut(&'static str, f64)) {
+        let queued: usize = self.state.lanes.iter().map(|(_, lane)| lane.queue.len()).sum();
+        gauge("banyannotch_queued", queued as f64);
+    }
 }
--- a/crates/banyannotch/src/duty.rs
+++ b/crates/banyannotch/src/duty.rs
@@ -54,7 +54,8 @@
 /// Most events that a thread takes from one source before it carries out the actions.
 pub const EVENT_BATCH: usize = 256;
 
-/// Shortest time between two measurements of a duty. They are made when the thread wakes up anyway.
+/// Shortest time between two measurements of a duty. A duty whose state does not change is not measured, so that its
+/// thread can sleep.
 const MEASURE_INTERVAL_US: u64 = 500_000;
 
 /// Events that the thread's own tasks (sockets, timers) leave for its policy.
@@ -97,7 +98,7 @@
 {
     let mut events = Vec::with_capacity(EVENT_BATCH);
     let mut actions = Vec::with_capacity(EVENT_BATCH);
-    let mut measure_us = 0;
+    let (mut measure_us, mut changed) = (0, true);
     loop {
         ports.flush();
         ports.receive(&mut events);
@@ -106,19 +107,23 @@
             duty.on_event(clock.now_us(), event, &mut actions);
         }
         let now_us = clock.now_us();
-        if duty.next_timer_us().is_some_and(|due_us| due_us <= now_us) {
+        let timed = duty.next_timer_us().is_some_and(|due_us| due_us <= now_us);
+        if timed {
             duty.on_timer(now_us, &mut actions);
         }
         for action in actions.drain(..) {
             ports.perform(now_us, action);
         }
+        // Events change what is measured, and so may timers.
+        changed |= !idle || timed;
         if idle {
-            let now_us = clock.now_us();
-            if now_us >= measure_us {
+            if changed && now_us >= measure_us {
                 duty.measure(|name, value| metrics::gauge!(name).set(value));
                 measure_us = now_us + MEASURE_INTERVAL_US;
+                changed = false;
             }
-            sleep_until(&clock, &bell, duty.next_timer_us()).await;
+            let timers = [duty.next_timer_us(), changed.then_some(measure_us)];
+            sleep_until(&clock, &bell, timers.into_iter().flatten().min()).await;
         } else {
             // Lets the socket tasks of this thread run between two batches.
             tokio::task::yield_now().await;
--- a/crates/banyannotch/src/execution/budget.rs
+++ b/crates/banyannotch/src/execution/budget.rs
@@ -25,6 +25,11 @@
         self.available_milli = (self.available_milli + earned_milli).min(BURST_RETRIES * MILLI);
     }
 
+    /// Returns how many retries are left.
+    pub fn available(&self) -> f64 {
+        self.available_milli as f64 / MILLI as f64
+    }
+
     /// Takes one retry, or returns false when none is left.
     pub fn take(&mut self) -> bool {
         match self.available_milli.checked_sub(MILLI) {
--- a/crates/banyannotch/src/execution/driver.rs
+++ b/crates/banyannotch/src/execution/driver.rs
@@ -506,6 +506,10 @@
         self.suspects.expire(now_us, &self.settings);
         self.next_tick_us = if self.runs.is_empty() { None } else { Some(now_us + TICK_US) };
     }
+
+    fn measure(&self, mut gauge: impl FnMut(&'static str, f64)) {
+        gauge("banyannotch_retry_budget", self.budget.available());
+    }
 }
 
 /// The ledger answers each claim by its deadline, and only it can tell whether the claim took effect.
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -44,10 +44,12 @@
     ("banyannotch_peer_calls_total", Counter, "Exchanges with other entries by result"),
     ("banyannotch_peer_reports_lost_total", Counter, "Reports of other entries that found a full ring"),
     ("banyannotch_quarantined_total", Counter, "Requests that were quarantined because they crash endpoints"),
+    ("banyannotch_queued", Gauge, "Requests that wait in the queues of admission"),
     ("banyannotch_recoveries_total", Counter, "Recoveries of requests by method"),
     ("banyannotch_recovery_stall_seconds", Histogram, "Time without a token during a recovery"),
     ("banyannotch_rejected_total", Counter, "Requests that intake rejected by reason"),
     ("banyannotch_requests_total", Counter, "Requests by outcome"),
+    ("banyannotch_retry_budget", Gauge, "Retries of calls that are left"),
     ("banyannotch_ring_held_items", Gauge, "Items that a sender holds back because the ring is full"),
 ];
 
--- a/crates/standins/tests/operators.rs
+++ b/crates/standins/tests/operators.rs
@@ -185,6 +185,8 @@
             "banyannotch_endpoints{health=\"leaving\"} 0",
             "banyannotch_ring_held_items{ring=\"intake_admission\"} 0",
             "banyannotch_ring_held_items{ring=\"ledger_execution\"} 0",
+            "banyannotch_queued 0",
+            "banyannotch_retry_budget 32",
             "banyannotch_ledger_caught_up 1",
             "banyannotch_ledger_index_keys 0",
             "# HELP banyannotch_configuration_version Version of the configuration in force",
