--- a/crates/banyannotch/src/duty.rs
+++ b/crates/banyannotch/src/duty.rs
@@ -29,6 +29,9 @@
 
     /// Handles every deadline up to the given time.
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Self::Action>);
+
+    /// Tells the sizes of the state that operators watch, as names and values of gauges.
+    fn measure(&self, _gauge: impl FnMut(&'static str, f64)) {}
 }
 
 /// The edges of a duty's thread: rings, sockets and logs. Nothing is decided here.
@@ -51,6 +54,10 @@
 /// Most events that a thread takes from one source before it carries out the actions.
 pub const EVENT_BATCH: usize = 256;
 
+/// Shortest time between two measurements of a duty. A duty whose state does not change is not measured, so that its
+/// thread can sleep.
+const MEASURE_INTERVAL_US: u64 = 500_000;
+
 /// Events that the thread's own tasks (sockets, timers) leave for its policy.
 #[derive(Debug)]
 pub struct Mailbox<E> {
@@ -91,6 +98,7 @@
 {
     let mut events = Vec::with_capacity(EVENT_BATCH);
     let mut actions = Vec::with_capacity(EVENT_BATCH);
+    let (mut measure_us, mut changed) = (0, true);
     loop {
         ports.flush();
         ports.receive(&mut events);
@@ -99,14 +107,23 @@
             duty.on_event(clock.now_us(), event, &mut actions);
         }
         let now_us = clock.now_us();
-        if duty.next_timer_us().is_some_and(|due_us| due_us <= now_us) {
+        let timed = duty.next_timer_us().is_some_and(|due_us| due_us <= now_us);
+        if timed {
             duty.on_timer(now_us, &mut actions);
         }
         for action in actions.drain(..) {
             ports.perform(now_us, action);
         }
+        // Events change what is measured, and so may timers.
+        changed |= !idle || timed;
         if idle {
-            sleep_until(&clock, &bell, duty.next_timer_us()).await;
+            if changed && now_us >= measure_us {
+                duty.measure(|name, value| metrics::gauge!(name).set(value));
+                measure_us = now_us + MEASURE_INTERVAL_US;
+                changed = false;
+            }
+            let timers = [duty.next_timer_us(), changed.then_some(measure_us)];
+            sleep_until(&clock, &bell, timers.into_iter().flatten().min()).await;
         } else {
             // Lets the socket tasks of this thread run between two batches.
             tokio::task::yield_now().await;
