execution: a step that runs into the deadline is no failure of its endpoint

Cause: the time limit of a step is the time to the request's deadline, and it ends up to one tick (10 ms) before the tick that ends the request. Execution took this for a failed endpoint: it replayed the step elsewhere and reported the endpoint as failed, so that every entry suspected healthy engines.

Ruled out: the step timeout and the probe path.

Change: a time limit that ends at or after the deadline ends the request with the reason deadline. The fake endpoints of the tests now give up after the time limit, like the client of the runtime.

--- a/crates/banyannotch/src/execution/driver.rs
+++ b/crates/banyannotch/src/execution/driver.rs
@@ -174,6 +174,9 @@
     fn on_stepped(&mut self, now_us: u64, report: super::StepReport, actions: &mut Vec<Action>) {
         let request = report.request;
         let awaited = self.awaited_target(&report);
+        if awaited.is_some() && self.ran_into_deadline(now_us, &report) {
+            return self.end(now_us, request, Ending::Deadline, actions);
+        }
         match &report.result {
             Ok(_) if awaited.is_some() && self.suspects.has_trials() => {
                 self.survive(now_us, request, actions);
@@ -212,6 +215,15 @@
         awaited.then(|| outstanding.target.clone())
     }
 
+    /// Returns whether the time limit of a step ended because the request's deadline has passed. The limit is the time to
+    /// the deadline, so it says nothing about the endpoint. Counted as a failure of the endpoint, it made other entries
+    /// suspect healthy engines under overload.
+    fn ran_into_deadline(&self, now_us: u64, report: &super::StepReport) -> bool {
+        let deadline_us = self.runs.get(&report.request).map(|run| run.submission().deadline_us);
+        report.result == Err(StepFault::TimedOut)
+            && deadline_us.is_some_and(|deadline_us| deadline_us <= now_us)
+    }
+
     /// Clears a suspect that an endpoint has survived, and lets the next one run.
     fn survive(&mut self, now_us: u64, request: RequestId, actions: &mut Vec<Action>) {
         if let Some(run) = self.runs.get(&request) {
--- a/crates/banyannotch/src/execution/tests/recovery.rs
+++ b/crates/banyannotch/src/execution/tests/recovery.rs
@@ -3,6 +3,7 @@
 use super::model::reference;
 use super::world::{Fault, World};
 use crate::execution::ExecutionSettings;
+use crate::request::{Failure, Outcome};
 
 const PROMPT: &str = "late flight";
 
@@ -104,3 +105,24 @@
     assert_eq!(world.tokens(1), reference(PROMPT, 3));
     assert!(!world.trace.contains("recovered"), "{}", world.trace);
 }
+
+/// Guards against healthy endpoints that are suspected because a request runs into its deadline there. The time limit of
+/// a step ends up to one tick before the tick that ends the request.
+#[test]
+fn a_step_that_runs_into_the_deadline_is_no_failure_of_its_endpoint() {
+    for deadline_ms in 1_001..=1_010 {
+        let mut world = World::new(2, ExecutionSettings::default());
+        world.faults.insert(2, Fault::Late);
+        world.generate(1, PROMPT, 3, deadline_ms);
+        for _ in 0..110 {
+            let next_us = world.now_us + 10_000;
+            world.run_until(next_us);
+            world.endpoint("e11").batches += 1;
+        }
+        world.run();
+        world.check_ended();
+        assert_eq!(world.outcome(1), &Outcome::Failed(Failure::Deadline), "{}", world.trace);
+        assert!(!world.trace.contains("recovered"), "{}", world.trace);
+        assert_eq!(world.failed, Vec::new(), "{}", world.trace);
+    }
+}
--- a/crates/banyannotch/src/execution/tests/world.rs
+++ b/crates/banyannotch/src/execution/tests/world.rs
@@ -20,6 +20,9 @@
 /// Time of one step at a fake endpoint.
 pub const STEP_US: u64 = 5_000;
 
+/// Time of a late step.
+const LATE_US: u64 = 2_000_000;
+
 /// Longest simulated time of a test.
 const END_US: u64 = 60_000_000;
 
@@ -78,6 +81,8 @@
     pub recorded: Vec<ledger::Recorded>,
     pub violations: Vec<String>,
     pub announced: usize,
+    /// Endpoints that were reported as failed.
+    pub failed: Vec<EndpointId>,
     execution: Execution,
     events: BTreeMap<(u64, u64), Event>,
     /// Endpoints whose answers are among the events.
@@ -129,6 +134,7 @@
             recorded: Vec::new(),
             violations: Vec::new(),
             announced: 0,
+            failed: Vec::new(),
             execution: Execution::new(settings, 7),
             events: BTreeMap::new(),
             answering: BTreeMap::new(),
@@ -297,7 +303,8 @@
             Action::Violated { invariant, request } => {
                 self.violations.push(format!("{} at {request}", invariant.name()));
             }
-            Action::Ledger(_) | Action::Finished(_) | Action::Observed(_) | Action::Failed { .. } => {}
+            Action::Failed { endpoint, .. } => self.failed.push(endpoint),
+            Action::Ledger(_) | Action::Finished(_) | Action::Observed(_) => {}
         }
     }
 
@@ -352,7 +359,11 @@
         let mut result = run(endpoint, order);
         match fault {
             Some(Fault::BreakAfter) => self.answer(at, STEP_US, report(Err(StepFault::Broken))),
-            Some(Fault::Late) => self.answer(at, 2_000_000, report(Ok(result))),
+            // Like the client of the runtime, which gives up after the time limit of the order.
+            Some(Fault::Late) if order.limit_ms * 1_000 < LATE_US => {
+                self.event(order.limit_ms * 1_000, report(Err(StepFault::TimedOut)));
+            }
+            Some(Fault::Late) => self.answer(at, LATE_US, report(Ok(result))),
             Some(Fault::Twice) => {
                 self.answer(at, STEP_US, report(Ok(result.clone())));
                 self.answer(at, STEP_US + 1_000, report(Ok(result)));
