routing: the limit of requests in flight no longer swings or leaves engines idle

Cause: the limit fell by 0.9 for every report (100 ms) while the averaged step time followed only after about 2 s. In the log of a run at 2 times the bound the requests in flight of one entry moved between 8 and 53, and at 0.95 of the bound requests waited in admission although engines had room. The target growth of 2.5 held back too much work for engines of unequal speed.

Ruled out: false alarms (none at 0.95 before the change).

Change: the limit moves in proportion to the distance of growth from its target (gain 0.03 for each report) and is pulled towards an equal share, since entries see the same growth. The target rises from 2.5 to 3.5. The two parts were not measured apart.

--- a/crates/banyannotch/src/routing/limiter.rs
+++ b/crates/banyannotch/src/routing/limiter.rs
@@ -1,20 +1,24 @@
 //! Limit of requests in flight, adapted to the measured growth of step times.
 
-/// Growth of the step time, in relation to a step without waiting, above which the limit falls. A batch that is
-/// joined while it runs delays a step by up to one batch time, so 2 is normal at full use.
-const GROWTH_LIMIT: f64 = 2.5;
+/// Growth of the step time, in relation to a step without waiting, that the limit aims at. A batch that is joined while
+/// it runs delays a step by up to one batch time, so 2 is normal at full use. With 2.5 and a limit that swung, goodput was
+/// 0.91 of the offered load at 0.95 of the bound; a higher target costs longer gaps between tokens.
+const GROWTH_TARGET: f64 = 3.5;
 
-/// Factor by which the limit falls.
-const DECREASE_FACTOR: f64 = 0.9;
+/// Relative change of the limit for each report when the growth is off the target by its whole size. Measured growth lags
+/// by its averaging period and the length of the requests, about 20 reports; a fall by 0.9 for each report made the
+/// requests in flight of an entry swing between 8 and 53.
+const GAIN: f64 = 0.03;
 
-/// Factor by which the limit rises; small, because entries share the endpoints.
-const INCREASE_FACTOR: f64 = 1.02;
+/// Share of the way to the first limit that each report goes. Entries that share endpoints see the same growth, so only
+/// this makes their limits equal.
+const PULL: f64 = 0.005;
 
 /// Share of the limit that must be in use before it rises: an unused limit says nothing about the endpoints.
 const USED_SHARE: f64 = 0.8;
 
-/// Limit of requests in flight for one model. It rises slowly and falls by a factor, so that entries that share
-/// endpoints converge to equal shares without knowing of each other.
+/// Limit of requests in flight for one model. It follows the growth of the step times slowly enough not to swing, and is
+/// pulled towards an equal share, so that entries that share endpoints converge without knowing of each other.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Limiter {
     limit: f64,
@@ -26,15 +30,15 @@
         if self.limit == 0.0 {
             self.limit = first;
         }
-        match growth {
-            Some(growth) if growth > GROWTH_LIMIT => self.limit *= DECREASE_FACTOR,
-            Some(_) if f64::from(in_flight) >= USED_SHARE * self.limit => {
-                self.limit = f64::max(self.limit * INCREASE_FACTOR, self.limit + 1.0);
+        let used = f64::from(in_flight) >= USED_SHARE * self.limit;
+        let change = match growth {
+            Some(growth) if growth > GROWTH_TARGET || used => {
+                GAIN * (GROWTH_TARGET / growth.max(f64::MIN_POSITIVE) - 1.0).min(1.0)
             }
-            // Nothing is measured or the limit is not used: return towards the first limit.
-            _ if self.limit < first => self.limit = f64::min(self.limit * INCREASE_FACTOR, first),
-            _ => {}
-        }
+            // Nothing is measured or the limit is not used.
+            _ => 0.0,
+        };
+        self.limit += change * self.limit + PULL * (first - self.limit);
         self.limit = self.limit.max(least).max(1.0);
         self.limit.ceil() as u32
     }
