execution: hold back the outcome of a quarantined request for 300 ms

The pause before a suspect is tried again stays at 30 to 60 ms; only the outcome of a quarantined request waits longer, 300 to 600 ms.

--- a/crates/banyannotch/src/execution/driver.rs
+++ b/crates/banyannotch/src/execution/driver.rs
@@ -329,11 +329,16 @@
     fn await_news(&mut self, now_us: u64, request: RequestId, first: bool) {
         let Some(run) = self.runs.get(&request) else { return };
         let fingerprint = run.submission().fingerprint();
-        if first || self.suspects.is_quarantined(fingerprint) {
-            let least_us = self.settings.suspect_pause_ms * US_PER_MS;
-            let further_us = self.random.below(usize::try_from(least_us).unwrap_or(usize::MAX)) as u64;
-            self.suspects.hold(fingerprint, now_us + least_us + further_us);
-        }
+        let least_ms = if self.suspects.is_quarantined(fingerprint) {
+            self.settings.quarantine_notice_ms
+        } else if first {
+            self.settings.suspect_pause_ms
+        } else {
+            return;
+        };
+        let least_us = least_ms * US_PER_MS;
+        let further_us = self.random.below(usize::try_from(least_us).unwrap_or(usize::MAX)) as u64;
+        self.suspects.hold(fingerprint, now_us + least_us + further_us);
     }
 
     /// Goes on after a broken connection, unless the request's content is what breaks endpoints.
--- a/crates/banyannotch/src/execution/state.rs
+++ b/crates/banyannotch/src/execution/state.rs
@@ -33,6 +33,9 @@
     /// Shortest pause of a request whose first step crashed an endpoint, so that news of the same content from another
     /// entry arrives first; the pause is random up to twice as long.
     pub suspect_pause_ms: u64,
+    /// How long the outcome of a quarantined request is held back, so that the other entries refuse its resend. It covers
+    /// an exchange between busy entries.
+    pub quarantine_notice_ms: u64,
     /// How long a content is held back here after another entry reported a crash with it, because that entry is trying
     /// it again.
     pub shared_turn_ms: u64,
@@ -55,6 +58,7 @@
             suspect_memory_ms: 600_000,
             suspect_limit: 1_024,
             suspect_pause_ms: 30,
+            quarantine_notice_ms: 300,
             shared_turn_ms: 300,
             common_cause_endpoints: 3,
             common_cause_window_ms: 2_000,
--- a/crates/banyannotch/src/settings/check.rs
+++ b/crates/banyannotch/src/settings/check.rs
@@ -62,6 +62,7 @@
     // Without room for suspects, no request that crashes endpoints would be found.
     range("execution.suspect_limit", 1, ITEMS),
     range("execution.suspect_pause_ms", 1, 1_000),
+    range("execution.quarantine_notice_ms", 0, 10_000),
     range("execution.shared_turn_ms", 0, 10_000),
     // With one endpoint, each crash would count as a common cause and nobody would be blamed.
     range("execution.common_cause_endpoints", 2, 10_000),
