routing: what nobody notices is no waiting

The limit of requests in flight stayed at 6 of 32: with stages of 0.4 ms the growth of step times is that of timers and connections, and the limit rises by 3 % of itself for each report at most. Ruled out: the rings and the HTTP path, since added time for a token step was -6 us at the median. Change: 2 ms of a step, a twentieth of the 41 ms allowed between tokens, do not count as waiting; without any waiting the limit rises by 6 % a report instead of 3 %. Both new tests fail with the old constants.

--- a/crates/banyannotch/src/routing/limiter.rs
+++ b/crates/banyannotch/src/routing/limiter.rs
@@ -10,6 +10,13 @@
 /// requests in flight of an entry swing between 8 and 53.
 const GAIN: f64 = 0.03;
 
+/// The same while the growth shows no waiting at all, so that a burst or a lone entry soon gets what is free: the limit
+/// grows by 1.8 times in a second.
+const FREE_GAIN: f64 = 0.06;
+
+/// Growth below which nothing waits.
+const FREE_GROWTH: f64 = 1.0;
+
 /// Share of the way to the first limit that each report goes. Entries that share endpoints see the same growth, so only
 /// this makes their limits equal.
 const PULL: f64 = 0.005;
@@ -32,6 +39,7 @@
         }
         let used = f64::from(in_flight) >= USED_SHARE * self.limit;
         let change = match growth {
+            Some(growth) if growth < FREE_GROWTH && used => FREE_GAIN,
             Some(growth) if growth > GROWTH_TARGET || used => {
                 GAIN * (GROWTH_TARGET / growth.max(f64::MIN_POSITIVE) - 1.0).min(1.0)
             }
--- a/crates/banyannotch/src/routing/meter.rs
+++ b/crates/banyannotch/src/routing/meter.rs
@@ -24,6 +24,11 @@
 /// Measured times lose half of their weight in this time, so that a slow endpoint is tried again.
 const MEASURED_HALF_LIFE_US: f64 = 2_000_000.0;
 
+/// Part of a step's time that does not count as waiting: a twentieth of the 41 ms that may pass between two tokens. For
+/// stages below a millisecond the growth is otherwise that of timers and connections, and kept the limit at a fifth of
+/// what the engines carried.
+const UNNOTICED_US: f64 = 2_000.0;
+
 /// Fewest positions of a step from which the time of a position is derived.
 const PREFILL_POSITIONS: u32 = 8;
 
@@ -148,11 +153,12 @@
         if self.measured_at_us.is_some() { self.base_us } else { link_us + self.step_us() }
     }
 
-    /// Returns the measured step time in relation to the step time without waiting, if it was measured recently.
+    /// Returns the measured step time, less what nobody notices, in relation to the step time without waiting, if it was
+    /// measured recently.
     pub fn growth(&self, now_us: u64) -> Option<f64> {
         let at_us = self.measured_at_us?;
         let recent = now_us.saturating_sub(at_us) as f64 <= MEASURED_HALF_LIFE_US;
-        recent.then(|| self.measured_us / self.base_us.max(1.0))
+        recent.then(|| (self.measured_us - UNNOTICED_US).max(0.0) / self.base_us.max(1.0))
     }
 
     /// Returns what the last report says.
--- a/crates/banyannotch/src/routing/tests/limits.rs
+++ b/crates/banyannotch/src/routing/tests/limits.rs
@@ -4,7 +4,10 @@
 
 use insta::assert_snapshot;
 
+use crate::ids::EndpointId;
+use crate::routing::Observation;
 use crate::routing::limiter::Limiter;
+use crate::routing::meter::Meter;
 
 /// The growth of the step time if the endpoints carry `carried` requests without waiting.
 fn growth(in_flight: u32, carried: f64) -> Option<f64> {
@@ -78,3 +81,28 @@
     assert!(most * 10 <= least * 12, "the limit swings between {least} and {most}");
     assert!(limits[0].abs_diff(limits[1]) <= 5, "the limits of two entries are {limits:?}");
 }
+
+/// Guards against a limit that rises so slowly that a burst, or the only entry, waits beside idle engines.
+#[test]
+fn limit_of_a_lone_entry_soon_gets_what_is_free() {
+    let mut limiter = Limiter::default();
+    let mut limit = 6;
+    for _ in 0..30 {
+        limit = limiter.adapt(Some(0.0), limit, 1.0, 6.0);
+    }
+    assert!(limit >= 30, "the limit is {limit} after 3 s in which nothing waited");
+}
+
+/// Guards against timers and connections that are taken for waiting: they kept the limit at 6 where 32 requests had room.
+#[test]
+fn short_steps_of_uneven_length_are_not_taken_for_waiting() {
+    let mut meter = Meter::default();
+    let mut now_us = 0;
+    for step in 0..1_000_u64 {
+        let elapsed_us = if step.is_multiple_of(2) { 80 } else { 1_800 };
+        now_us += elapsed_us;
+        let observation = Observation { endpoint: EndpointId::new("e", 1), positions: 1, elapsed_us };
+        meter.on_observation(now_us, &observation, 0.0);
+    }
+    assert_eq!(meter.growth(now_us), Some(0.0));
+}
