intake, configuration: an entry that wakes up admits nothing before it has contact

Ruled out: a late event; the flag itself is the fault, because it does not age. The new test fails without the comparison.

--- a/crates/banyannotch/src/configuration/contact.rs
+++ b/crates/banyannotch/src/configuration/contact.rs
@@ -36,6 +36,11 @@
         changed.then_some(certain)
     }
 
+    /// Returns the time up to which it is known what is in force, without another answer.
+    pub fn until_us(&self) -> u64 {
+        self.last_us + self.limit_us
+    }
+
     /// Returns when certainty ends without another answer.
     pub fn due_us(&self) -> Option<u64> {
         self.certain.then_some(self.last_us + self.limit_us)
--- a/crates/banyannotch/src/configuration/messages.rs
+++ b/crates/banyannotch/src/configuration/messages.rs
@@ -114,6 +114,9 @@
     },
     /// Tell intake whether it is known what is in force.
     Certain(bool),
+    /// Tell intake up to which time that is known, so that a process that was frozen does not admit requests before
+    /// this duty has run again.
+    CertainUntil(u64),
     /// Tell telemetry which versions the peers last reported.
     Peers(Arc<[PeerVersion]>),
     /// Log a decision.
--- a/crates/banyannotch/src/configuration/policy.rs
+++ b/crates/banyannotch/src/configuration/policy.rs
@@ -29,6 +29,9 @@
     sent_us: u64,
 }
 
+/// Progress of certainty that intake is told of, so that not each answer of a peer costs a message.
+const CERTAINTY_STEP_US: u64 = 250 * US_PER_MS;
+
 /// The policy of configuration.
 #[derive(Debug)]
 pub struct Acceptance {
@@ -44,6 +47,8 @@
     published: ConfigVersion,
     claimed: LogOffset,
     contact: Contact,
+    /// Last time that was told to intake.
+    told_until_us: u64,
     restating: Restating,
     peers: PeerVersions,
     started: bool,
@@ -63,6 +68,7 @@
             published: ConfigVersion::default(),
             claimed: LogOffset::default(),
             contact: Contact::new(uncertain_after_us),
+            told_until_us: 0,
             restating: Restating::new(settings.retention_ms, Random::seeded(seed)),
             peers: PeerVersions::new(uncertain_after_us),
             started: false,
@@ -292,6 +298,11 @@
             actions.push(Action::Decide(Decision::Certain(certain)));
             actions.push(Action::Certain(certain));
         }
+        let until_us = self.contact.until_us();
+        if self.contact.is_certain() && until_us >= self.told_until_us + CERTAINTY_STEP_US {
+            self.told_until_us = until_us;
+            actions.push(Action::CertainUntil(until_us));
+        }
     }
 
     fn tell_peers(&mut self, now_us: u64, actions: &mut Vec<Action>) {
--- a/crates/banyannotch/src/configuration/runtime.rs
+++ b/crates/banyannotch/src/configuration/runtime.rs
@@ -99,6 +99,10 @@
                 let event = intake::Event::Certain(certain);
                 self.links.intake.send_or_fail(event, "configuration_intake", &self.supervisor);
             }
+            Action::CertainUntil(until_us) => {
+                let event = intake::Event::CertainUntil(until_us);
+                self.links.intake.send_or_fail(event, "configuration_intake", &self.supervisor);
+            }
             Action::Peers(versions) => Note::Peers(versions).send(&mut self.links.telemetry),
             Action::Decide(decision) => {
                 count(&decision);
--- a/crates/banyannotch/src/configuration/tests/world.rs
+++ b/crates/banyannotch/src/configuration/tests/world.rs
@@ -119,6 +119,7 @@
                 }
                 Action::Claim { stated, through } => self.claim = Some((stated, through)),
                 Action::Certain(certain) => self.certain = certain,
+                Action::CertainUntil(_) => {}
                 Action::Peers(versions) => {
                     let versions: Vec<String> = versions
                         .iter()
--- a/crates/banyannotch/src/intake/messages.rs
+++ b/crates/banyannotch/src/intake/messages.rs
@@ -27,6 +27,8 @@
     Configured(Arc<Configuration>),
     /// Whether it is still known which configuration is in force.
     Certain(bool),
+    /// The time up to which that is known without further contact.
+    CertainUntil(u64),
     /// Take no more requests and finish those in flight.
     Drain,
 }
--- a/crates/banyannotch/src/intake/policy.rs
+++ b/crates/banyannotch/src/intake/policy.rs
@@ -33,6 +33,8 @@
     settings: IntakeSettings,
     configuration: Option<Arc<Configuration>>,
     certain: bool,
+    /// Time after which it is not known any more which configuration is in force.
+    certain_until_us: u64,
     /// When a draining entry stops taking requests.
     closing_us: Option<u64>,
     closed: bool,
@@ -46,6 +48,7 @@
             settings,
             configuration: None,
             certain: true,
+            certain_until_us: u64::MAX,
             closing_us: None,
             closed: false,
             open: Table::default(),
@@ -71,7 +74,8 @@
         if self.closed {
             return Err(Rejection::Draining);
         }
-        let configuration = self.configuration.as_ref().filter(|_| self.certain);
+        let configuration =
+            self.configuration.as_ref().filter(|_| self.certain && now_us < self.certain_until_us);
         let configuration = configuration.ok_or(Rejection::Unconfigured)?;
         let team = authenticate(configuration, &arrived.token_sha256)?;
         let preset = configuration.active();
@@ -155,6 +159,7 @@
             Event::Gone(request) => self.on_gone(request, actions),
             Event::Configured(configuration) => self.configuration = Some(configuration),
             Event::Certain(certain) => self.certain = certain,
+            Event::CertainUntil(until_us) => self.certain_until_us = until_us,
             Event::Drain => {
                 let notice_us = self.settings.drain_notice_ms * US_PER_MS;
                 self.closing_us.get_or_insert(now_us + notice_us);
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -107,7 +107,11 @@
                     self.readiness.draining = true;
                     Note::Draining.send(&mut self.links.telemetry);
                 }
-                Event::Arrived(_) | Event::Reply(_) | Event::Taken { .. } | Event::Gone(_) => {}
+                Event::Arrived(_)
+                | Event::Reply(_)
+                | Event::CertainUntil(_)
+                | Event::Taken { .. }
+                | Event::Gone(_) => {}
             }
         }
         self.front.set_ready(self.readiness.is_ready());
--- a/crates/banyannotch/src/intake/tests.rs
+++ b/crates/banyannotch/src/intake/tests.rs
@@ -165,6 +165,20 @@
     insta::assert_snapshot!(report);
 }
 
+/// Guards against requests that a process admits right after it was frozen, before configuration has run again.
+#[test]
+fn after_a_freeze_nothing_is_taken_until_there_is_contact() {
+    let mut run = Run::new();
+    run.take(Event::CertainUntil(5_000_000));
+    run.now_us = 4_999_999;
+    let mut report = format!("within the time\n{}", lines(&run.arrive(generate(1))));
+    run.now_us = 60_000_000;
+    write!(report, "woken up\n{}", lines(&run.arrive(generate(2)))).expect("a string takes text");
+    run.take(Event::CertainUntil(65_000_000));
+    write!(report, "in contact again\n{}", lines(&run.arrive(generate(3)))).expect("a string takes text");
+    insta::assert_snapshot!(report);
+}
+
 #[test]
 fn tokens_out_of_order_or_after_the_end_do_not_reach_the_caller() {
     let mut run = Run::new();
