entry, ring: rings apart from threads, one way to receive

entry/wiring.rs did two jobs in one function of 230 lines: rings.rs now connects the duties and start.rs starts them.

--- a/crates/banyannotch/src/admission/runtime.rs
+++ b/crates/banyannotch/src/admission/runtime.rs
@@ -5,7 +5,7 @@
 use crate::duty::{self, Ports, Supervisor};
 use crate::intake;
 use crate::request::{Outcome, Reply};
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::routing;
 use crate::telemetry::{Decision, Note};
 
@@ -51,9 +51,7 @@
     type Action = Action;
 
     fn receive(&mut self, events: &mut Vec<Event>) {
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
--- a/crates/banyannotch/src/configuration/runtime.rs
+++ b/crates/banyannotch/src/configuration/runtime.rs
@@ -11,7 +11,7 @@
 use crate::ids::{InstanceId, LogOffset};
 use crate::pipeline::Address;
 use crate::platform::{HttpLog, LogService};
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::telemetry::Note;
 use crate::{admission, intake, peers, placement, routing, telemetry};
 
@@ -80,9 +80,7 @@
 
     fn receive(&mut self, events: &mut Vec<Event>) {
         self.mailbox.take_into(events);
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
--- a/crates/banyannotch/src/entry/mod.rs
+++ b/crates/banyannotch/src/entry/mod.rs
@@ -3,7 +3,8 @@
 //! See "Code structure" in `docs/design.md`.
 
 mod error;
-mod wiring;
+mod rings;
+mod start;
 
 pub use error::{EntryError, Result};
-pub use wiring::{Addresses, Entry};
+pub use start::{Addresses, Entry};
--- a/crates/banyannotch/src/entry/wiring.rs
+++ b/crates/banyannotch/src/entry/rings.rs
@@ -1,17 +1,6 @@
-//! The rings and threads of an entry.
+//! The rings that join the duties of an entry.
 
-use std::net::TcpListener;
-
-use metrics_exporter_prometheus::PrometheusBuilder;
-
-use super::{EntryError, Result};
-use crate::clock::{Clock, SystemClock};
-use crate::duty::Supervisor;
-use crate::ids::{EndpointId, Incarnation};
-use crate::pipeline::Address;
-use crate::random::mix;
 use crate::ring::{Doorbell, Receiver, Sender, link};
-use crate::settings::Settings;
 use crate::telemetry::{Note, Rings};
 use crate::{
     admission, configuration, execution, intake, ledger, membership, peers, placement, routing, telemetry,
@@ -33,24 +22,20 @@
 /// Reports of other entries that may be held back before they are lost and counted.
 const HELD_REPORTS: usize = 1 << 12;
 
-/// A running entry.
-#[derive(Debug)]
-pub struct Entry {
-    addresses: Addresses,
-    supervisor: Supervisor,
-    drained: Doorbell,
-    stop: Sender<intake::Event>,
-}
-
-/// Where an entry listens; ports that the settings leave open are filled in.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: Address,
-    /// For other entries.
-    pub peers: Address,
-    /// For operators.
-    pub operators: Address,
+/// The ends of the rings that each duty gets.
+pub(super) struct Links {
+    pub intake: intake::Links,
+    pub admission: admission::Links,
+    pub routing: routing::Links,
+    pub execution: execution::Links,
+    pub ledger: ledger::Links,
+    pub configuration: configuration::Links,
+    pub membership: membership::Links,
+    pub peers: peers::Links,
+    pub placement: placement::Links,
+    pub telemetry: telemetry::Links,
+    /// For the daemon, to stop the entry.
+    pub stop: Sender<intake::Event>,
 }
 
 /// Wake-ups of the duties' threads.
@@ -88,23 +73,10 @@
     }
 }
 
-impl Entry {
-    /// Starts an entry. Its threads run until the process ends.
-    ///
-    /// # Errors
-    /// Returns [`EntryError`] when a listener or thread cannot be had.
-    pub fn start(settings: Settings) -> Result<Self> {
-        let clock = SystemClock::start();
-        let supervisor = Supervisor::default();
-        let drained = Doorbell::default();
+impl Links {
+    /// Creates all rings. `drained` is rung when everything has been answered while draining.
+    pub fn connect(drained: &Doorbell) -> Self {
         let bells = Bells::default();
-        let (callers, callers_address) = listen("callers", settings.callers)?;
-        let (operators, operators_address) = listen("operators", settings.operators)?;
-        let (peers, peers_address) = listen("peers", settings.peers)?;
-        let metrics = PrometheusBuilder::new()
-            .install_recorder()
-            .map_err(|error| EntryError::Metrics(error.to_string()))?;
-
         let mut to_intake = Inbox::new(&bells.intake);
         let mut to_admission = Inbox::new(&bells.admission);
         let mut to_routing = Inbox::new(&bells.routing);
@@ -201,129 +173,26 @@
             to_telemetry.rings,
         ]
         .concat();
-        let seed = start_seed(&settings, &clock);
-        let own =
-            EndpointId { instance: settings.instance.clone(), incarnation: Incarnation(clock.unix_ms()) };
-        let s = &supervisor;
-        telemetry::spawn(
-            s,
-            clock,
-            telemetry::Links {
+        Self {
+            intake: intake::Links { inbound: to_intake.receivers, ..intake_links },
+            admission: admission::Links { inbound: to_admission.receivers, ..admission_links },
+            routing: routing::Links { inbound: to_routing.receivers, ..routing_links },
+            execution: execution::Links { inbound: to_execution.receivers, ..execution_links },
+            ledger: ledger::Links { inbound: to_ledger.receivers, ..ledger_links },
+            configuration: configuration::Links {
+                inbound: to_configuration.receivers,
+                ..configuration_links
+            },
+            membership: membership::Links { inbound: to_membership.receivers, ..membership_links },
+            peers: peers::Links { inbound: to_peers.receivers, ..peers_links },
+            placement: placement::Links { inbound: to_placement.receivers, ..placement_links },
+            telemetry: telemetry::Links {
                 bell: bells.telemetry.clone(),
                 inbound: to_telemetry.receivers,
                 intake: telemetry_intake,
                 rings,
             },
-            operators,
-            metrics,
-            (settings.instance.to_string(), settings.zone.clone()),
-        )?;
-        peers::spawn(
-            s,
-            clock,
-            peers::Links { inbound: to_peers.receivers, ..peers_links },
-            peers,
-            settings.exchange,
-            (own.clone(), operators_address),
-            settings.known_peers,
-        )?;
-        ledger::spawn(
-            s,
-            clock,
-            ledger::Links { inbound: to_ledger.receivers, ..ledger_links },
-            settings.ledger,
-            settings.instance.clone(),
-            settings.log,
-            mix(seed ^ 5),
-        )?;
-        execution::spawn(
-            s,
-            clock,
-            execution::Links { inbound: to_execution.receivers, ..execution_links },
-            settings.execution,
-            mix(seed ^ 1),
-        )?;
-        routing::spawn(
-            s,
-            clock,
-            routing::Links { inbound: to_routing.receivers, ..routing_links },
-            routing::Surroundings { zone: settings.zone.clone(), settings: settings.routing },
-            mix(seed ^ 2),
-        )?;
-        admission::spawn(
-            s,
-            clock,
-            admission::Links { inbound: to_admission.receivers, ..admission_links },
-            settings.admission,
-        )?;
-        membership::spawn(
-            s,
-            clock,
-            membership::Links { inbound: to_membership.receivers, ..membership_links },
-            settings.membership,
-            settings.instance_list,
-            settings.instance.clone(),
-        )?;
-        configuration::spawn(
-            s,
-            clock,
-            configuration::Links { inbound: to_configuration.receivers, ..configuration_links },
-            settings.configuration,
-            settings.instance,
-            settings.log,
-            mix(seed ^ 4),
-        )?;
-        placement::spawn(
-            s,
-            clock,
-            placement::Links { inbound: to_placement.receivers, ..placement_links },
-            settings.placement,
-            settings.log,
-            own,
-        )?;
-        intake::spawn(
-            s,
-            clock,
-            intake::Links { inbound: to_intake.receivers, ..intake_links },
-            callers,
-            settings.intake,
-            mix(seed ^ 3),
-        )?;
-        let addresses =
-            Addresses { callers: callers_address, peers: peers_address, operators: operators_address };
-        Ok(Self { addresses, supervisor, drained, stop })
-    }
-
-    /// Returns where the entry listens.
-    pub fn addresses(&self) -> Addresses {
-        self.addresses
-    }
-
-    /// Begins a graceful shutdown: takes no more requests after a notice and finishes those in flight.
-    pub fn drain(&mut self) {
-        self.stop.send_or_fail(intake::Event::Drain, "daemon_intake", &self.supervisor);
-    }
-
-    /// Waits until all requests of a draining entry have been answered.
-    pub async fn drained(&self) {
-        self.drained.wait().await;
-    }
-
-    /// Waits until a duty's thread has ended, after which the entry cannot keep its promises.
-    pub async fn failed(&self) {
-        self.supervisor.wait().await;
+            stop,
+        }
     }
 }
-
-/// Different at each start, so that identifiers of two starts never meet.
-fn start_seed<C: Clock>(settings: &Settings, clock: &C) -> u64 {
-    let name = settings.instance.as_str().bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
-    mix(name ^ clock.unix_ms()) ^ mix(u64::from(std::process::id()))
-}
-
-fn listen(port: &'static str, address: Address) -> Result<(TcpListener, Address)> {
-    let failed = |source| EntryError::Listen { port, address, source };
-    let listener = TcpListener::bind(address).map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
-    Ok((listener, bound))
-}
--- a/crates/banyannotch/src/execution/runtime.rs
+++ b/crates/banyannotch/src/execution/runtime.rs
@@ -14,7 +14,7 @@
 };
 use crate::http::{CallError, Client, ClientSettings};
 use crate::pipeline::Target;
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::routing::Observation;
 use crate::telemetry::{Decision, Note};
 use crate::{admission, intake, ledger, membership, peers, routing};
@@ -92,9 +92,7 @@
 
     fn receive(&mut self, events: &mut Vec<Event>) {
         self.mailbox.take_into(events);
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -11,7 +11,7 @@
 use crate::execution;
 use crate::http::{ServerSettings, listener_from_std, serve};
 use crate::request::{NotRun, Outcome, Reply};
-use crate::ring::{Doorbell, Full, Receiver, Sender};
+use crate::ring::{Doorbell, Full, Receiver, Sender, receive_batch};
 use crate::telemetry::Note;
 
 /// Rings of the duty.
@@ -96,9 +96,7 @@
     fn receive(&mut self, events: &mut Vec<Event>) {
         self.mailbox.take_into(events);
         let begin = events.len();
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
         for event in events.iter().skip(begin) {
             match event {
                 Event::Configured(_) => self.readiness.configured = true,
--- a/crates/banyannotch/src/ledger/runtime.rs
+++ b/crates/banyannotch/src/ledger/runtime.rs
@@ -13,7 +13,7 @@
 use crate::ids::{Incarnation, InstanceId, LogOffset};
 use crate::pipeline::Address;
 use crate::platform::{HttpLog, LogService};
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::telemetry::{Decision, Note};
 
 /// Rings of the duty.
@@ -80,9 +80,7 @@
     fn receive(&mut self, events: &mut Vec<Input>) {
         events.push(Input::Clock { unix_ms: self.clock.unix_ms() });
         self.mailbox.take_into(events);
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH).map(Input::Asked));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH).map(Input::Asked));
         // The clock alone is no reason to go on, except at the start.
         let started = std::mem::replace(&mut self.started, true);
         if started && events.len() == 1 {
--- a/crates/banyannotch/src/peers/runtime.rs
+++ b/crates/banyannotch/src/peers/runtime.rs
@@ -11,7 +11,7 @@
 use crate::http::listener_from_std;
 use crate::ids::EndpointId;
 use crate::pipeline::Address;
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::{configuration, execution, membership};
 
 /// Rings of the duty.
@@ -75,9 +75,7 @@
 
     fn receive(&mut self, events: &mut Vec<Event>) {
         self.mailbox.take_into(events);
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
--- a/crates/banyannotch/src/placement/runtime.rs
+++ b/crates/banyannotch/src/placement/runtime.rs
@@ -13,7 +13,7 @@
 use crate::ids::{EndpointId, LogOffset};
 use crate::pipeline::Address;
 use crate::platform::{HttpLog, LogService};
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::telemetry::{Decision, Note};
 
 /// How long a read waits for a record.
@@ -75,9 +75,7 @@
 
     fn receive(&mut self, events: &mut Vec<Event>) {
         self.mailbox.take_into(events);
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
--- a/crates/banyannotch/src/random.rs
+++ b/crates/banyannotch/src/random.rs
@@ -23,6 +23,11 @@
         self.0.random()
     }
 
+    /// Returns 64 random bits, for seeds.
+    pub fn word(&mut self) -> u64 {
+        self.0.random()
+    }
+
     /// Returns a number in `[0, 1)`.
     pub fn unit(&mut self) -> f64 {
         self.0.random()
--- a/crates/banyannotch/src/ring/link.rs
+++ b/crates/banyannotch/src/ring/link.rs
@@ -159,3 +159,8 @@
         self.consumer.slots()
     }
 }
+
+/// Takes the waiting items of several rings, at most `batch` of each, so that a busy ring does not starve the others.
+pub fn receive_batch<T>(rings: &mut [Receiver<T>], batch: usize) -> impl Iterator<Item = T> {
+    rings.iter_mut().flat_map(move |ring| std::iter::from_fn(move || ring.receive()).take(batch))
+}
--- a/crates/banyannotch/src/ring/mod.rs
+++ b/crates/banyannotch/src/ring/mod.rs
@@ -11,4 +11,4 @@
 
 pub use doorbell::Doorbell;
 pub use error::{Full, Result};
-pub use link::{Fill, Receiver, Sender, link};
+pub use link::{Fill, Receiver, Sender, link, receive_batch};
--- a/crates/banyannotch/src/routing/runtime.rs
+++ b/crates/banyannotch/src/routing/runtime.rs
@@ -8,7 +8,7 @@
 use crate::clock::Clock;
 use crate::duty::{self, Ports, Supervisor};
 use crate::execution;
-use crate::ring::{Doorbell, Receiver, Sender};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 use crate::telemetry::{Decision, Note};
 
 /// Rings of the duty.
@@ -75,9 +75,7 @@
     type Action = Action;
 
     fn receive(&mut self, events: &mut Vec<Event>) {
-        for ring in &mut self.links.inbound {
-            events.extend(std::iter::from_fn(|| ring.receive()).take(duty::EVENT_BATCH));
-        }
+        events.extend(receive_batch(&mut self.links.inbound, duty::EVENT_BATCH));
     }
 
     fn perform(&mut self, _now_us: u64, action: Action) {
