--- a/crates/banyannotch/src/execution/driver.rs
+++ b/crates/banyannotch/src/execution/driver.rs
@@ -4,18 +4,17 @@
 use super::call::{self, Call};
 use super::error::StepFault;
 use super::generation::{Awaiting, Generation};
-use super::phase::Phase;
+use super::outcome::{call_outcome, outcome_of, recorded, report_end};
 use super::state::{Context, Ending, ExecutionSettings, Flow};
 use super::suspects::Suspects;
 use super::{Action, Decision, Event, Progress, Suspicion};
-use crate::admission::Finished;
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::ids::{EndpointId, RequestId};
-use crate::ledger::{self, Recorded};
+use crate::ledger;
 use crate::pipeline::Target;
 use crate::random::Random;
-use crate::request::{Completion, Doubt, Failure, NotRun, Outcome, Reply, Submission, Work};
+use crate::request::{NotRun, Outcome, Submission, Work};
 use crate::routing::{Assignment, Start, Substitute};
 use crate::table::Table;
 
@@ -581,68 +580,3 @@
         Run::Call(call) => matches!(call.awaiting, call::Awaiting::Substitute { .. }),
     }
 }
-
-/// A call that was dispatched and has no answer may have run, unlike a generation, which has no effect but its tokens.
-fn call_outcome(ending: Ending, phase: Phase) -> Outcome {
-    let doubt = Outcome::Unknown(Doubt::NoAnswer);
-    match ending {
-        Ending::Cancelled => phase.end(NotRun::Cancelled, doubt),
-        Ending::Deadline => phase.end(NotRun::Deadline, doubt),
-        Ending::NoSubstitute => phase.end(NotRun::NoRoute, doubt),
-        Ending::Exhausted => phase.end(NotRun::Refused, doubt),
-        Ending::Quarantined => phase.end(NotRun::Quarantined, doubt),
-        other => outcome_of(other, phase, 0),
-    }
-}
-
-fn outcome_of(ending: Ending, phase: Phase, tokens: u32) -> Outcome {
-    match ending {
-        Ending::Completed => Outcome::Completed(Completion::Generated { tokens }),
-        Ending::Called(result) => Outcome::Completed(Completion::Called { result }),
-        Ending::Cancelled => phase.end(NotRun::Cancelled, Outcome::Failed(Failure::Cancelled)),
-        Ending::Deadline => phase.end(NotRun::Deadline, Outcome::Failed(Failure::Deadline)),
-        Ending::NoSubstitute => phase.end(NotRun::NoRoute, Outcome::Failed(Failure::NoReplacement)),
-        Ending::Exhausted => phase.end(NotRun::Refused, Outcome::Failed(Failure::RetriesExhausted)),
-        Ending::Quarantined => phase.end(NotRun::Quarantined, Outcome::Failed(Failure::Quarantined)),
-        Ending::ServiceFailed => Outcome::Failed(Failure::Service),
-        Ending::Doubtful(doubt) => Outcome::Unknown(doubt),
-        Ending::NotGranted(reason) => phase.end(reason, Outcome::Failed(Failure::RetriesExhausted)),
-        Ending::Recorded(recorded) => match recorded {
-            Recorded::Completed { result } => Outcome::Completed(Completion::Called { result }),
-            Recorded::Failed(failure) => Outcome::Failed(failure),
-            Recorded::NotRun(reason) => Outcome::NotRun(reason),
-            Recorded::Unknown(doubt) => Outcome::Unknown(doubt),
-        },
-    }
-}
-
-fn recorded(outcome: &Outcome) -> Recorded {
-    match outcome {
-        Outcome::Completed(Completion::Called { result }) => Recorded::Completed { result: result.clone() },
-        Outcome::Completed(Completion::Generated { .. }) => Recorded::Completed { result: String::new() },
-        Outcome::NotRun(reason) => Recorded::NotRun(*reason),
-        Outcome::Failed(failure) => Recorded::Failed(*failure),
-        Outcome::Unknown(doubt) => Recorded::Unknown(*doubt),
-    }
-}
-
-fn report_end(
-    now_us: u64,
-    submission: &Submission,
-    outcome: Outcome,
-    tokens: u32,
-    actions: &mut Vec<Action>,
-) {
-    let request = submission.request;
-    let elapsed_us = now_us.saturating_sub(submission.arrived_us);
-    let completed = matches!(outcome, Outcome::Completed(_));
-    actions.push(Action::Decide(Decision::Ended {
-        request,
-        outcome: outcome.kind(),
-        reason: outcome.reason(),
-        tokens,
-        elapsed_us,
-    }));
-    actions.push(Action::Finished(Finished { request, tokens, service_us: elapsed_us, completed }));
-    actions.push(Action::Reply(Reply::Ended { request, outcome }));
-}
--- a/crates/banyannotch/src/execution/mod.rs
+++ b/crates/banyannotch/src/execution/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod generation;
 mod messages;
+mod outcome;
 mod phase;
 mod runtime;
 mod state;
--- a/crates/load/src/run/plot.rs
+++ b/crates/load/src/run/plot.rs
@@ -21,8 +21,11 @@
     draw_chart(path, report).map_err(|detail| LoadError::Plot { name: path.display().to_string(), detail })
 }
 
+fn text(error: &impl std::fmt::Display) -> String {
+    error.to_string()
+}
+
 fn draw_chart(path: &Path, report: &RunReport) -> std::result::Result<(), String> {
-    let text = |error: &dyn std::fmt::Display| error.to_string();
     let windows = &report.series.windows;
     let line = |value: fn(&super::judge::Window) -> f64| -> Vec<(f64, f64)> {
         windows.iter().map(|window| (window.at_us as f64 / 1e6, value(window))).collect()
