dispatch: callers of an outdated gateway come again at once when others know more

Ruled out: load that grows when a chain is lost (the late answers went with the refusals, not with the lost chains). Test: a table of what others know; all waits were 500 ms before.

--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -36,6 +36,7 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     heard_us: u64,
+    version: u64,
     loads: Vec<(Address, Load)>,
 }
 
@@ -106,7 +107,7 @@
                 self.send(now_us, ticket, actions);
             }
             Err(reason) => {
-                let refusal = self.refusal(reason);
+                let refusal = self.refusal(now_us, reason);
                 let decision = Decision::Refused {
                     id: ask.id,
                     refusal,
@@ -481,7 +482,7 @@
     }
 
     fn refuse(&mut self, now_us: u64, number: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
-        let refusal = self.refusal(reason);
+        let refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.tickets.remove(&number) {
             actions.push(Action::Decide(Decision::Refused {
                 id: ticket.ask.id,
@@ -494,11 +495,24 @@
         actions.push(Action::Reply { ticket: number, verdict: Verdict::Refuse(refusal) });
     }
 
-    fn refusal(&self, reason: RefusalReason) -> Refusal {
-        let retry_after_ms = (reason.status() == 503).then_some(self.settings.retry_after_ms);
+    fn refusal(&self, now_us: u64, reason: RefusalReason) -> Refusal {
+        let retry_after_ms = match reason {
+            RefusalReason::StaleConfiguration if self.others_may_know_more(now_us) => {
+                Some(self.settings.elsewhere_retry_ms)
+            }
+            _ => (reason.status() == 503).then_some(self.settings.retry_after_ms),
+        };
         Refusal { reason, retry_after_ms }
     }
 
+    /// Returns whether the caller may find another gateway with a newer configuration: one has told of it, or this gateway
+    /// hears of no other one at all.
+    fn others_may_know_more(&self, now_us: u64) -> bool {
+        let memory_us = self.settings.peer_memory_ms * US_PER_MS;
+        let mut heard = self.peers.iter().filter(|(_, peer)| peer.heard_us + memory_us >= now_us).peekable();
+        heard.peek().is_none() || heard.any(|(_, peer)| peer.version > self.version())
+    }
+
     fn report(
         &mut self,
         now_us: u64,
@@ -518,7 +532,7 @@
     }
 
     fn peer(&mut self, now_us: u64, state: PeerState, known: usize) {
-        let PeerState { instance, loads, down, suspects, .. } = state;
+        let PeerState { instance, loads, down, suspects, version, .. } = state;
         if instance == self.settings.instance {
             return;
         }
@@ -532,7 +546,7 @@
                 self.health.entry(address).hear_down(now_us, for_ms);
             }
         }
-        self.peers.insert(instance, Peer { heard_us: now_us, loads });
+        self.peers.insert(instance, Peer { heard_us: now_us, version, loads });
         self.sum_peers(now_us);
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -53,6 +53,8 @@
     pub stall_factor: f64,
     /// When a refused caller may come again.
     pub retry_after_ms: u64,
+    /// When a caller may come again that another gateway can serve at once.
+    pub elsewhere_retry_ms: u64,
     /// Interval at which the state is shared with other gateways.
     pub share_interval_ms: u64,
     /// After this time without a word, another gateway's load is forgotten.
@@ -87,6 +89,7 @@
             first_event_least_ms: 1_000,
             stall_factor: 8.0,
             retry_after_ms: 500,
+            elsewhere_retry_ms: 20,
             share_interval_ms: 250,
             peer_memory_ms: 1_500,
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -5,7 +5,8 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::{
-    Action, Dispatch, DispatchSettings, Ending, Event, PeerState, Proof, SendOrder, Submission, Verdict,
+    Action, Dispatch, DispatchSettings, Ending, Event, PeerState, Proof, Refusal, SendOrder, Submission,
+    Verdict,
 };
 use crate::gateway::{
     Accelerator, Ask, CallerLimits, Credential, Deployment, Engine, Pipeline, Repeat, Route, Service, Target,
@@ -143,6 +144,7 @@
     pub now_us: u64,
     pub lines: Vec<String>,
     pub last: Option<SendOrder>,
+    pub refused: Option<Refusal>,
     next_ticket: u64,
 }
 
@@ -159,7 +161,7 @@
             ..DispatchSettings::default()
         };
         let dispatch = Dispatch::new(settings, 1);
-        Self { dispatch, now_us: 1_000_000, lines: Vec::new(), last: None, next_ticket: 1 }
+        Self { dispatch, now_us: 1_000_000, lines: Vec::new(), last: None, refused: None, next_ticket: 1 }
     }
 
     pub fn with(engines: Vec<Engine>) -> Self {
@@ -219,6 +221,7 @@
             }
             Action::Reply { ticket, verdict: Verdict::Deliver } => format!("{ticket}: deliver"),
             Action::Reply { ticket, verdict: Verdict::Refuse(refusal) } => {
+                self.refused = Some(refusal);
                 format!("{ticket}: {} {}", refusal.reason.status(), refusal.reason)
             }
             Action::Ready(ready) => format!("ready {ready}"),
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -139,3 +139,21 @@
     world.event(Event::EndpointsProof(Proof { version: 1, at_us: world.now_us }));
     assert_eq!((before.as_str(), world.text().as_str()), ("", "ready true"));
 }
+
+/// A caller that is refused for an outdated configuration comes again at once if another gateway knows more, and later if
+/// all know the same, because the store is away for all of them. Half a second made every such answer late.
+#[test]
+fn callers_of_an_outdated_gateway_come_again_at_once_when_others_know_more() {
+    let refused = |version: Option<u64>| {
+        let mut world = World::new();
+        world.wait_ms(6_000);
+        if let Some(version) = version {
+            let told = PeerState { instance: "other".to_owned(), version, ..PeerState::default() };
+            world.event(Event::Peer { state: Box::new(told), known: 2 });
+        }
+        world.submit("/call/x");
+        world.refused.map(|refusal| refusal.retry_after_ms)
+    };
+    let waits = [None, Some(5), Some(6)].map(refused);
+    assert_eq!(waits, [Some(Some(20)), Some(Some(500)), Some(Some(20))]);
+}
