gateway, standins: a fault soak of gateways as processes behind proxies

Three gateways run as processes; a proxy on loopback delays, silences, cuts one way, refuses or resets the connections of their callers, of the store and of endpoints; gateways are killed, stopped, paused and started again; the store and the endpoints misbehave and keys change, in series and overlapping. Callers keep their connections as long as they can. Not injected: steps of the time of day, which need privileges on a shared machine; policies take time as an argument.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -27,6 +27,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
+    pub peers: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
     settings: PathBuf,
 }
@@ -82,9 +83,8 @@
             ("descriptors", "1024".to_owned()),
         ];
         for (key, value) in extra {
-            for known in values.iter_mut().filter(|(known, _)| known == key) {
-                known.1 = (*value).to_owned();
-            }
+            values.retain(|(known, _)| known != key);
+            values.push((key, (*value).to_owned()));
         }
         let text: String = values.iter().map(|(key, value)| format!("{key} = {value}\n")).collect();
         let settings = std::env::temp_dir().join(format!("gateway-{}-{number}.toml", std::process::id()));
@@ -103,11 +103,12 @@
             }
         });
         let addresses = listening(&lines);
-        let [callers, readiness, metrics] = ["callers=", "readiness=", "metrics="].map(|name| {
-            let word = addresses.split(' ').find_map(|word| word.strip_prefix(name));
-            word.and_then(|word| word.parse().ok()).unwrap_or_else(|| panic!("no {name} in {addresses}"))
-        });
-        Self { child, callers, readiness, metrics, lines, settings }
+        let [callers, readiness, metrics, peers] =
+            ["callers=", "readiness=", "metrics=", "peers="].map(|name| {
+                let word = addresses.split(' ').find_map(|word| word.strip_prefix(name));
+                word.and_then(|word| word.parse().ok()).unwrap_or_else(|| panic!("no {name} in {addresses}"))
+            });
+        Self { child, callers, readiness, metrics, peers, lines, settings }
     }
 
     /// Returns the log lines that contain the given text.
@@ -153,7 +154,8 @@
     pub store: Store,
     pub engines: Vec<Endpoint>,
     pub desks: Vec<Endpoint>,
-    beats: u64,
+    /// Addresses that the entries name in place of the endpoints' own, engines first; none without proxies.
+    pub proxies: Vec<SocketAddr>,
 }
 
 /// Events of a whole stream.
@@ -165,7 +167,7 @@
         let endpoint = |id: String| Endpoint::start(&id, EVENTS).expect("an endpoint");
         let engines = (1..=4).map(|number| endpoint(format!("engine-{number}"))).collect();
         let desks = (1..=2).map(|number| endpoint(format!("desk-{number}"))).collect();
-        let mut fleet = Self { store, engines, desks, beats: 0 };
+        let mut fleet = Self { store, engines, desks, proxies: Vec::new() };
         fleet.store.put_configuration(&configuration(1, &["secret"]));
         fleet.beat();
         fleet
@@ -173,14 +175,19 @@
 
     /// Writes the entries of all endpoints anew.
     pub fn beat(&mut self) {
-        self.beats += 1;
-        for (number, engine) in self.engines.iter().enumerate() {
-            let id = format!("engine-{}", number + 1);
-            self.store.put_endpoint(&id, Some(&engine.entry("model", Some("fast"), "ready")));
-        }
-        for (number, desk) in self.desks.iter().enumerate() {
-            let id = format!("desk-{}", number + 1);
-            self.store.put_endpoint(&id, Some(&desk.entry("desk", None, "ready")));
+        let engines = self.engines.iter().enumerate().map(|(number, engine)| {
+            (format!("engine-{}", number + 1), engine.entry("model", Some("fast"), "ready"))
+        });
+        let desks = self
+            .desks
+            .iter()
+            .enumerate()
+            .map(|(number, desk)| (format!("desk-{}", number + 1), desk.entry("desk", None, "ready")));
+        for (index, (id, mut entry)) in engines.chain(desks).enumerate() {
+            if let Some(proxy) = self.proxies.get(index) {
+                entry["address"] = json!(proxy.to_string());
+            }
+            self.store.put_endpoint(&id, Some(&entry));
         }
     }
 
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,12 +3,14 @@
 
 mod client;
 mod endpoint;
+mod proxy;
 mod store;
 #[cfg(test)]
 mod tests;
 
-pub use client::{Got, call, stream};
+pub use client::{Caller, Got, call, stream};
 pub use endpoint::{Endpoint, Fault, Run};
+pub use proxy::{Link, Proxy};
 pub use store::{Store, StoreFault};
 
 use std::future::Future;
