--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! shown that it did not run. See `docs/platform.md`.
 
 mod budget;
+mod evidence;
 mod health;
 mod messages;
 mod paths;
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -4,17 +4,17 @@
 
 use super::DispatchSettings;
 use super::budget::Budget;
+use super::evidence::Peer;
 use super::health::{HealthTable, Load};
 use super::messages::{
-    Action, BrokenBy, Decision, Ending, Event, PeerState, Proof, Refusal, RefusalReason, SendOrder,
-    Submission, Verdict,
+    Action, Decision, Ending, Event, Proof, Refusal, RefusalReason, SendOrder, Submission, Verdict,
 };
 use super::paths::Surroundings;
 use super::suspects::Suspects;
 use super::tickets::{Reserved, Ticket};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::{Deployment, Engine, EngineReport, Onward, Repeat, Route, Service, Team};
+use crate::gateway::{Deployment, Engine, Onward, Repeat, Route, Service, Team};
 use crate::ids::ServiceId;
 use crate::pipeline::{Address, LayerRange};
 use crate::random::Random;
@@ -22,43 +22,31 @@
 
 /// Expected answers of plain services are this much shorter than the objective that the operator set.
 const PLAIN_COST_SHARE: f64 = 0.3;
-/// Share of a failure that silence of one stream counts: it may be the path's or the engine's fault.
-const SILENCE_WEIGHT: f64 = 0.5;
 /// Share of the time that is left in which a plain endpoint must answer when the request can be repeated elsewhere.
 const FIRST_TRY_SHARE: f64 = 0.45;
-/// Idle connections to an endpoint of a plain service, as a share of its slots.
-const IDLE_SHARE: u32 = 1;
 /// The balancer is told this long before requests would be refused for an old proof; longer than the interval at which
 /// the age is looked at.
 const READY_MARGIN_MS: u64 = 500;
 
-/// Another gateway as it last told.
-#[derive(Clone, Debug, Default)]
-struct Peer {
-    heard_us: u64,
-    version: u64,
-    loads: Vec<(Address, Load)>,
-}
-
 /// Decides for each request where it goes.
 #[derive(Debug)]
 pub struct Dispatch {
-    settings: DispatchSettings,
-    random: Random,
-    deployment: Option<Arc<Deployment>>,
-    engines: Arc<[Engine]>,
-    proof: Option<Proof>,
-    health: HealthTable,
-    tickets: Table<u64, Ticket>,
-    budgets: Table<ServiceId, Budget>,
-    suspects: Suspects,
-    peers: Table<String, Peer>,
+    pub(super) settings: DispatchSettings,
+    pub(super) random: Random,
+    pub(super) deployment: Option<Arc<Deployment>>,
+    pub(super) engines: Arc<[Engine]>,
+    pub(super) proof: Option<Proof>,
+    pub(super) health: HealthTable,
+    pub(super) tickets: Table<u64, Ticket>,
+    pub(super) budgets: Table<ServiceId, Budget>,
+    pub(super) suspects: Suspects,
+    pub(super) peers: Table<String, Peer>,
     /// Gateways that are known, this one included.
-    gateways: usize,
-    endpoints_proof: Proof,
-    share_at_us: u64,
-    ready: bool,
-    draining: bool,
+    pub(super) gateways: usize,
+    pub(super) endpoints_proof: Proof,
+    pub(super) share_at_us: u64,
+    pub(super) ready: bool,
+    pub(super) draining: bool,
 }
 
 /// What was chosen for a send.
@@ -295,7 +283,6 @@
             .map(|engine| (cost(engine), *engine))
             .min_by(|(left, _), (right, _)| left.total_cmp(right));
         let (cost_ms, engine) = chosen?;
-        let idle = (engine.slots * IDLE_SHARE) as usize;
         Some(Choice {
             address: engine.address,
             endpoint: Arc::clone(&engine.id),
@@ -303,21 +290,11 @@
             loads: vec![(engine.address, Load { requests: 1, ..Load::default() })],
             cost_ms,
             token_ms: 0.0,
-            idle_connections: idle.min(service.connection_limit),
+            // More idle connections than slots are never used at once.
+            idle_connections: (engine.slots as usize).min(service.connection_limit),
         })
     }
 
-    /// Takes the prompt of a request off what its engines have to read.
-    fn started(&mut self, number: u64) {
-        let Some(ticket) = self.tickets.get_mut(&number) else { return };
-        for (address, load) in &mut ticket.reserved.loads {
-            let read = Load { reading: std::mem::take(&mut load.reading), ..Load::default() };
-            if let Some(health) = self.health.get_mut(address) {
-                health.own.remove(&read);
-            }
-        }
-    }
-
     fn ended(&mut self, now_us: u64, number: u64, ending: Ending, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&number) else { return };
         let reserved = std::mem::take(&mut ticket.reserved);
@@ -421,66 +398,6 @@
         left >= 1.0
     }
 
-    /// Leaves out the engine that a rejection names.
-    fn blame_rejection(
-        &mut self,
-        now_us: u64,
-        reserved: &Reserved,
-        fault_at: Option<Address>,
-        status: u16,
-        actions: &mut Vec<Action>,
-    ) {
-        /// Status of an endpoint that is not the expected one or does not hold the layers.
-        const MISDIRECTED: u16 = 421;
-        let Some((first, _)) = reserved.loads.first() else { return };
-        let blamed = fault_at.unwrap_or(*first);
-        if fault_at.is_some() || status == MISDIRECTED {
-            self.exclude(now_us, blamed, "rejected", actions);
-        } else {
-            let half_life_ms = self.settings.fault_half_life_ms;
-            self.health.entry(blamed).fail(now_us, half_life_ms, 1.0);
-        }
-    }
-
-    /// Notes a broken answer: at the first engine if its connection broke, else at whichever engine is stalled.
-    fn blame_break(
-        &mut self,
-        now_us: u64,
-        reserved: &Reserved,
-        digest: u64,
-        by: BrokenBy,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some((first, _)) = reserved.loads.first() else { return };
-        let half_life_ms = self.settings.fault_half_life_ms;
-        match by {
-            BrokenBy::Connection => {
-                self.suspects.note_break(digest, now_us);
-                self.health.entry(*first).fail(now_us, half_life_ms, 1.0);
-                if reserved.loads.len() > 1 {
-                    actions.push(Action::Inspect(*first));
-                }
-            }
-            BrokenBy::Garbled => self.health.entry(*first).fail(now_us, half_life_ms, 1.0),
-            BrokenBy::Silence => {
-                for (address, _) in &reserved.loads {
-                    self.health.entry(*address).fail(now_us, half_life_ms, SILENCE_WEIGHT);
-                }
-                if reserved.loads.len() > 1 {
-                    actions.push(Action::Inspect(*first));
-                }
-            }
-        }
-    }
-
-    fn exclude(&mut self, now_us: u64, address: Address, cause: &'static str, actions: &mut Vec<Action>) {
-        let settings = &self.settings;
-        let health = self.health.entry(address);
-        health.fail(now_us, settings.fault_half_life_ms, 1.0);
-        let for_ms = health.exclude(now_us, settings.exclusion_ms, settings.exclusion_most_ms);
-        actions.push(Action::Decide(Decision::Excluded { address, for_ms, cause }));
-    }
-
     fn refuse(&mut self, now_us: u64, number: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
         let refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.tickets.remove(&number) {
@@ -513,94 +430,17 @@
         heard.peek().is_none() || heard.any(|(_, peer)| peer.version > self.version())
     }
 
-    fn report(
-        &mut self,
-        now_us: u64,
-        address: Address,
-        report: Option<&EngineReport>,
-        actions: &mut Vec<Action>,
-    ) {
-        match report {
-            None => self.exclude(now_us, address, "no_report", actions),
-            Some(report) => {
-                self.health.entry(address).note_pace(now_us, report.pace);
-                for stalled in &report.stalled {
-                    self.exclude(now_us, *stalled, "stalled", actions);
-                }
-            }
-        }
-    }
-
-    fn peer(&mut self, now_us: u64, state: PeerState, known: usize) {
-        let PeerState { instance, loads, down, suspects, version, .. } = state;
-        if instance == self.settings.instance {
-            return;
-        }
-        self.gateways = known;
-        for (digest, count) in suspects {
-            self.suspects.note_peer(digest, count, now_us);
-        }
-        for address in down {
-            if self.engines.iter().any(|engine| engine.address == address) {
-                let for_ms = self.settings.heard_exclusion_ms;
-                self.health.entry(address).hear_down(now_us, for_ms);
-            }
-        }
-        self.peers.insert(instance, Peer { heard_us: now_us, version, loads });
-        self.sum_peers(now_us);
-    }
-
-    /// Adds up what the other gateways have in flight and forgets those that have fallen silent.
-    fn sum_peers(&mut self, now_us: u64) {
-        let memory_us = self.settings.peer_memory_ms * US_PER_MS;
-        for (_, health) in self.health.iter_mut() {
-            health.peers = Load::default();
-        }
-        for (_, peer) in self.peers.iter_mut() {
-            if peer.heard_us + memory_us < now_us {
-                peer.loads.clear();
-            }
-        }
-        // A gateway that has been silent for this long no longer shares the retry budget.
-        let forget_us = self.settings.retry_window_ms * US_PER_MS;
-        self.peers.retain(|_, peer| peer.heard_us + forget_us >= now_us);
-        // Those that were heard stand for those that were not.
-        let heard = self.peers.iter().filter(|(_, peer)| peer.heard_us + memory_us >= now_us).count();
-        let scale = self.gateways.saturating_sub(1).max(heard) as f64 / heard.max(1) as f64;
-        for (_, peer) in self.peers.iter() {
-            for (address, load) in &peer.loads {
-                self.health.entry(*address).peers.add(&load.scaled(scale));
-            }
-        }
-    }
-
-    fn take_engines(&mut self, engines: Arc<[Engine]>) {
-        for engine in &*engines {
-            let restarted = self.engines.iter().any(|known| {
-                known.address == engine.address && (known.born_ms, &known.id) != (engine.born_ms, &engine.id)
-            });
-            if restarted && let Some(health) = self.health.get_mut(&engine.address) {
-                health.restore();
-            }
-        }
-        self.engines = engines;
-        let known = &self.engines;
-        self.health.retain(|address, health| {
-            !health.own.is_idle() || known.iter().any(|engine| engine.address == *address)
-        });
-    }
-
     fn note_proof(&mut self, proof: Proof) {
         if self.proof.is_none_or(|known| (known.version, known.at_us) < (proof.version, proof.at_us)) {
             self.proof = Some(proof);
         }
     }
 
-    fn version(&self) -> u64 {
+    pub(super) fn version(&self) -> u64 {
         self.deployment.as_deref().map_or(0, |deployment| deployment.version)
     }
 
-    fn proof_age_ms(&self, now_us: u64) -> u64 {
+    pub(super) fn proof_age_ms(&self, now_us: u64) -> u64 {
         match self.proof {
             Some(proof) if proof.version <= self.version() => now_us.saturating_sub(proof.at_us) / US_PER_MS,
             _ => u64::MAX / US_PER_MS,
@@ -632,31 +472,6 @@
             actions.push(Action::Ready(ready));
         }
     }
-
-    fn share(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let loads = self
-            .health
-            .iter()
-            .filter(|(_, health)| !health.own.is_idle())
-            .map(|(address, health)| (*address, health.own))
-            .collect();
-        let down = self
-            .health
-            .iter()
-            .filter(|(_, health)| health.is_down(now_us))
-            .map(|(address, _)| *address)
-            .collect();
-        actions.push(Action::Share(Box::new(PeerState {
-            instance: self.settings.instance.clone(),
-            loads,
-            down,
-            suspects: self.suspects.own().collect(),
-            version: self.version(),
-            proof_age_ms: self.proof_age_ms(now_us),
-            endpoints_change: self.endpoints_proof.version,
-            endpoints_age_ms: now_us.saturating_sub(self.endpoints_proof.at_us) / US_PER_MS,
-        })));
-    }
 }
 
 impl Duty for Dispatch {
