layout: plans divide the cards of a zone into groups; soak: a seed that failed

Ruled out: the ownership (it came) and refused orders (none was sent). Change: at most 48 cards are divided together, with equal shares of each kind. Test: sizes and shares of the groups; red with groups of 200.

--- a/crates/banyannotch/src/gateway/layout/plan.rs
+++ b/crates/banyannotch/src/gateway/layout/plan.rs
@@ -22,6 +22,9 @@
 const PASS_LIMIT: usize = 8;
 /// Numbers of chains that are tried, from the most that memory allows downwards.
 const COUNT_LIMIT: u32 = 8;
+/// Most cards that are divided into chains together. The search takes time with a power of their number: a zone of 333 cards
+/// kept a small machine busy until its ownership had lapsed, and nothing was ever ordered.
+const GROUP_CARDS: usize = 48;
 /// Share of a card's memory that a replacement takes when nothing else says how much; it leaves room for requests.
 const REPLACEMENT_SHARE: f64 = 0.8;
 
@@ -64,9 +67,11 @@
     let mut rest: Vec<&Card> = Vec::new();
     for zone in zones {
         let of_zone: Vec<&Card> = cards.iter().filter(|card| card.zone == *zone).collect();
-        match best_chains(pipeline, &of_zone, layer_share) {
-            Some(chains) => place_chains(pipeline, &chains, layer_share, &mut placed),
-            None => rest.extend(of_zone),
+        for group in groups(&of_zone) {
+            match best_chains(pipeline, &group, layer_share) {
+                Some(chains) => place_chains(pipeline, &chains, layer_share, &mut placed),
+                None => rest.extend(group),
+            }
         }
     }
     // Zones that cannot hold the model alone hold it together.
@@ -77,6 +82,16 @@
     placed
 }
 
+/// Splits the cards of a zone into groups of about equal size and equal shares of each kind.
+pub(super) fn groups<'a>(cards: &[&'a Card]) -> Vec<Vec<&'a Card>> {
+    let count = cards.len().div_ceil(GROUP_CARDS).max(1);
+    let mut sorted = cards.to_vec();
+    if count > 1 {
+        sorted.sort_by(|left, right| right.memory_mb.total_cmp(&left.memory_mb));
+    }
+    (0..count).map(|group| sorted.iter().skip(group).step_by(count).copied().collect()).collect()
+}
+
 /// Chooses layers for an engine that holds none: the gap of its zone if there is one, else what is covered least.
 pub fn assign_empty(
     pipeline: &Pipeline,
@@ -130,7 +145,10 @@
     let gap = first_gap(&counts)?;
     let is_spare = |card: &Card| {
         let held = card.layers.filter(|held| !held.is_empty());
-        held.is_some_and(|held| (held.begin..held.end.min(pipeline.layers)).all(|layer| holders(layer) > 1))
+        held.is_some_and(|held| {
+            (held.begin..held.end)
+                .all(|layer| counts.get(usize::from(layer)).is_none_or(|count| *count > 1.0))
+        })
     };
     let room = |card: &Card| capacity(pipeline, card, layer_share).min(gap.len());
     // The one that fills most of the gap, and the smallest of these: large cards are worth more where they are.
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -4,6 +4,7 @@
 
 use quickcheck::{Gen, QuickCheck};
 
+use super::plan::groups;
 use super::{Action, Card, Decision, Event, Layout, LayoutSettings, assign_empty, fill_gap, plan};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
@@ -234,11 +235,27 @@
     insta::assert_snapshot!(world.text());
 }
 
+/// The work of a plan grows with the number of cards and not with a power of it. With 998 engines one plan took longer than
+/// an ownership lasts, and the users' sweep served nothing at 100 machines.
 #[test]
 fn plans_of_many_cards_stay_cheap() {
     let pipeline = Pipeline { layers: 80, ..pipeline() };
     let cards: Vec<Card> = (0..=254).map(|host| card(host, "a", host % 3 == 0, None)).collect();
-    assert!(!plan(&pipeline, &cards, SHARE).is_empty());
+    let many: Vec<Card> = cards.iter().cycle().take(2_000).cloned().collect();
+    assert!(plan(&pipeline, &many, SHARE).len() > 1_000);
+    let divided = groups(&many.iter().collect::<Vec<_>>());
+    let sizes: Vec<usize> = divided.iter().map(Vec::len).collect();
+    let fast: Vec<usize> = divided
+        .iter()
+        .map(|group| group.iter().filter(|card| card.step_factor == cards[0].step_factor).count())
+        .collect();
+    let spread =
+        |counts: &[usize]| counts.iter().max().zip(counts.iter().min()).map(|(most, least)| most - least);
+    assert_eq!(
+        (sizes.iter().sum::<usize>(), spread(&sizes) <= Some(1), spread(&fast) <= Some(1)),
+        (2_000, true, true)
+    );
+    assert!(sizes.iter().all(|size| *size <= 48), "{sizes:?}");
 }
 
 /// A stopping owner whose call to leave fails tries again as long as it runs. In the recorded incident of ccsta-banyan three
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -1,8 +1,7 @@
 //! Gateways as separate processes under random faults from outside, with promises that are checked from what callers and
 //! endpoints see. Guards against combinations of faults that no other test names.
 //!
-//! `SOAK_SEEDS=1..51 cargo test -p banyannotch-gateway --test soak -- a_run_of_seeds` runs other seeds. Seeds that
-//! failed once stand in `SEEDS`.
+//! `SOAK_SEEDS=1..51 cargo test -p banyannotch-gateway --test soak -- a_run_of_seeds` runs other seeds.
 
 #![expect(
     clippy::expect_used,
@@ -27,8 +26,11 @@
 use common::{EVENTS, LIMIT};
 use world::{REVOKE_MS, World};
 
-/// Seeds of each run of the tests: some that are always the same, and each that ever failed, with its cause.
+/// Seeds of each run of the tests.
 const SEEDS: [u64; 3] = [1, 2, 3];
+/// Seeds that failed. 25: resets of connections count as breaks of a request's content, and after three of them every
+/// gateway refuses equal requests for a minute, although no endpoint has crashed.
+const FAILED_SEEDS: [u64; 1] = [25];
 /// Gateways of a run.
 const GATEWAYS: usize = 3;
 /// Callers that send one request after the other.
@@ -58,8 +60,17 @@
         }
         Err(_) => SEEDS.to_vec(),
     };
+    run_all(&seeds);
+}
+
+#[test]
+fn seeds_that_failed_break_no_promise() {
+    run_all(&FAILED_SEEDS);
+}
+
+fn run_all(seeds: &[u64]) {
     for seed in seeds {
-        actix_rt::System::new().block_on(run(seed));
+        actix_rt::System::new().block_on(run(*seed));
         println!("seed {seed} broke no promise");
     }
 }
