forwarding: a failure is not written into a stream that has begun

Change: once the head of an answer was sent, a failure ends the connection without the end of the body. Test: raw bytes of a begun stream whose next run fails; red before (the connection stayed open with a second head in it).

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -151,13 +151,13 @@
             refuse(writer, &refusal, request.close).await;
             after
         }
-        // The rest of a begun answer cannot be had: the connection ends without the end of the body.
-        Some(Served::Refused(_)) => After::Close,
-        Some(Served::Deliver(answer)) => {
+        Some(Served::Deliver(answer)) if !progress.head_sent => {
             let mut out = Vec::new();
             write_answer(&context.dialect, &answer, request.close, &mut out);
             if send_own(writer, &out).await { after } else { After::Close }
         }
+        // The rest of a begun answer cannot be had: the connection ends without the end of the body.
+        Some(Served::Refused(_) | Served::Deliver(_)) => After::Close,
     }
 }
 
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use banyannotch_standins::fleet::{Fault, Got, stream};
-use common::{EVENTS, Fleet, Gateway};
+use common::{EVENTS, Fleet, Gateway, LIMIT};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 fn show(got: &Got, runs: usize) -> String {
     let signed = if got.signature.is_some() { "signed" } else { "ours" };
@@ -132,3 +134,27 @@
     let call = runs.iter().find(|run| run.id == "c").expect("the call ran");
     assert_eq!((call.target.as_str(), call.body.as_slice()), ("/call/x?q=1", b"body".as_slice()));
 }
+
+/// A stream that has begun and whose next run fails ends without its end. The failure was written into the middle of the
+/// stream, which broke MIXED in a hunt of ccsta-banyan-grown (hunt-9c02-7).
+#[actix_rt::test]
+async fn a_failure_is_not_written_into_a_stream_that_has_begun() {
+    let mut fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for engine in &fleet.engines {
+        engine.set_fault(Fault::FailResumed(3), usize::MAX);
+    }
+    let mut connection = TcpStream::connect(gateway.callers).await.expect("a connection");
+    let request = "POST /write/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: begun\r\nKey: secret\r\nDeadline-Ms: 4000\r\n\
+                   Token-Usage: 10,20\r\nContent-Length: 0\r\n\r\n";
+    connection.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(LIMIT, connection.read_to_end(&mut bytes)).await;
+    assert!(read.is_ok(), "the connection ends");
+    let text = String::from_utf8_lossy(&bytes);
+    assert_eq!((text.matches("HTTP/1.1").count(), text.matches("id: ").count()), (1, 3), "{text}");
+    assert!(!text.ends_with("0\r\n\r\n"), "the stream looks complete: {text}");
+    assert_eq!(fleet.runs_of("begun"), 2);
+}
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -49,6 +49,8 @@
     Ambiguous,
     /// Answers with a failure of its own.
     Fail,
+    /// Ends the connection of a new run after this many events, and answers a run that goes on with a failure.
+    FailResumed(u64),
     /// Answers without a length and ends the connection.
     Unframed,
     /// Sends a second answer after the first.
@@ -213,7 +215,12 @@
         let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
         return writer.write_all(&answer(503, &headers, b"")).await.is_ok();
     }
-    let resumed_after = header("Last-Event-Id").and_then(|id| id.parse().ok());
+    let resumed_after: Option<u64> = header("Last-Event-Id").and_then(|id| id.parse().ok());
+    let fault = match (fault, resumed_after) {
+        (Fault::FailResumed(count), None) => Fault::BreakAfter(count),
+        (Fault::FailResumed(_), Some(_)) => Fault::Fail,
+        _ => fault,
+    };
     state.borrow_mut().runs.push(Run {
         id: attempt.clone(),
         target: head.target.clone(),
@@ -223,7 +230,7 @@
         path: header("Hop-Count"),
         saw_key: head.headers.get("Key").is_some(),
     });
-    if head.target.starts_with("/write/") {
+    if head.target.starts_with("/write/") && fault != Fault::Fail {
         return write_stream(&id, &attempt, resumed_after, events, fault, writer).await;
     }
     write_answer(&id, &attempt, fault, writer).await
