--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -6,11 +6,13 @@
 use crate::gateway::dispatch::Proof;
 use crate::gateway::gossip::Changes;
 use crate::gateway::{Batch, Configuration, Endpoint, Feed, StoreError};
+use crate::pipeline::Address;
 
-/// Settings of the catalog, in milliseconds. A reader is a gateway that reads the store for the others.
+/// Settings of the catalog, in milliseconds. The reader is the gateway that reads the store for the others, and the
+/// standby the one that replaces it while its proofs are late.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CatalogSettings {
-    /// How long a reader's configuration read waits in the store for a change.
+    /// How long the reader's configuration read waits in the store for a change.
     pub configuration_wait_ms: u64,
     /// Age of the configuration proof at which a gateway that is not a reader reads the configuration itself.
     pub configuration_fallback_age_ms: u64,
@@ -18,16 +20,21 @@
     pub endpoints_fallback_age_ms: u64,
     /// Timeout of a read, in addition to the time that it waits in the store for a change.
     pub read_timeout_ms: u64,
-    /// Interval between two reads of the endpoints by a reader. Heartbeats would make a waiting read return
+    /// Interval between two reads of the endpoints by the reader. Heartbeats would make a waiting read return
     /// at once.
     pub endpoints_interval_ms: u64,
+    /// How much later than the reader's next proof is due the standby reads for itself.
+    pub standby_delay_ms: u64,
+    /// How long to wait for a peer to send its configuration, before reading the store.
+    pub fetch_timeout_ms: u64,
     /// How long to wait for gossip to deliver endpoint changes that a peer has, before reading the store.
     pub gossip_wait_ms: u64,
     /// Pause after the first failed read; doubles with each consecutive failure.
     pub retry_min_ms: u64,
-    /// Longest pause after a failed read of a reader.
+    /// Longest pause after a failed read of the reader or the standby.
     pub reader_retry_max_ms: u64,
-    /// Longest pause after a failed read of any other gateway.
+    /// Longest pause after a failed read of any other gateway in contact with peers, from which it gets the proofs of
+    /// those that reach the store.
     pub retry_max_ms: u64,
     /// A gap between two proofs that is longer than this counts as an outage of the store.
     pub outage_gap_ms: u64,
@@ -44,10 +51,12 @@
             endpoints_fallback_age_ms: 1_200,
             read_timeout_ms: 700,
             endpoints_interval_ms: 700,
+            standby_delay_ms: 500,
+            fetch_timeout_ms: 700,
             gossip_wait_ms: 300,
             retry_min_ms: 150,
             reader_retry_max_ms: 300,
-            retry_max_ms: 1_600,
+            retry_max_ms: 6_000,
             outage_gap_ms: 2_000,
             return_grace_ms: 2_500,
         }
@@ -55,8 +64,10 @@
 }
 
 /// What a peer gateway has read from the store, as received by gossip.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PeerUpdate {
+    /// Address of the peer.
+    pub from: Address,
     /// Version of the peer's configuration.
     pub version: u64,
     /// Age of the peer's proof that this version is in force, in milliseconds.
@@ -69,7 +80,8 @@
     pub asked_us: Option<u64>,
     /// Endpoint changes that the peer sent along.
     pub changes: Option<Box<Changes>>,
-    /// Number of gateways before this one in the order that all gateways share; the first ones are readers.
+    /// Number of gateways before this one in the order that all gateways share; the first one is the reader, and the
+    /// second one the standby.
     pub rank: usize,
 }
 
@@ -89,6 +101,15 @@
         /// When the read was sent.
         sent_us: u64,
     },
+    /// A peer sent its configuration.
+    Fetched(Arc<Configuration>),
+    /// A peer did not send its configuration.
+    NotFetched {
+        /// Address of the peer.
+        from: Address,
+        /// Why not.
+        fault: String,
+    },
     /// A read of the store failed.
     Failed {
         /// Feed that was read.
@@ -120,6 +141,11 @@
         /// How long the read waits in the store for a record, in milliseconds.
         wait_ms: u64,
     },
+    /// Request the configuration of a peer.
+    Fetch {
+        /// Address of the peer.
+        from: Address,
+    },
     /// Log a decision.
     Decide(Decision),
 }
@@ -138,6 +164,13 @@
         /// Number of callers' keys.
         keys: usize,
     },
+    /// A peer did not send its configuration, so the store is read instead.
+    NotFetched {
+        /// Address of the peer.
+        from: Address,
+        /// Why not.
+        fault: String,
+    },
     /// A record of the store cannot be used.
     Unusable {
         /// Key of the record.
@@ -182,6 +215,9 @@
                 formatter,
                 "event=configuration_applied version={version} before={before} routes={routes} keys={keys}"
             ),
+            Self::NotFetched { from, fault } => {
+                write!(formatter, "event=configuration_not_fetched peer={from} fault=\"{fault}\"")
+            }
             Self::Unusable { key, fault } => {
                 write!(formatter, "event=record_unusable key={key} fault=\"{fault}\"")
             }
--- a/crates/banyannotch/src/gateway/catalog/mod.rs
+++ b/crates/banyannotch/src/gateway/catalog/mod.rs
@@ -4,6 +4,9 @@
 //! State is monotonic: the version of the configuration never decreases, and an endpoint that announced its
 //! departure stays leaving until it restarts. See `docs/platform.md`.
 
+mod exchange;
+#[cfg(test)]
+mod exchange_tests;
 mod messages;
 mod policy;
 mod runtime;
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -6,15 +6,20 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::Proof;
-use crate::gateway::gossip::{Change, Changes, READER_COUNT};
+use crate::gateway::gossip::{Change, Changes};
 use crate::gateway::{Batch, Configuration, Endpoint, Feed, Record, StoreError};
+use crate::pipeline::Address;
 use crate::random::Random;
 use crate::table::Table;
 
 /// Maximum number of departures kept. They prevent a late record from reviving an endpoint that is leaving.
 const DEPARTURE_LIMIT: usize = 4_096;
 
-/// Time without an update from a peer after which this gateway schedules its reads as a reader does, in
+/// Rank of the gateway that reads the store for the others.
+const READER_RANK: usize = 0;
+/// Rank of the gateway that reads the store as well once the reader's proofs are late.
+const STANDBY_RANK: usize = 1;
+/// Time without an update from a peer after which this gateway schedules its reads as the reader does, in
 /// microseconds.
 const PEER_SILENCE_LIMIT_US: u64 = 3_000_000;
 /// Range of the random delay of a read, in microseconds, so that the first gateway to read informs the
@@ -38,6 +43,8 @@
     recovered_us: Option<u64>,
     /// Whether the last read failed.
     failing: bool,
+    /// Whether the standby reads, because the reader's proofs were late, and no later one has arrived since.
+    standby_reads: bool,
     /// When to read what a peer has read and this gateway lacks, unless gossip delivers it first.
     catch_up_us: Option<u64>,
     /// Consecutive failed reads.
@@ -58,15 +65,18 @@
     change_offset: u64,
     configuration_feed: FeedState,
     endpoints_feed: FeedState,
-    /// Whether this gateway reads the store for the others.
-    is_reader: bool,
-    /// When a peer's update was last received.
-    last_contact_us: u64,
+    /// Whether a peer was asked for its configuration and has not sent it so far.
+    fetching: bool,
+    /// Number of gateways before this one in the order that all gateways share; none before the first update of a
+    /// peer.
+    rank: Option<usize>,
+    /// When a peer's update was last received, or when the first read ended if there was none.
+    last_contact_us: Option<u64>,
     random: Random,
 }
 
 impl Catalog {
-    /// Creates the policy of a gateway that has read nothing yet and counts as a reader.
+    /// Creates the policy of a gateway that has read nothing yet.
     pub fn new(settings: CatalogSettings, seed: u64) -> Self {
         Self {
             settings,
@@ -77,8 +87,9 @@
             change_offset: 0,
             configuration_feed: FeedState::default(),
             endpoints_feed: FeedState::default(),
-            is_reader: true,
-            last_contact_us: 0,
+            fetching: false,
+            rank: None,
+            last_contact_us: None,
             random: Random::seeded(seed),
         }
     }
@@ -93,6 +104,7 @@
         out: &mut Vec<Action>,
     ) {
         self.record_success(now_us, feed, sent_us, out);
+        self.last_contact_us.get_or_insert(now_us);
         let mut batch = batch;
         if !snapshot && self.state(feed).next_offset > Some(batch.next) {
             // A peer delivered later changes while the read was in progress, so its records are outdated.
@@ -175,19 +187,31 @@
     fn schedule_read(&mut self, now_us: u64, feed: Feed, sent_us: u64) {
         let jitter_us = self.random.below(READ_JITTER_US as usize) as u64;
         let settings = self.settings;
-        let reads_as_reader = self.is_reader || now_us >= self.last_contact_us + PEER_SILENCE_LIMIT_US;
+        let reads_as_reader = self.reads_as_reader(now_us, feed);
+        let is_standby = self.rank == Some(STANDBY_RANK);
+        let (interval_ms, fallback_age_ms) = match feed {
+            Feed::Configuration => (settings.configuration_wait_ms, settings.configuration_fallback_age_ms),
+            Feed::Endpoints => (settings.endpoints_interval_ms, settings.endpoints_fallback_age_ms),
+        };
         let state = self.state(feed);
         let proof_us = state.proof_us.unwrap_or(0);
-        state.due_us = match (reads_as_reader, feed) {
-            (true, Feed::Configuration) => now_us,
-            (true, Feed::Endpoints) => sent_us + settings.endpoints_interval_ms * US_PER_MS,
-            (false, Feed::Configuration) => {
-                proof_us + settings.configuration_fallback_age_ms * US_PER_MS + jitter_us
-            }
-            (false, Feed::Endpoints) => proof_us + settings.endpoints_fallback_age_ms * US_PER_MS + jitter_us,
+        state.due_us = match feed {
+            // The read waits in the store.
+            Feed::Configuration if reads_as_reader => now_us,
+            Feed::Endpoints if reads_as_reader => sent_us + interval_ms * US_PER_MS,
+            _ if is_standby => proof_us + (interval_ms + settings.standby_delay_ms) * US_PER_MS,
+            _ => proof_us + fallback_age_ms * US_PER_MS + jitter_us,
         };
     }
 
+    /// Returns whether this gateway reads the store at the pace of the reader.
+    fn reads_as_reader(&mut self, now_us: u64, feed: Feed) -> bool {
+        let is_alone =
+            self.last_contact_us.is_some_and(|contact_us| now_us >= contact_us + PEER_SILENCE_LIMIT_US);
+        let replaces_reader = self.rank == Some(STANDBY_RANK) && self.state(feed).standby_reads;
+        self.rank == Some(READER_RANK) || is_alone || replaces_reader
+    }
+
     /// Returns the offset after the last read or update that changed an endpoint.
     #[cfg(test)]
     pub(super) fn change_offset(&self) -> u64 {
@@ -196,8 +220,8 @@
 
     /// Applies the changes and proofs of a peer's update, and schedules reads of what only the peer has.
     fn handle_peer_update(&mut self, now_us: u64, update: PeerUpdate, out: &mut Vec<Action>) {
-        self.last_contact_us = now_us;
-        self.is_reader = update.rank < READER_COUNT;
+        self.last_contact_us = Some(now_us);
+        self.rank = Some(update.rank);
         let asked_us = update.asked_us;
         let proof_us =
             |age_ms: u64| asked_us.map(|at_us| at_us.saturating_sub(age_ms.saturating_mul(US_PER_MS)));
@@ -207,6 +231,10 @@
             self.apply_changes(now_us, *changes, at_us, out);
         }
         let has_version = update.version <= self.version;
+        if !has_version && !self.fetching {
+            self.fetching = true;
+            out.push(Action::Fetch { from: update.from });
+        }
         let proves_version = update.version == self.version;
         self.reconcile(now_us, Feed::Configuration, has_version, version_us.filter(|_| proves_version), out);
         let has_change = self.endpoints_feed.next_offset.is_some_and(|next| update.change_offset <= next);
@@ -226,7 +254,8 @@
     ) {
         if !up_to_date {
             let wait_us = match feed {
-                Feed::Configuration => 0,
+                // The peer is asked for it at the same time.
+                Feed::Configuration => self.settings.fetch_timeout_ms * US_PER_MS,
                 // The peer sends the changes with its answer to the next gossip request, unless datagrams are
                 // lost.
                 Feed::Endpoints => {
@@ -245,13 +274,34 @@
         else {
             return;
         };
+        state.standby_reads = false;
         self.detect_outage(now_us, feed, at_us);
         self.publish_proof(feed, at_us, out);
-        if !self.is_reader {
+        if self.rank != Some(READER_RANK) {
             self.schedule_read(now_us, feed, at_us);
         }
     }
 
+    fn handle_fetched(&mut self, now_us: u64, configuration: Arc<Configuration>, out: &mut Vec<Action>) {
+        self.fetching = false;
+        self.apply_configuration(configuration, out);
+        let state = &mut self.configuration_feed;
+        if state.catch_up_us.take().is_some() && !state.in_flight {
+            let proof_us = state.proof_us.unwrap_or(0);
+            self.schedule_read(now_us, Feed::Configuration, proof_us);
+        }
+    }
+
+    /// Reads the store for the version that a peer has and did not send, unless a pause after a failed read is running.
+    fn handle_failed_fetch(&mut self, now_us: u64, from: Address, fault: String, out: &mut Vec<Action>) {
+        self.fetching = false;
+        out.push(Action::Decide(Decision::NotFetched { from, fault }));
+        let state = &mut self.configuration_feed;
+        if state.catch_up_us.is_some() && !state.failing {
+            state.due_us = now_us;
+        }
+    }
+
     /// Applies endpoint changes that a peer has read. Changes that leave a gap or are all known are ignored.
     fn apply_changes(&mut self, now_us: u64, changes: Changes, at_us: u64, out: &mut Vec<Action>) {
         let Some(next) = self.endpoints_feed.next_offset else { return };
@@ -279,7 +329,9 @@
 
     fn handle_failure(&mut self, now_us: u64, feed: Feed, error: StoreError, out: &mut Vec<Action>) {
         let settings = self.settings;
-        let max_ms = if self.is_reader { settings.reader_retry_max_ms } else { settings.retry_max_ms };
+        let relies_on_peers =
+            self.rank.is_some_and(|rank| rank > STANDBY_RANK) && !self.reads_as_reader(now_us, feed);
+        let max_ms = if relies_on_peers { settings.retry_max_ms } else { settings.reader_retry_max_ms };
         let state = self.state(feed);
         let pause_ms = (settings.retry_min_ms << state.failures.min(BACKOFF_DOUBLING_LIMIT)).min(max_ms);
         state.failures += 1;
@@ -297,15 +349,17 @@
     }
 
     fn start_reads(&mut self, now_us: u64, out: &mut Vec<Action>) {
-        let is_reader = self.is_reader;
-        let wait_ms = self.settings.configuration_wait_ms;
+        let is_standby = self.rank == Some(STANDBY_RANK);
         for feed in [Feed::Configuration, Feed::Endpoints] {
             let state = self.state(feed);
             if state.in_flight || now_us < state.due_us {
                 continue;
             }
             state.in_flight = true;
-            let wait_ms = if is_reader && feed == Feed::Configuration { wait_ms } else { 0 };
+            state.standby_reads |= is_standby;
+            let waits = feed == Feed::Configuration && self.reads_as_reader(now_us, feed);
+            let wait_ms = if waits { self.settings.configuration_wait_ms } else { 0 };
+            let state = self.state(feed);
             out.push(Action::Read { feed, from: state.next_offset, wait_ms });
         }
     }
@@ -439,6 +493,8 @@
             Event::Read { feed, batch, snapshot, sent_us } => {
                 self.handle_read(now_us, feed, batch, snapshot, sent_us, actions);
             }
+            Event::Fetched(configuration) => self.handle_fetched(now_us, configuration, actions),
+            Event::NotFetched { from, fault } => self.handle_failed_fetch(now_us, from, fault, actions),
             Event::Failed { feed, error } => self.handle_failure(now_us, feed, error, actions),
             Event::PeerUpdate(update) => self.handle_peer_update(now_us, update, actions),
         }
--- a/crates/banyannotch/src/gateway/catalog/runtime.rs
+++ b/crates/banyannotch/src/gateway/catalog/runtime.rs
@@ -2,6 +2,11 @@
 //!
 //! All decisions are made in the policy.
 
+use std::net::TcpListener as StdTcpListener;
+
+use tokio::net::TcpListener;
+
+use super::exchange::{self, Offer};
 use super::{Action, Catalog, CatalogSettings, Event};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
@@ -26,7 +31,8 @@
     pub gossip: Sender<Changes>,
 }
 
-/// Starts the thread of the catalog. `store` creates the store client on that thread.
+/// Starts the thread of the catalog. `store` creates the store client on that thread, and `listener` accepts the
+/// connections of other gateways that request the configuration.
 ///
 /// # Errors
 /// Returns the error of the operating system when no thread can be created.
@@ -35,6 +41,7 @@
     clock: C,
     links: Links,
     settings: CatalogSettings,
+    listener: StdTcpListener,
     seed: u64,
     store: impl FnOnce() -> S + Send + 'static,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
@@ -42,6 +49,16 @@
     supervisor.spawn("catalog", move || async move {
         let bell = links.bell.clone();
         let mailbox = Mailbox::new(&bell);
+        let offer = Offer::default();
+        match listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener)) {
+            Ok(listener) => {
+                actix_rt::spawn(exchange::serve(listener, offer.clone()));
+            }
+            Err(error) => {
+                log::error!("event=listener_failed port=peers error=\"{error}\"");
+                return;
+            }
+        }
         let ports = CatalogPorts {
             links,
             supervisor: ports_supervisor,
@@ -49,6 +66,7 @@
             store: store(),
             clock: clock.clone(),
             settings,
+            offer,
         };
         duty::run(clock, bell, Catalog::new(settings, seed), ports).await;
     })
@@ -72,6 +90,7 @@
     store: S,
     clock: C,
     settings: CatalogSettings,
+    offer: Offer,
 }
 
 impl<C: Clock, S: Store> Ports for CatalogPorts<C, S> {
@@ -87,6 +106,7 @@
         let supervisor = &self.supervisor;
         match action {
             Action::Configuration(configuration) => {
+                self.offer.replace(&configuration);
                 let limits = forwarding::Event::Limits(configuration.limits);
                 self.links.forwarding.send_or_fail(limits, "catalog_forwarding", supervisor);
                 let event = layout::Event::Configuration(configuration.clone());
@@ -128,6 +148,19 @@
                     });
                 });
             }
+            Action::Fetch { from } => {
+                let (mailbox, limit_ms) = (self.mailbox.clone(), self.settings.fetch_timeout_ms);
+                actix_rt::spawn(async move {
+                    let fetched = exchange::fetch(from, limit_ms).await;
+                    let result = if fetched.is_ok() { "ok" } else { "failed" };
+                    metrics::counter!("banyannotch_gateway_configuration_fetches_total", "result" => result)
+                        .increment(1);
+                    mailbox.put(match fetched {
+                        Ok(configuration) => Event::Fetched(configuration),
+                        Err(error) => Event::NotFetched { from, fault: error.to_string() },
+                    });
+                });
+            }
             Action::Decide(decision) => log::info!("{decision}"),
         }
     }
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -6,10 +6,24 @@
 use super::{Action, Catalog, CatalogSettings, Event, PeerUpdate};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::dispatch::fixtures::{configuration, plain_endpoint};
+use crate::gateway::dispatch::fixtures::{address, configuration, plain_endpoint};
 use crate::gateway::gossip::{Change, Changes};
 use crate::gateway::{Batch, Endpoint, Feed, Record, StoreError};
 
+/// Returns the update of a peer that has read nothing.
+fn update_of_peer() -> PeerUpdate {
+    PeerUpdate {
+        from: address(9),
+        version: 0,
+        version_proof_age_ms: 0,
+        change_offset: 0,
+        change_proof_age_ms: 0,
+        asked_us: None,
+        changes: None,
+        rank: 5,
+    }
+}
+
 struct World {
     catalog: Catalog,
     now_us: u64,
@@ -46,6 +60,7 @@
                 }
                 Action::EndpointsProof(proof) => format!("endpoints are {} ms old", age_ms(proof.at_us)),
                 Action::Read { feed, from, wait_ms } => format!("read {feed:?} from {from:?} wait {wait_ms}"),
+                Action::Fetch { from } => format!("fetch from {}", from.ip()),
                 Action::Decide(_) | Action::Changed(_) => continue,
             };
             self.lines.push(format!("{at_ms}: {text}"));
@@ -157,6 +172,7 @@
     world.answer_configuration(5);
     world.answer_endpoints(vec![present(1)], true);
     let update = |asked_us| PeerUpdate {
+        from: address(9),
         version: 5,
         version_proof_age_ms: 300,
         change_offset: 1,
@@ -175,6 +191,8 @@
     }
     let with_proofs = world.lines.iter().filter(|line| line.contains("read")).count();
     world.event(Event::PeerUpdate(PeerUpdate { version: 6, ..update(world.now_us) }));
+    let not_fetched = Event::NotFetched { from: address(9), fault: "reset".to_owned() };
+    world.event(not_fetched);
     world.event(Event::PeerUpdate(PeerUpdate { change_offset: 9, ..update(world.now_us) }));
     world.wait_ms(700);
     let to_catch_up = world.lines.iter().filter(|line| line.contains("read")).count() - with_proofs;
@@ -220,7 +238,7 @@
     world.wait_ms(400);
     world.lines.clear();
     let unsolicited =
-        || PeerUpdate { version: 5, change_offset: 1, asked_us: None, rank: 5, ..PeerUpdate::default() };
+        || PeerUpdate { version: 5, change_offset: 1, asked_us: None, rank: 5, ..update_of_peer() };
     world.event(Event::PeerUpdate(unsolicited()));
     world.event(Event::PeerUpdate(PeerUpdate {
         asked_us: Some(world.now_us - 20_000),
@@ -232,7 +250,7 @@
         version: 4,
         asked_us: Some(world.now_us),
         change_offset: 0,
-        ..PeerUpdate::default()
+        ..update_of_peer()
     }));
     insta::assert_snapshot!(world.lines.join("\n"));
 }
@@ -245,7 +263,7 @@
         asked_us: Some(world.now_us - 5_000),
         changes: Some(Box::new(changes)),
         rank: 5,
-        ..PeerUpdate::default()
+        ..update_of_peer()
     })
 }
 
@@ -321,12 +339,7 @@
     world.answer_configuration(5);
     world.answer_endpoints(vec![present(1)], true);
     // The read that is in progress succeeds after other gateways have become the readers.
-    world.event(Event::PeerUpdate(PeerUpdate {
-        version: 5,
-        change_offset: 1,
-        rank: 5,
-        ..PeerUpdate::default()
-    }));
+    world.event(Event::PeerUpdate(PeerUpdate { version: 5, change_offset: 1, rank: 5, ..update_of_peer() }));
     world.answer_configuration(5);
     world.lines.clear();
     let reads = |world: &World| world.lines.iter().filter(|line| line.contains("read Configuration")).count();
@@ -337,7 +350,7 @@
             change_offset: 1,
             asked_us: Some(world.now_us),
             rank: 5,
-            ..PeerUpdate::default()
+            ..update_of_peer()
         };
         world.event(Event::PeerUpdate(update));
         world.wait_ms(50);
@@ -350,3 +363,121 @@
     // Pauses of 150, 300, 600 and 1,200 ms, then of 1,600 ms, in 4 s.
     assert!((4..=6).contains(&reads), "expected 4 to 6 reads, found {reads}:\n{}", world.lines.join("\n"));
 }
+
+/// Returns the update of a peer that has proofs of 100 ms for everything that this gateway has read.
+fn proof(world: &World, rank: usize) -> Event {
+    Event::PeerUpdate(PeerUpdate {
+        from: address(9),
+        version: 5,
+        version_proof_age_ms: 100,
+        change_offset: 1,
+        change_proof_age_ms: 100,
+        asked_us: Some(world.now_us),
+        changes: None,
+        rank,
+    })
+}
+
+/// Reads on behalf of others cost as much as those for oneself, so only one gateway reads while its proofs arrive. When
+/// they are late, the standby takes over at the same pace, and stops once a later proof arrives.
+#[test]
+fn the_standby_reads_only_while_the_proofs_of_the_reader_are_late() {
+    let mut world = World::new();
+    world.answer_configuration(5);
+    world.answer_endpoints(vec![present(1)], true);
+    let event = proof(&world, 1);
+    world.event(event);
+    let mut counts = Vec::new();
+    for has_reader in [true, false, true] {
+        world.answer_configuration(5);
+        world.answer_endpoints(vec![], false);
+        world.lines.clear();
+        let mut answered = 0;
+        for _ in 0..40 {
+            world.wait_ms(100);
+            if has_reader {
+                let event = proof(&world, 1);
+                world.event(event);
+                continue;
+            }
+            let asked = world.lines.split_off(answered);
+            let is_read = |feed: &str| asked.iter().any(|line| line.contains(feed));
+            let (configuration, endpoints) = (is_read("read Configuration"), is_read("read Endpoints"));
+            world.lines.extend(asked);
+            answered = world.lines.len();
+            if configuration {
+                world.answer_configuration(5);
+            }
+            if endpoints {
+                world.answer_endpoints(vec![], false);
+            }
+        }
+        counts.push(world.lines.iter().filter(|line| line.contains("read")).count());
+    }
+    assert_eq!((counts[0], counts[2]), (0, 0), "the standby read beside the reader: {counts:?}");
+    assert!(counts[1] >= 10, "the standby did not take over at the reader's pace: {counts:?}");
+}
+
+/// Hundreds of gateways that start together must not all read the store until they have heard of each other.
+#[test]
+fn a_gateway_without_contact_reads_once_until_it_must() {
+    let mut world = World::new();
+    world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::Unavailable });
+    world.wait_ms(200);
+    world.answer_configuration(5);
+    world.answer_endpoints(vec![present(1)], true);
+    world.lines.clear();
+    world.wait_ms(1_100);
+    assert_eq!(world.lines, Vec::<String>::new());
+}
+
+/// A gateway that learns of a newer configuration gets it from the peer. When each read it from the store, a change cost
+/// 295 calls, and gateways that the store refused kept rejecting requests until it accepted them again.
+#[test]
+fn a_newer_configuration_is_fetched_from_the_peer() {
+    let mut world = World::new();
+    world.answer_configuration(5);
+    world.answer_endpoints(vec![present(1)], true);
+    let event = proof(&world, 5);
+    world.event(event);
+    world.answer_configuration(5);
+    world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::Unavailable });
+    world.lines.clear();
+    let newer = PeerUpdate { version: 6, asked_us: Some(world.now_us), ..update_of_peer() };
+    world.event(Event::PeerUpdate(newer.clone()));
+    world.event(Event::PeerUpdate(newer));
+    world.wait_ms(50);
+    world.event(Event::Fetched(Arc::new(configuration(6))));
+    world.event(Event::Fetched(Arc::new(configuration(5))));
+    world.wait_ms(100);
+    let event =
+        Event::PeerUpdate(PeerUpdate { version: 6, asked_us: Some(world.now_us), ..update_of_peer() });
+    world.event(event);
+    insta::assert_snapshot!(world.lines.join("\n"));
+}
+
+/// If a peer does not send its configuration, the store is read at once, and after a timeout even if the end of the
+/// request was never reported.
+#[test]
+fn the_store_is_read_when_a_peer_does_not_send_its_configuration() {
+    let mut counts = Vec::new();
+    for is_reported in [true, false] {
+        let mut world = World::new();
+        world.answer_configuration(5);
+        world.answer_endpoints(vec![present(1)], true);
+        let event = proof(&world, 5);
+        world.event(event);
+        world.lines.clear();
+        let newer = PeerUpdate { version: 6, asked_us: Some(world.now_us), ..update_of_peer() };
+        world.event(Event::PeerUpdate(newer));
+        if is_reported {
+            world.event(Event::NotFetched { from: address(9), fault: "reset".to_owned() });
+        }
+        let reads =
+            |world: &World| world.lines.iter().filter(|line| line.contains("read Configuration")).count();
+        let at_once = reads(&world);
+        world.wait_ms(750);
+        counts.push((at_once, reads(&world)));
+    }
+    assert_eq!(counts, [(1, 1), (0, 1)]);
+}
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -8,7 +8,9 @@
 use super::tickets::Reservation;
 use crate::clock::US_PER_MS;
 use crate::gateway::{Endpoint, EngineReport};
+use crate::ids::Zone;
 use crate::pipeline::Address;
+use crate::table::Table;
 
 /// Weight of a time-out as a failure of each engine on the path, because it does not show which engine or
 /// link caused it.
@@ -19,6 +21,7 @@
 pub(super) struct Peer {
     pub last_contact_us: u64,
     pub version: u64,
+    pub zone: Zone,
     pub loads: Vec<(Address, Load)>,
 }
 
@@ -71,7 +74,7 @@
         let half_life_ms = self.settings.failure_half_life_ms;
         match by {
             BrokenBy::Connection => {
-                self.suspects.record_break(digest, now_us);
+                self.suspects.record_break(digest, *first, now_us);
                 self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0);
                 if reservation.loads.len() > 1 {
                     actions.push(Action::Inspect(*first));
@@ -111,8 +114,16 @@
         actions: &mut Vec<Action>,
     ) {
         match report {
-            None => self.exclude(now_us, address, "no_report", actions),
+            None => {
+                self.suspects.confirm_breaks(address, now_us);
+                self.exclude(now_us, address, "no_report", actions);
+            }
             Some(report) => {
+                let known = self.endpoint_at(address);
+                // A report without a start time says nothing about a restart.
+                if report.born_ms != 0 && known.is_some_and(|endpoint| endpoint.born_ms != report.born_ms) {
+                    self.suspects.confirm_breaks(address, now_us);
+                }
                 self.health.entry(address).record_slowdown(now_us, report.pace);
                 for stalled in &report.stalled {
                     self.exclude(now_us, *stalled, "stalled", actions);
@@ -121,76 +132,86 @@
         }
     }
 
-    pub(super) fn update_peer(&mut self, now_us: u64, state: PeerState, known: usize) {
-        let PeerState { instance, loads, down, suspects, version, .. } = state;
+    /// Stores the state of another gateway. Its loads take effect with the next call of
+    /// [`Self::update_peer_loads`], because a state arrives for each of many datagrams.
+    pub(super) fn update_peer(&mut self, now_us: u64, state: PeerState, known: usize, zone_known: usize) {
+        let PeerState { instance, zone, zone_loads, other_loads, down, suspects, version, .. } = state;
         if instance == self.settings.instance {
             return;
         }
         self.known_gateways = known;
+        self.zone_gateways.insert(zone.clone(), zone_known);
         for (digest, count) in suspects {
             self.suspects.record_peer_breaks(digest, count, now_us);
         }
         for address in down {
-            if self.endpoints.iter().any(|endpoint| endpoint.address == address) {
+            if self.endpoint_at(address).is_some() {
                 let for_ms = self.settings.peer_exclusion_ms;
                 self.health.entry(address).exclude_for_peer(now_us, for_ms);
             }
         }
-        self.peers.insert(instance, Peer { last_contact_us: now_us, version, loads });
-        self.update_peer_loads(now_us);
+        let mut loads = other_loads;
+        loads.extend(zone_loads);
+        self.peers.insert(instance, Peer { last_contact_us: now_us, version, zone, loads });
     }
 
-    /// Recomputes the load of the other gateways at each endpoint, without gateways that had no recent
-    /// contact.
+    /// Recomputes the load of the other gateways at each endpoint, without gateways that had no recent contact. The
+    /// loads of the gateways with recent contact are extrapolated to all known gateways of their zone.
     pub(super) fn update_peer_loads(&mut self, now_us: u64) {
         let timeout_us = self.settings.peer_timeout_ms * US_PER_MS;
         for (_, health) in self.health.iter_mut() {
             health.peers = Load::default();
         }
-        for (_, peer) in self.peers.iter_mut() {
-            if peer.last_contact_us + timeout_us < now_us {
-                peer.loads.clear();
-            }
-        }
         // A gateway counts for the division of the retry budget until a whole window has passed without
         // contact.
         let retention_us = self.settings.retry_window_ms * US_PER_MS;
         self.peers.retain(|_, peer| peer.last_contact_us + retention_us >= now_us);
-        // Extrapolates from the gateways with recent contact to all known gateways.
-        let recent =
-            self.peers.iter().filter(|(_, peer)| peer.last_contact_us + timeout_us >= now_us).count();
-        let scale = self.known_gateways.saturating_sub(1).max(recent) as f64 / recent.max(1) as f64;
-        for (_, peer) in self.peers.iter() {
-            for (address, load) in &peer.loads {
+        let mut recent: Table<&Zone, Vec<&Peer>> = Table::default();
+        for (_, peer) in self.peers.iter().filter(|(_, peer)| peer.last_contact_us + timeout_us >= now_us) {
+            recent.entry(&peer.zone).push(peer);
+        }
+        for (zone, peers) in recent.iter() {
+            let known = self.zone_gateways.get(zone).copied().unwrap_or_default();
+            let scale = known.max(peers.len()) as f64 / peers.len().max(1) as f64;
+            for (address, load) in peers.iter().flat_map(|peer| &peer.loads) {
                 self.health.entry(*address).peers.add(&load.scaled(scale));
             }
         }
     }
 
-    pub(super) fn update_endpoints(&mut self, endpoints: Arc<[Endpoint]>) {
-        for endpoint in &*endpoints {
-            let restarted = self.endpoints.iter().any(|known| {
-                known.address == endpoint.address
-                    && (known.born_ms, &known.id) != (endpoint.born_ms, &endpoint.id)
-            });
-            if restarted && let Some(health) = self.health.get_mut(&endpoint.address) {
+    pub(super) fn update_endpoints(&mut self, now_us: u64, endpoints: Arc<[Endpoint]>) {
+        let mut endpoints = endpoints.to_vec();
+        endpoints.sort_by_key(|endpoint| endpoint.address);
+        for known in &*self.endpoints {
+            let successor = find_endpoint(&endpoints, known.address);
+            let restarted = successor
+                .is_some_and(|successor| (known.born_ms, &known.id) != (successor.born_ms, &successor.id));
+            if restarted && let Some(health) = self.health.get_mut(&known.address) {
                 health.reset();
             }
+            // An endpoint that announced its departure did not crash.
+            if !known.leaving && (restarted || successor.is_none()) {
+                self.suspects.confirm_breaks(known.address, now_us);
+            }
         }
-        self.endpoints = endpoints;
-        let known = &self.endpoints;
-        self.health.retain(|address, health| {
-            !health.own.is_idle() || known.iter().any(|endpoint| endpoint.address == *address)
-        });
+        self.health
+            .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
+        self.endpoints = endpoints.into();
+    }
+
+    /// Returns the endpoint at an address.
+    pub(super) fn endpoint_at(&self, address: Address) -> Option<&Endpoint> {
+        find_endpoint(&self.endpoints, address)
     }
 
     pub(super) fn publish_state(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let loads = self
-            .health
-            .iter()
-            .filter(|(_, health)| !health.own.is_idle())
+        let in_flight = self.health.iter().filter(|(_, health)| !health.own.is_idle());
+        let in_own_zone = |address: Address| {
+            self.endpoint_at(address).is_some_and(|endpoint| endpoint.zone.as_str() == self.settings.zone)
+        };
+        let (zone_loads, other_loads) = in_flight
             .map(|(address, health)| (*address, health.own))
-            .collect();
+            .partition(|(address, _)| in_own_zone(*address));
         let down = self
             .health
             .iter()
@@ -199,9 +220,11 @@
             .collect();
         actions.push(Action::PublishState(Box::new(PeerState {
             instance: self.settings.instance.clone(),
-            loads,
+            zone: Zone::from(&*self.settings.zone),
+            zone_loads,
+            other_loads,
             down,
-            suspects: self.suspects.observed().collect(),
+            suspects: self.suspects.observed(now_us).collect(),
             version: self.version(),
             proof_age_ms: self.proof_age_ms(now_us),
             endpoints_change: self.endpoints_proof.version,
@@ -209,3 +232,9 @@
         })));
     }
 }
+
+/// Returns the endpoint at an address; the endpoints are sorted by address.
+fn find_endpoint(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
+    let index = endpoints.binary_search_by_key(&address, |endpoint| endpoint.address).ok()?;
+    endpoints.get(index)
+}
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -8,6 +8,7 @@
 
 use super::health::Load;
 use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo};
+use crate::ids::Zone;
 use crate::pipeline::Address;
 
 /// A request that forwarding has read and submits for a decision.
@@ -83,8 +84,12 @@
 pub struct PeerState {
     /// Name of the gateway.
     pub instance: String,
-    /// Load that the gateway has in flight at each endpoint.
-    pub loads: Vec<(Address, Load)>,
+    /// Zone of the gateway.
+    pub zone: Zone,
+    /// Load that the gateway has in flight at each endpoint of its zone.
+    pub zone_loads: Vec<(Address, Load)>,
+    /// Load that the gateway has in flight at each endpoint of another zone.
+    pub other_loads: Vec<(Address, Load)>,
     /// Endpoints that the gateway excludes because of failures that it observed itself.
     pub down: Vec<Address>,
     /// Digests of requests during which connections to endpoints broke, and the number of breaks.
@@ -99,6 +104,22 @@
     pub endpoints_age_ms: u64,
 }
 
+impl PeerState {
+    /// Returns the part that gateways of other zones need. They seldom use the endpoints of this zone, and most
+    /// bytes of the state describe the load on these.
+    pub fn for_other_zone(&self) -> Self {
+        Self {
+            instance: self.instance.clone(),
+            zone: self.zone.clone(),
+            zone_loads: Vec::new(),
+            other_loads: self.other_loads.clone(),
+            down: self.down.clone(),
+            suspects: self.suspects.clone(),
+            ..*self
+        }
+    }
+}
+
 /// Input of dispatch.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -130,6 +151,8 @@
         state: Box<PeerState>,
         /// Number of known gateways, this one included.
         known: usize,
+        /// Number of known gateways in the zone of the other gateway, without this one.
+        zone_known: usize,
     },
     /// An inspection of an engine ended.
     Report {
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -15,7 +15,7 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::{Configuration, Endpoint, ForwardingInfo, RetryMode, Route, Service, Team};
-use crate::ids::ServiceId;
+use crate::ids::{ServiceId, Zone};
 use crate::pipeline::{Address, LayerRange};
 use crate::random::Random;
 use crate::table::Table;
@@ -37,6 +37,7 @@
     pub(super) settings: DispatchSettings,
     pub(super) random: Random,
     pub(super) configuration: Option<Arc<Configuration>>,
+    /// Endpoints, sorted by address.
     pub(super) endpoints: Arc<[Endpoint]>,
     pub(super) configuration_proof: Option<Proof>,
     pub(super) health: HealthTable,
@@ -46,6 +47,8 @@
     pub(super) peers: Table<String, Peer>,
     /// Number of known gateways, this one included.
     pub(super) known_gateways: usize,
+    /// Number of other known gateways in each zone.
+    pub(super) zone_gateways: Table<Zone, usize>,
     pub(super) endpoints_proof: Proof,
     pub(super) publish_at_us: u64,
     pub(super) ready: bool,
@@ -78,6 +81,7 @@
             suspects: Suspects::default(),
             peers: Table::default(),
             known_gateways: 1,
+            zone_gateways: Table::default(),
             endpoints_proof: Proof::default(),
             publish_at_us: 0,
             ready: false,
@@ -348,6 +352,7 @@
                 let reason = if self.may_have_run(ticket_id) {
                     RefusalReason::Broken
                 } else {
+                    self.suspects.confirm_breaks(*first, now_us);
                     RefusalReason::StaleConfiguration
                 };
                 self.refuse(now_us, ticket_id, reason, actions);
@@ -510,10 +515,12 @@
                     self.configuration = Some(configuration);
                 }
             }
-            Event::Endpoints(endpoints) => self.update_endpoints(endpoints),
+            Event::Endpoints(endpoints) => self.update_endpoints(now_us, endpoints),
             Event::ConfigurationProof(proof) => self.update_configuration_proof(proof),
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
-            Event::Peer { state, known } => self.update_peer(now_us, *state, known),
+            Event::Peer { state, known, zone_known } => {
+                self.update_peer(now_us, *state, known, zone_known);
+            }
             Event::Report { address, report } => self.on_report(now_us, address, report.as_ref(), actions),
             Event::Draining => self.draining = true,
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -186,6 +186,13 @@
         self.event(Event::ConfigurationProof(Proof { version: 5, at_us: self.now_us }));
     }
 
+    /// Replaces each endpoint by one that was started anew at the same address.
+    pub fn restart_endpoints(&mut self, born_ms: u64) {
+        let restarted: Vec<Endpoint> =
+            endpoints().into_iter().map(|endpoint| Endpoint { born_ms, ..endpoint }).collect();
+        self.event(Event::Endpoints(restarted.into()));
+    }
+
     pub fn wait_ms(&mut self, ms: u64) {
         self.now_us += ms * US_PER_MS;
     }
--- a/crates/banyannotch/src/gateway/gossip/messages.rs
+++ b/crates/banyannotch/src/gateway/gossip/messages.rs
@@ -4,6 +4,7 @@
 
 use super::Changes;
 use crate::gateway::dispatch::PeerState;
+use crate::ids::Zone;
 use crate::pipeline::Address;
 
 /// Number of gateways that read the store on behalf of the others. If one of two loses contact with the store, the
@@ -15,22 +16,32 @@
 pub struct GossipSettings {
     /// Number of gateways that receive a request in each round.
     pub fanout: usize,
-    /// Maximum number of gateway addresses in a datagram.
-    pub address_limit: usize,
+    /// Number of these that are drawn from the gateways of the own zone, besides the relays.
+    pub zone_fanout: usize,
+    /// Maximum number of other gateways that a datagram mentions.
+    pub mention_limit: usize,
     /// Time without contact after which a gateway is removed, and maximum age of a request whose reply is accepted, in
     /// milliseconds.
     pub expiry_ms: u64,
-    /// Number of gateways, the first in the common order, that receive a request in every round because they read the
-    /// store.
-    pub reader_count: usize,
 }
 
 impl Default for GossipSettings {
     fn default() -> Self {
-        Self { fanout: 8, address_limit: 32, expiry_ms: 20_000, reader_count: READER_COUNT }
+        Self { fanout: 8, zone_fanout: 5, mention_limit: 12, expiry_ms: 20_000 }
     }
 }
 
+/// Another gateway, as mentioned in a datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Mention {
+    /// Address of the gateway.
+    pub address: Address,
+    /// Zone of the gateway.
+    pub zone: Zone,
+    /// Time since any gateway was last in contact with it, in milliseconds.
+    pub contact_age_ms: u32,
+}
+
 /// Content of a datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -40,8 +51,8 @@
         asked_us: u64,
         /// State of the sender. Its age is unknown, so it does not prove that the configuration is current.
         state: PeerState,
-        /// Addresses of other gateways.
-        known: Vec<Address>,
+        /// Some of the other gateways that the sender knows.
+        known: Vec<Mention>,
     },
     /// Replies with the state of the sender.
     Tell {
@@ -51,8 +62,8 @@
         state: PeerState,
         /// Changes of endpoints that the sender of the request lacks.
         changes: Option<Changes>,
-        /// Addresses of other gateways.
-        known: Vec<Address>,
+        /// Some of the other gateways that the sender knows.
+        known: Vec<Mention>,
     },
 }
 
@@ -75,6 +86,8 @@
 /// Output of the policy.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Report the number of alive gateways before this one in the order that is common to all gateways.
+    Rank(usize),
     /// Send a datagram.
     Send {
         /// Address of the receiver.
@@ -84,6 +97,8 @@
     },
     /// Report the state of another gateway to the other duties.
     PeerUpdate {
+        /// Address of the other gateway.
+        from: Address,
         /// State of the other gateway.
         state: Box<PeerState>,
         /// Time at which this gateway requested the state, in microseconds on its own clock; none if the state
@@ -91,8 +106,10 @@
         asked_us: Option<u64>,
         /// Changes of endpoints that this gateway lacked when it sent the request.
         changes: Option<Box<Changes>>,
-        /// Number of gateways with recent contact, including this one.
+        /// Number of alive gateways, including this one.
         known: usize,
+        /// Number of alive gateways in the zone of the other gateway, without this one.
+        zone_known: usize,
         /// Number of gateways before this one in the order that is common to all gateways.
         rank: usize,
     },
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -4,13 +4,15 @@
 //! even after it was suspended. Lost datagrams are not resent; the next exchange replaces them.
 
 mod changes;
+mod members;
 mod messages;
 mod policy;
+mod relays;
 mod runtime;
 #[cfg(test)]
 mod tests;
 
 pub use changes::{Change, Changes};
-pub use messages::{Action, Event, GossipSettings, Message, READER_COUNT};
+pub use messages::{Action, Event, GossipSettings, Mention, Message, READER_COUNT};
 pub use policy::Gossip;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/gossip/policy.rs
+++ b/crates/banyannotch/src/gateway/gossip/policy.rs
@@ -1,19 +1,20 @@
 //! The policy of gossip: which gateways get a request, and what a reply contains.
 
 use super::changes::ChangeLog;
+use super::members::{Members, sample};
+use super::relays::relays_of;
 use super::{Action, Changes, Event, GossipSettings, Message};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::PeerState;
+use crate::ids::Zone;
 use crate::pipeline::Address;
-use crate::random::{Random, mix};
+use crate::random::Random;
 use crate::table::Table;
 
-/// Time since the last contact or first mention after which a gateway takes no part in the common order, in
-/// microseconds.
-const ALIVE_US: u64 = 4_000_000;
-/// Maximum number of other gateways in the table.
-const PEER_LIMIT: usize = 2_048;
+/// Time after the first round in which a gateway takes the last rank, in microseconds. Until it has heard of most
+/// others, it would rank among the first ones and read the store as they do.
+const DISCOVERY_US: u64 = 1_000_000;
 
 /// Tracks the other gateways and exchanges state with them.
 #[derive(Debug)]
@@ -22,13 +23,61 @@
     own: Address,
     seeds: Vec<Address>,
     random: Random,
-    /// Time of the last datagram from each gateway, or of its first mention by another one, in microseconds.
-    last_contact: Table<Address, u64>,
-    /// Latest state of dispatch, with the time at which it was published.
-    state: Option<(u64, Box<PeerState>)>,
+    members: Members,
+    first_round_us: Option<u64>,
+    /// Number of alive gateways before this one in the common order, as of the last round.
+    rank: usize,
+    /// Number of other alive gateways in each zone, as of the last round.
+    zone_counts: Table<Zone, usize>,
+    published: Option<Published>,
     changes: ChangeLog,
 }
 
+/// Latest state of dispatch, with the times of its proofs.
+#[derive(Debug)]
+struct Published {
+    state: Box<PeerState>,
+    /// When the version of the configuration was last confirmed to be current, in microseconds.
+    version_proof_us: u64,
+    /// When it was last confirmed that the endpoints had not changed, in microseconds.
+    endpoints_proof_us: u64,
+}
+
+impl Published {
+    fn new(now_us: u64, state: Box<PeerState>) -> Self {
+        let at_us = |age_ms: u64| now_us.saturating_sub(age_ms.saturating_mul(US_PER_MS));
+        let (version_proof_us, endpoints_proof_us) =
+            (at_us(state.proof_age_ms), at_us(state.endpoints_age_ms));
+        Self { state, version_proof_us, endpoints_proof_us }
+    }
+
+    /// Takes the later proofs of another state that has the same version or the same offset. Without this, each relay
+    /// would pass on a proof only after dispatch has published its state again.
+    fn take_proofs(&mut self, other: &Self) {
+        if other.state.version == self.state.version {
+            self.version_proof_us = self.version_proof_us.max(other.version_proof_us);
+        }
+        if other.state.endpoints_change == self.state.endpoints_change {
+            self.endpoints_proof_us = self.endpoints_proof_us.max(other.endpoints_proof_us);
+        }
+    }
+
+    /// Returns the state for a gateway in the given zone, with the current ages of the proofs.
+    fn state_for(&self, now_us: u64, zone: &Zone) -> PeerState {
+        let state = if self.state.zone == *zone {
+            PeerState::clone(&self.state)
+        } else {
+            self.state.for_other_zone()
+        };
+        let age_ms = |at_us: u64| now_us.saturating_sub(at_us).div_ceil(US_PER_MS);
+        PeerState {
+            proof_age_ms: age_ms(self.version_proof_us),
+            endpoints_age_ms: age_ms(self.endpoints_proof_us),
+            ..state
+        }
+    }
+}
+
 impl Gossip {
     /// Creates the policy of the gateway at the given address.
     pub fn new(settings: GossipSettings, own: Address, seeds: Vec<Address>, seed: u64) -> Self {
@@ -37,125 +86,121 @@
             own,
             seeds,
             random: Random::seeded(seed),
-            last_contact: Table::default(),
-            state: None,
+            members: Members::new(own),
+            first_round_us: None,
+            rank: usize::MAX,
+            zone_counts: Table::default(),
+            published: None,
             changes: ChangeLog::default(),
         }
     }
 
-    fn round(&mut self, now_us: u64, state: &PeerState, out: &mut Vec<Action>) {
-        self.state = Some((now_us, Box::new(state.clone())));
-        let expiry_us = self.settings.expiry_ms * US_PER_MS;
-        self.last_contact.retain(|_, contact_us| *contact_us + expiry_us >= now_us);
-        let mut known: Vec<Address> = self.last_contact.iter().map(|(address, _)| *address).collect();
-        known.extend(self.seeds.iter().filter(|seed| **seed != self.own));
-        known.sort_unstable();
-        known.dedup();
-        let addresses = self.sample(&known, self.settings.address_limit);
-        let mut targets = self.alive(now_us);
-        targets.sort_by_key(order_key);
-        targets.truncate(self.settings.reader_count);
-        known.retain(|address| !targets.contains(address));
-        targets.extend(self.sample(&known, self.settings.fanout.saturating_sub(targets.len())));
-        for to in targets {
-            let state = state.clone();
-            let message = Message::Ask { asked_us: now_us, state, known: addresses.clone() };
-            out.push(Action::Send { to, message: Box::new(message) });
-        }
+    /// Returns whether the gateway is in the table of members.
+    #[cfg(test)]
+    pub(super) fn knows(&self, address: Address) -> bool {
+        self.own == address || self.members.addresses().contains(&address)
     }
 
-    /// Returns up to `count` of the addresses, drawn at random.
-    fn sample(&mut self, known: &[Address], count: usize) -> Vec<Address> {
-        let mut sampled = known.to_vec();
-        while sampled.len() > count {
-            sampled.swap_remove(self.random.below(sampled.len()));
+    fn round(&mut self, now_us: u64, state: Box<PeerState>, out: &mut Vec<Action>) {
+        self.members.expire(now_us, self.settings.expiry_ms * US_PER_MS);
+        let order = self.members.common_order(now_us);
+        let rank = order.iter().position(|address| *address == self.own).unwrap_or_default();
+        let first_round_us = *self.first_round_us.get_or_insert(now_us);
+        self.rank = if now_us < first_round_us + DISCOVERY_US { usize::MAX } else { rank };
+        self.zone_counts = self.members.zone_counts(now_us);
+        out.push(Action::Rank(self.rank));
+        let zone_peers = self.members.alive_in_zone(now_us, &state.zone);
+        let mut published = Published::new(now_us, state);
+        if let Some(previous) = &self.published {
+            published.take_proofs(previous);
         }
-        sampled
+        for to in self.targets(relays_of(&order, rank), zone_peers.clone()) {
+            let in_zone = zone_peers.contains(&to);
+            let zone = if in_zone { published.state.zone.clone() } else { Zone::default() };
+            let state = published.state_for(now_us, &zone);
+            let known = self.members.mentions(now_us, self.settings.mention_limit, &mut self.random);
+            let message = Message::Ask { asked_us: now_us, state, known };
+            out.push(Action::Send { to, message: Box::new(message) });
+        }
+        self.published = Some(published);
     }
 
-    /// Records a contact with `from` and adds the gateways that it mentions.
-    fn record_contact(&mut self, now_us: u64, from: Address, known: &[Address]) {
-        self.last_contact.insert(from, now_us);
-        for address in known.iter().filter(|address| **address != self.own) {
-            if self.last_contact.len() < PEER_LIMIT && !self.last_contact.contains(address) {
-                self.last_contact.insert(*address, now_us);
-            }
-        }
+    /// Returns the gateways to ask in a round: the relays, then some of the zone, whose load matters most, and then any.
+    fn targets(&mut self, relays: Vec<Address>, zone_peers: Vec<Address>) -> Vec<Address> {
+        let fanout = self.settings.fanout;
+        let mut targets = relays;
+        let candidates = zone_peers.into_iter().filter(|address| !targets.contains(address)).collect();
+        let zone_count = self.settings.zone_fanout.min(fanout.saturating_sub(targets.len()));
+        targets.extend(sample(candidates, zone_count, &mut self.random));
+        let mut others = self.members.addresses();
+        others.extend(self.seeds.iter().filter(|seed| **seed != self.own));
+        others.sort_unstable();
+        others.dedup();
+        others.retain(|address| !targets.contains(address));
+        targets.extend(sample(others, fanout.saturating_sub(targets.len()), &mut self.random));
+        targets
     }
 
     fn report_peer(
         &self,
-        now_us: u64,
+        from: Address,
         state: PeerState,
         asked_us: Option<u64>,
         changes: Option<Changes>,
         out: &mut Vec<Action>,
     ) {
-        let alive = self.alive(now_us);
-        let rank = alive.iter().filter(|address| order_key(address) < order_key(&self.own)).count();
+        let known = self.zone_counts.iter().map(|(_, count)| count).sum::<usize>() + 1;
+        let zone_known = self.zone_counts.get(&state.zone).copied().unwrap_or_default();
         out.push(Action::PeerUpdate {
+            from,
             state: Box::new(state),
             asked_us,
             changes: changes.map(Box::new),
-            known: alive.len() + 1,
-            rank,
+            known,
+            zone_known,
+            rank: self.rank,
         });
     }
 
-    /// Returns the other gateways whose last contact or first mention is recent.
-    fn alive(&self, now_us: u64) -> Vec<Address> {
-        let alive_since_us = now_us.saturating_sub(ALIVE_US);
-        let recent = self.last_contact.iter().filter(|(_, contact_us)| **contact_us >= alive_since_us);
-        recent.map(|(address, _)| *address).collect()
-    }
-
     fn received(&mut self, now_us: u64, from: Address, message: Message, out: &mut Vec<Action>) {
         match message {
             Message::Ask { asked_us, state, known } => {
-                self.record_contact(now_us, from, &known);
+                self.members.record_contact(now_us, from, &state.zone);
+                self.members.record_mentions(now_us, &known);
                 let changes = self.changes.after(state.endpoints_change);
-                self.report_peer(now_us, state, None, None, out);
-                let Some((published_us, state)) = &self.state else { return };
-                let mut state = PeerState::clone(state);
-                let age_ms = now_us.saturating_sub(*published_us).div_ceil(US_PER_MS);
-                state.proof_age_ms = state.proof_age_ms.saturating_add(age_ms);
-                state.endpoints_age_ms = state.endpoints_age_ms.saturating_add(age_ms);
-                let addresses: Vec<Address> = self.last_contact.iter().map(|(address, _)| *address).collect();
-                let known = self.sample(&addresses, self.settings.address_limit);
+                let reply = self.published.as_ref().map(|published| published.state_for(now_us, &state.zone));
+                self.report_peer(from, state, None, None, out);
+                let Some(state) = reply else { return };
+                let known = self.members.mentions(now_us, self.settings.mention_limit, &mut self.random);
                 out.push(Action::Send {
                     to: from,
                     message: Box::new(Message::Tell { asked_us, state, changes, known }),
                 });
             }
             Message::Tell { asked_us, state, changes, known } => {
-                self.record_contact(now_us, from, &known);
+                self.members.record_contact(now_us, from, &state.zone);
+                self.members.record_mentions(now_us, &known);
                 // A reply is no proof if its request time is not plausible: it may come from an earlier process at this
                 // address or from another clock.
                 let oldest_us = now_us.saturating_sub(self.settings.expiry_ms * US_PER_MS);
                 if (oldest_us..=now_us).contains(&asked_us) {
-                    self.report_peer(now_us, state, Some(asked_us), changes, out);
+                    if let Some(published) = &mut self.published {
+                        published.take_proofs(&Published::new(asked_us, Box::new(state.clone())));
+                    }
+                    self.report_peer(from, state, Some(asked_us), changes, out);
                 }
             }
         }
     }
 }
 
-/// Returns the sort key of a gateway in the order that is common to all gateways. It depends on the IP address only, not
-/// on the port or the zone.
-fn order_key(address: &Address) -> u64 {
-    match address.ip() {
-        std::net::IpAddr::V4(ip) => mix(u64::from(u32::from(ip))),
-        std::net::IpAddr::V6(ip) => mix(u128::from(ip) as u64),
-    }
-}
-
 impl Duty for Gossip {
     type Event = Event;
     type Action = Action;
 
     fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::State(state) => self.round(now_us, &state, actions),
+            Event::State(state) => self.round(now_us, state, actions),
             Event::Changed(changes) => self.changes.push(changes),
             Event::Received { from, message } => self.received(now_us, from, *message, actions),
         }
--- a/crates/banyannotch/src/gateway/gossip/runtime.rs
+++ b/crates/banyannotch/src/gateway/gossip/runtime.rs
@@ -58,7 +58,7 @@
         };
         let mailbox = Mailbox::new(&bell);
         actix_rt::spawn(receive(Rc::clone(&socket), mailbox.clone()));
-        let ports = GossipPorts { links, supervisor: ports_supervisor, mailbox, socket };
+        let ports = GossipPorts { links, supervisor: ports_supervisor, mailbox, socket, reported_rank: None };
         duty::run(clock, bell, Gossip::new(settings, own, seeds, seed), ports).await;
     })
 }
@@ -85,6 +85,8 @@
     supervisor: Supervisor,
     mailbox: Mailbox<Event>,
     socket: Rc<UdpSocket>,
+    /// Rank that layout was told last.
+    reported_rank: Option<usize>,
 }
 
 impl Ports for GossipPorts {
@@ -111,8 +113,16 @@
                     log::debug!("event=datagram_not_sent to={to} error=\"{error}\"");
                 }
             }
-            Action::PeerUpdate { state, asked_us, changes, known, rank } => {
+            Action::Rank(rank) => {
+                // Layout needs the rank only, which seldom changes, so its thread is not woken for each datagram.
+                if self.reported_rank.replace(rank) != Some(rank) {
+                    let event = layout::Event::Rank(rank);
+                    self.links.layout.send_or_fail(event, "gossip_layout", &self.supervisor);
+                }
+            }
+            Action::PeerUpdate { from, state, asked_us, changes, known, zone_known, rank } => {
                 let update = catalog::PeerUpdate {
+                    from,
                     version: state.version,
                     version_proof_age_ms: state.proof_age_ms,
                     change_offset: state.endpoints_change,
@@ -126,9 +136,7 @@
                     "gossip_catalog",
                     &self.supervisor,
                 );
-                let event = layout::Event::Rank(rank);
-                self.links.layout.send_or_fail(event, "gossip_layout", &self.supervisor);
-                let event = dispatch::Event::Peer { state, known };
+                let event = dispatch::Event::Peer { state, known, zone_known };
                 self.links.dispatch.send_or_fail(event, "gossip_dispatch", &self.supervisor);
             }
         }
--- a/crates/banyannotch/src/gateway/layout/policy.rs
+++ b/crates/banyannotch/src/gateway/layout/policy.rs
@@ -43,7 +43,8 @@
     last_increase_us: u64,
     join_at_us: u64,
     check_at_us: u64,
-    /// Number of gateways before this one in the order that all gateways share.
+    /// Number of gateways before this one in the order that all gateways share; the maximum until gossip reports it, so
+    /// that gateways that start together do not all join the group.
     rank: usize,
     draining: bool,
     /// When to repeat a failed call to leave the group.
@@ -65,7 +66,7 @@
             last_increase_us: 0,
             join_at_us: 0,
             check_at_us: 0,
-            rank: 0,
+            rank: usize::MAX,
             draining: false,
             leave_at_us: None,
         }
@@ -280,7 +281,12 @@
             Event::OrderAnswered { address, reply } => {
                 self.handle_order_reply(now_us, address, reply, actions);
             }
-            Event::Rank(rank) => self.rank = rank,
+            Event::Rank(rank) => {
+                if rank < self.settings.member_limit && self.rank >= self.settings.member_limit {
+                    self.join_at_us = now_us;
+                }
+                self.rank = rank;
+            }
             Event::Draining => {
                 self.draining = true;
                 self.update_ownership(now_us, actions);
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -131,6 +131,7 @@
         let mut world =
             Self { layout: Layout::new(LayoutSettings::default()), now_us: 1_000_000, lines: Vec::new() };
         world.event(Event::Configuration(Arc::new(configuration(1))));
+        world.event(Event::Rank(0));
         world
     }
 
--- a/crates/banyannotch/src/gateway/model.rs
+++ b/crates/banyannotch/src/gateway/model.rs
@@ -8,7 +8,7 @@
 use crate::pipeline::{Address, LayerRange};
 
 /// Whether a request of a route may run again after a failure, and how its response is delivered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RetryMode {
     /// Single response; the request may run more than once.
     Idempotent,
@@ -33,7 +33,7 @@
 }
 
 /// A service that a route sends requests to, with its traffic weight.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceId,
@@ -42,7 +42,7 @@
 }
 
 /// Maps a host and a path prefix to services.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Host that requests must name, in lower case.
     pub host: Arc<str>,
@@ -69,7 +69,7 @@
 }
 
 /// A type of accelerator card.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Accelerator {
     /// Name of the card type.
     pub name: Arc<str>,
@@ -82,7 +82,7 @@
 }
 
 /// Size and performance of a model whose layers are distributed over several engines.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Pipeline {
     /// Number of layers of the model.
     pub layers: u16,
@@ -152,7 +152,7 @@
 }
 
 /// A service that endpoints provide.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Service {
     /// Name of the service.
     pub id: ServiceId,
@@ -165,7 +165,7 @@
 }
 
 /// Limits on the requests and connections of callers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Maximum size of a request head, in bytes.
     pub head_bytes: usize,
@@ -184,7 +184,7 @@
 }
 
 /// A team and its priority.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Team {
     /// Name of the team.
     pub id: TeamId,
@@ -193,7 +193,7 @@
 }
 
 /// An API key and the team that it belongs to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Credential {
     /// The API key, which is a secret.
     pub key: Arc<str>,
@@ -202,7 +202,7 @@
 }
 
 /// One complete version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Configuration {
     /// Version, which increases with each change.
     pub version: u64,
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -34,6 +34,8 @@
     pub revoke_ms: u64,
     /// Whether `revoke_ms` also holds while the store cannot be reached. If so, requests with a key are then rejected.
     pub strict_revocation: bool,
+    /// Maximum time from the acknowledgement of a configuration until it is in force, in milliseconds.
+    pub config_apply_ms: u64,
     /// Maximum time from the start of an endpoint's drain to the last request sent to it, in milliseconds.
     pub drain_ms: u64,
     /// Time from SIGTERM to SIGKILL, in seconds.
@@ -79,6 +81,7 @@
         let ranges = [
             ("heartbeat_ms", self.heartbeat_ms as f64, 50.0, 60_000.0),
             ("revoke_ms", self.revoke_ms as f64, 500.0, 600_000.0),
+            ("config_apply_ms", self.config_apply_ms as f64, 200.0, 600_000.0),
             ("drain_ms", self.drain_ms as f64, 200.0, 600_000.0),
             ("grace_s", self.grace_s, 0.5, 600.0),
             ("stall_ms", self.stall_ms as f64, 100.0, 600_000.0),
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -28,6 +28,17 @@
 /// Number of reads of the endpoint entries within `drain_ms`, so that a draining endpoint is detected in time.
 const ENDPOINT_READS_PER_DRAIN: u64 = 4;
 
+/// Share of `config_apply_ms` for which the reader's read waits for a change. The proof that follows it takes less than
+/// the rest of the fallback age to reach all gateways.
+const CONFIGURATION_WAIT_SHARE: f64 = 0.3;
+/// Share of `config_apply_ms` at which a gateway that gets no proof from others reads the configuration itself. The rest
+/// is for the read and its delay.
+const CONFIGURATION_FALLBACK_SHARE: f64 = 0.7;
+/// Share of `drain_ms` at which a gateway that gets no proof from others reads the endpoints itself.
+const ENDPOINTS_FALLBACK_SHARE: f64 = 0.6;
+/// Time from the fallback age until the read that it leads to was sent, in milliseconds, with its random delay.
+const FALLBACK_READ_MS: u64 = 600;
+
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -63,9 +74,8 @@
             readiness: listen("readiness", settings.readiness)?,
         };
         let metrics_listener = listen("metrics", settings.metrics)?;
-        let bind_error = |source| GatewayError::Listen { port: "peers", address: settings.peers, source };
-        let socket = UdpSocket::bind(settings.peers).map_err(bind_error)?;
-        let peers = socket.local_addr().map_err(bind_error)?;
+        let (socket, exchange_listener) = bind_peers(settings.peers)?;
+        let peers = socket.local_addr()?;
         log::info!(
             "event=listening callers={} readiness={} peers={peers} metrics={}",
             listeners.callers.local_addr()?,
@@ -152,11 +162,8 @@
                 forwarding: catalog_to_forwarding,
                 gossip: catalog_to_gossip,
             },
-            CatalogSettings {
-                endpoints_interval_ms: endpoints_interval_ms(settings),
-                endpoints_fallback_age_ms: settings.drain_ms / 2,
-                ..CatalogSettings::default()
-            },
+            catalog_settings(settings),
+            exchange_listener,
             seed,
             move || clients().0,
         )?;
@@ -219,6 +226,23 @@
     }
 }
 
+fn catalog_settings(settings: &GatewaySettings) -> CatalogSettings {
+    let share = |limit_ms: u64, share: f64| (limit_ms as f64 * share) as u64;
+    let configuration_wait_ms = share(settings.config_apply_ms, CONFIGURATION_WAIT_SHARE);
+    let configuration_fallback_age_ms = share(settings.config_apply_ms, CONFIGURATION_FALLBACK_SHARE);
+    let endpoints_fallback_age_ms = share(settings.drain_ms, ENDPOINTS_FALLBACK_SHARE);
+    let fallback_age_ms = configuration_fallback_age_ms.max(endpoints_fallback_age_ms);
+    CatalogSettings {
+        configuration_wait_ms,
+        endpoints_interval_ms: endpoints_interval_ms(settings),
+        configuration_fallback_age_ms,
+        endpoints_fallback_age_ms,
+        // A gateway without contact to peers reads at the fallback age, which is no outage.
+        outage_gap_ms: fallback_age_ms + FALLBACK_READ_MS,
+        ..CatalogSettings::default()
+    }
+}
+
 /// Returns the interval at which the endpoint entries are read. It is a fraction of `drain_ms`, the time within which a
 /// draining endpoint must be detected.
 fn endpoints_interval_ms(settings: &GatewaySettings) -> u64 {
@@ -245,3 +269,23 @@
 fn listen(port: &'static str, address: Address) -> Result<TcpListener> {
     TcpListener::bind(address).map_err(|source| GatewayError::Listen { port, address, source })
 }
+
+/// Binds the port for other gateways: gossip uses it over UDP, the exchange of configurations over TCP.
+fn bind_peers(address: Address) -> Result<(UdpSocket, TcpListener)> {
+    /// Maximum number of attempts to find a port that is free for both protocols if any port may be used.
+    const ATTEMPT_LIMIT: usize = 16;
+    let bind = || {
+        let socket = UdpSocket::bind(address)?;
+        let listener = TcpListener::bind(socket.local_addr()?)?;
+        Ok((socket, listener))
+    };
+    let attempts = if address.port() == 0 { ATTEMPT_LIMIT } else { 1 };
+    let mut bound = bind();
+    for _ in 1..attempts {
+        if bound.is_ok() {
+            break;
+        }
+        bound = bind();
+    }
+    bound.map_err(|source| GatewayError::Listen { port: "peers", address, source })
+}
--- a/crates/banyannotch/src/ids.rs
+++ b/crates/banyannotch/src/ids.rs
@@ -9,7 +9,9 @@
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[derive(
+            Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+        )]
         #[serde(transparent)]
         pub struct $name(Arc<str>);
 
