dispatch: paths drawn from the chains by their free capacity

The search may also cross from chain to chain, which loads the fast engines of several chains.

Change: beyond nine gateways, which all exchange loads in each round, a path is drawn from the whole chains of the zone by request rate, failures and the square of the free memory; of two draws the emptier one is taken, and chains of other zones compete once the zone is fuller than 0.6. The request rate of a chain moves from the plan to rate.rs, where both use it.

--- /dev/null
+++ b/crates/banyannotch/src/gateway/dispatch/chains.rs
@@ -0,0 +1,188 @@
+//! Choice of a path among the chains of engines that hold the model together, at random in proportion to their free
+//! capacity.
+//!
+//! Many gateways that all take the cheapest path by the same late reports send their requests to the same engines, which
+//! then reject them. A choice at random spreads the requests without any report, and the reports only correct it: of two
+//! chains drawn by their capacity the one with more free memory is taken. See "Choice of a path" in `docs/platform.md`.
+
+use super::paths::{Candidate, Path, PathSearch};
+use crate::gateway::rate::{ChainPart, request_rate};
+use crate::gateway::{Endpoint, RequestInfo};
+use crate::ids::Zone;
+use crate::pipeline::{Address, LayerRange};
+use crate::random::Random;
+
+/// Share of the KV cache in use above which a chain of the gateway's zone is compared with chains of other zones.
+const SPILL_FILL: f64 = 0.6;
+
+/// A chain with the parts that its engines run, and its state for one request.
+struct RatedChain<'a> {
+    parts: Vec<(Candidate<'a>, LayerRange)>,
+    /// Weight in the draw: the request rate of the chain, reduced by its load and by recent failures.
+    weight: f64,
+    /// Highest share of the KV cache in use on any engine of the chain.
+    fill: f64,
+    /// Whether an earlier send of the request used an engine of the chain.
+    is_tried: bool,
+}
+
+impl<'a> PathSearch<'a> {
+    /// Returns a path that is drawn from the chains of the gateway's zone, or from those of all zones while the zone has
+    /// little room. Returns none when no chain has room for the request.
+    pub fn sampled(&self, request: &RequestInfo, tried: &[Address], random: &mut Random) -> Option<Path> {
+        let mut zones: Vec<&Zone> = self.engines.iter().map(|engine| &engine.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let rated_chains = |zone: &Zone| {
+            let chains = disjoint_chains(self.pipeline.layers, self.usable_in_zone(zone));
+            chains.into_iter().filter_map(|chain| self.rate(&chain, request, tried)).collect::<Vec<_>>()
+        };
+        let mut local: Vec<RatedChain<'_>> = Vec::new();
+        let mut foreign_zones = Vec::new();
+        for zone in zones {
+            if zone.as_str() == self.settings.zone {
+                local = rated_chains(zone);
+            } else {
+                foreign_zones.push(zone);
+            }
+        }
+        let best_local = draw_less_filled(&local, random);
+        if let Some(chain) = best_local.filter(|chain| chain.fill < SPILL_FILL && !chain.is_tried) {
+            return self.path_of_chain(chain, request);
+        }
+        let foreign: Vec<RatedChain<'_>> = foreign_zones.into_iter().flat_map(rated_chains).collect();
+        let candidates = [best_local, draw_less_filled(&foreign, random)];
+        let chosen = candidates.into_iter().flatten().min_by(|left, right| left.order(right))?;
+        self.path_of_chain(chosen, request)
+    }
+
+    /// Returns the engines of a zone that hold layers and are not excluded, whatever their load.
+    fn usable_in_zone(&self, zone: &Zone) -> Vec<(&'a Endpoint, LayerRange)> {
+        let in_zone = self.engines.iter().filter(|engine| engine.zone == *zone && !engine.leaving);
+        in_zone
+            .filter(|engine| {
+                let health = self.health.get(&engine.address);
+                health.is_none_or(|health| !health.is_excluded(self.now_us))
+            })
+            .filter_map(|engine| Some((*engine, engine.layers.filter(|layers| !layers.is_empty())?)))
+            .collect()
+    }
+
+    /// Returns the state of a chain for a request, or none if one of its engines has no room.
+    fn rate(
+        &self,
+        chain: &[(&'a Endpoint, LayerRange)],
+        request: &RequestInfo,
+        tried: &[Address],
+    ) -> Option<RatedChain<'a>> {
+        let mut parts = Vec::with_capacity(chain.len());
+        let mut chain_parts = Vec::with_capacity(chain.len());
+        let (mut fill, mut health_weight, mut is_tried) = (0.0_f64, 1.0, false);
+        for (engine, layers) in chain {
+            let candidate = self.candidate(engine, request, tried)?;
+            if f64::from(layers.len()) > candidate.fitting_layers {
+                return None;
+            }
+            let kind = self.pipeline.accelerator(engine.accelerator.as_deref()?)?;
+            chain_parts.push(ChainPart {
+                memory_mb: kind.memory_mb,
+                step_factor: kind.step_factor * candidate.slowdown,
+                read_factor: kind.read_factor * candidate.slowdown,
+                layers: layers.len(),
+            });
+            fill = fill.max(candidate.fill);
+            health_weight *= 1.0 - candidate.failure_share;
+            is_tried |= tried.contains(&engine.address);
+            parts.push((candidate, *layers));
+        }
+        let first = parts.first().filter(|(candidate, _)| candidate.accepts_requests)?;
+        let rate = request_rate(self.pipeline, first.0.engine.slots, chain_parts);
+        let free = (1.0 - fill).max(0.0);
+        Some(RatedChain { parts, weight: rate * health_weight * free * free, fill, is_tried })
+    }
+
+    fn path_of_chain(&self, chain: &RatedChain<'a>, request: &RequestInfo) -> Option<Path> {
+        let (mut cost_ms, mut token_interval_ms) = (0.0, 0.0);
+        for (candidate, layers) in &chain.parts {
+            let count = f64::from(layers.len());
+            cost_ms += candidate.fixed_cost_ms + candidate.layer_cost_ms * count;
+            token_interval_ms += candidate.layer_token_ms * count;
+        }
+        let hops =
+            chain.parts.iter().map(|(candidate, layers)| (candidate.engine.address, *layers)).collect();
+        self.path(hops, request, cost_ms, token_interval_ms)
+    }
+}
+
+impl RatedChain<'_> {
+    /// Orders chains by preference: not tried before, then less filled.
+    fn order(&self, other: &Self) -> std::cmp::Ordering {
+        self.is_tried.cmp(&other.is_tried).then(self.fill.total_cmp(&other.fill))
+    }
+}
+
+/// Draws two chains by their weights and returns the one to prefer.
+fn draw_less_filled<'c, 'a>(chains: &'c [RatedChain<'a>], random: &mut Random) -> Option<&'c RatedChain<'a>> {
+    let untried: Vec<&RatedChain<'a>> = chains.iter().filter(|chain| !chain.is_tried).collect();
+    let eligible = if untried.is_empty() { chains.iter().collect() } else { untried };
+    let total: f64 = eligible.iter().map(|chain| chain.weight).sum();
+    let mut draw = || {
+        let mut drawn = random.unit() * total;
+        let found = eligible.iter().find(|chain| {
+            drawn -= chain.weight;
+            drawn < 0.0
+        });
+        found.or(eligible.last()).copied()
+    };
+    let (first, second) = (draw()?, draw()?);
+    Some(if second.order(first).is_lt() { second } else { first })
+}
+
+/// Divides engines into chains that hold all layers, each engine with its whole range. Engines that are left over, such
+/// as those of a chain that lost one, are in no chain. Between engines with the same range the first one is taken.
+fn disjoint_chains(
+    layers: u16,
+    mut engines: Vec<(&Endpoint, LayerRange)>,
+) -> Vec<Vec<(&Endpoint, LayerRange)>> {
+    engines.sort_by_key(|(engine, range)| (range.begin, range.end, engine.address));
+    let mut used = vec![false; engines.len()];
+    let mut chains = Vec::new();
+    while let Some(chain) = next_chain(layers, &engines, &used) {
+        chains.push(chain.iter().filter_map(|index| engines.get(*index).copied()).collect());
+        for index in chain {
+            if let Some(used) = used.get_mut(index) {
+                *used = true;
+            }
+        }
+    }
+    chains
+}
+
+/// Returns the indices of the unused engines that form the chain with the fewest engines. The engines are sorted by the
+/// begin of their ranges.
+fn next_chain(layers: u16, engines: &[(&Endpoint, LayerRange)], used: &[bool]) -> Option<Vec<usize>> {
+    let size = usize::from(layers) + 1;
+    // For each boundary the number of engines up to it and the last one of them.
+    let mut reached: Vec<Option<(u32, Option<usize>)>> = vec![None; size];
+    *reached.first_mut()? = Some((0, None));
+    for (index, (_, range)) in engines.iter().enumerate() {
+        if used.get(index).copied().unwrap_or(true) {
+            continue;
+        }
+        let Some((count, _)) = reached.get(usize::from(range.begin)).copied().flatten() else { continue };
+        let Some(end) = reached.get_mut(usize::from(range.end)) else { continue };
+        if end.is_none_or(|(known, _)| count + 1 < known) {
+            *end = Some((count + 1, Some(index)));
+        }
+    }
+    let mut chain = Vec::new();
+    let mut boundary = layers;
+    while boundary > 0 {
+        let (_, last) = reached.get(usize::from(boundary)).copied().flatten()?;
+        let index = last?;
+        chain.push(index);
+        boundary = engines.get(index)?.1.begin;
+    }
+    chain.reverse();
+    Some(chain)
+}
--- a/crates/banyannotch/src/gateway/dispatch/paths.rs
+++ b/crates/banyannotch/src/gateway/dispatch/paths.rs
@@ -35,19 +35,25 @@
 }
 
 /// An engine that may be part of the path, with its costs for one request.
-struct Candidate<'a> {
-    engine: &'a Endpoint,
+pub(super) struct Candidate<'a> {
+    pub engine: &'a Endpoint,
     layers: LayerRange,
     /// Cost of each layer for the whole request, in milliseconds.
-    layer_cost_ms: f64,
+    pub layer_cost_ms: f64,
     /// Time that each layer adds to a token of the answer, in milliseconds.
-    layer_token_ms: f64,
+    pub layer_token_ms: f64,
     /// Cost that does not depend on the number of layers, in milliseconds.
-    fixed_cost_ms: f64,
+    pub fixed_cost_ms: f64,
     /// Number of layers for which the request's KV cache fits into the free cache of the engine.
-    fitting_layers: f64,
+    pub fitting_layers: f64,
+    /// Share of the KV cache that is in use.
+    pub fill: f64,
+    /// Share of recent requests that failed.
+    pub failure_share: f64,
+    /// Factor by which the engine is slower than its kind of accelerator.
+    pub slowdown: f64,
     /// Whether the engine has a free slot and can be the first of a path.
-    accepts_requests: bool,
+    pub accepts_requests: bool,
 }
 
 /// Cheapest path found from layer 0 to a layer boundary whose last engine is in a given zone.
@@ -74,7 +80,8 @@
         self.search(&candidates, request, true).or_else(|| self.search(&candidates, request, false))
     }
 
-    fn candidate(
+    /// Returns an engine with its costs for a request, or none if it cannot be part of a path.
+    pub(super) fn candidate(
         &self,
         engine: &'a Endpoint,
         request: &RequestInfo,
@@ -124,6 +131,9 @@
             layer_token_ms,
             fixed_cost_ms,
             fitting_layers: free_cache / tokens,
+            fill,
+            failure_share,
+            slowdown,
             accepts_requests: load.requests < engine.slots,
         })
     }
@@ -240,8 +250,7 @@
             .enumerate()
             .filter_map(|(zone, partial_path)| partial_path.map(|partial_path| (zone, partial_path)))
             .min_by(|(_, left), (_, right)| left.cost_ms.total_cmp(&right.cost_ms))?;
-        let tokens = f64::from(request.prompt_tokens + request.answer_tokens).max(1.0);
-        let (mut hops, mut loads) = (Vec::new(), Vec::new());
+        let mut hops = Vec::new();
         while index > 0 {
             let partial_path = best.get(index * zone_count + zone).copied().flatten()?;
             let candidate = candidates.get(partial_path.candidate_index)?;
@@ -251,17 +260,21 @@
                 return None;
             }
             hops.push((address, range));
-            let cache = tokens * f64::from(range.len());
-            let reading = f64::from(request.prompt_tokens) * f64::from(range.len());
-            loads.push((
-                address,
-                Load { requests: u32::from(partial_path.begin_index == 0), sequences: 1, cache, reading },
-            ));
             index = partial_path.begin_index;
             zone = partial_path.previous_zone;
         }
         hops.reverse();
-        loads.reverse();
+        self.path(hops, request, last.cost_ms, last.token_interval_ms)
+    }
+
+    /// Returns the path over the hops with the load of a request on them, or none if they do not cover the model.
+    pub(super) fn path(
+        &self,
+        hops: Vec<(Address, LayerRange)>,
+        request: &RequestInfo,
+        cost_ms: f64,
+        token_interval_ms: f64,
+    ) -> Option<Path> {
         debug_assert!(
             covers(&hops, self.pipeline.layers),
             "hops {hops:?} do not cover layers 0..{} once and in order",
@@ -270,12 +283,15 @@
         if !covers(&hops, self.pipeline.layers) {
             return None;
         }
-        Some(Path {
-            hops: hops.into(),
-            cost_ms: last.cost_ms,
-            token_interval_ms: last.token_interval_ms,
-            loads,
-        })
+        let tokens = f64::from(request.prompt_tokens + request.answer_tokens).max(1.0);
+        let load = |range: &LayerRange| Load {
+            requests: u32::from(range.begin == 0),
+            sequences: 1,
+            cache: tokens * f64::from(range.len()),
+            reading: f64::from(request.prompt_tokens) * f64::from(range.len()),
+        };
+        let loads = hops.iter().map(|(address, range)| (*address, load(range))).collect();
+        Some(Path { hops: hops.into(), cost_ms, token_interval_ms, loads })
     }
 }
 
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -235,7 +235,9 @@
         actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Send(Box::new(order)) });
     }
 
-    fn choose(&self, now_us: u64, ticket_id: u64) -> Option<Choice> {
+    fn choose(&mut self, now_us: u64, ticket_id: u64) -> Option<Choice> {
+        // Gateways that exchange their loads in every round know each other's choices.
+        let knows_all_loads = self.known_gateways <= self.settings.full_exchange_gateways;
         let ticket = self.tickets.get(&ticket_id)?;
         let service = self.configuration.as_deref()?.service(&ticket.service)?;
         let endpoints: Vec<&Endpoint> =
@@ -249,7 +251,13 @@
                     settings: &self.settings,
                     now_us,
                 };
-                let path = search.cheapest(&ticket.request, &ticket.tried)?;
+                let sampled = if knows_all_loads {
+                    None
+                } else {
+                    search.sampled(&ticket.request, &ticket.tried, &mut self.random)
+                };
+                // Paths over parts of chains that lost an engine are used only while no whole chain has room.
+                let path = sampled.or_else(|| search.cheapest(&ticket.request, &ticket.tried))?;
                 let (address, _) = *path.hops.first()?;
                 let first = endpoints.iter().find(|endpoint| endpoint.address == address)?;
                 Some(Choice {
@@ -344,6 +352,7 @@
             }
             Ending::Unsent => {
                 if let Some((first, _)) = reservation.loads.first() {
+                    self.suspects.confirm_breaks(*first, now_us);
                     self.exclude(now_us, *first, "no_connection", actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
@@ -352,7 +361,6 @@
                 let reason = if self.may_have_run(ticket_id) {
                     RefusalReason::Broken
                 } else {
-                    self.suspects.confirm_breaks(*first, now_us);
                     RefusalReason::StaleConfiguration
                 };
                 self.refuse(now_us, ticket_id, reason, actions);
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of dispatch: limits, retry budget and cost weights.
 
+use crate::gateway::gossip::GossipSettings;
+
 /// Settings of dispatch. Times are in milliseconds unless the name says otherwise.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
@@ -60,6 +62,9 @@
     pub retry_after_ms: u64,
     /// Time after which a caller may retry when another gateway may be able to serve the request at once.
     pub retry_elsewhere_after_ms: u64,
+    /// Number of gateways up to which each of them exchanges its loads with all others in every interval. More
+    /// gateways draw their paths at random.
+    pub full_exchange_gateways: usize,
     /// Interval at which the state is published to other gateways.
     pub publish_interval_ms: u64,
     /// Time without contact after which another gateway's load is dropped.
@@ -95,6 +100,7 @@
             stall_factor: 8.0,
             retry_after_ms: 500,
             retry_elsewhere_after_ms: 20,
+            full_exchange_gateways: GossipSettings::default().fanout + 1,
             publish_interval_ms: 250,
             peer_timeout_ms: 1_500,
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of dispatch; most record its decisions (sends, retries and refusals) as snapshots.
 
 mod budgets;
+mod chains;
 pub(crate) mod fixtures;
 mod outcomes;
 mod paths;
--- a/crates/banyannotch/src/gateway/layout/plan.rs
+++ b/crates/banyannotch/src/gateway/layout/plan.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use crate::gateway::Pipeline;
+use crate::gateway::rate::{ChainPart, request_rate};
 use crate::ids::Zone;
 use crate::pipeline::{Address, LayerRange};
 
@@ -17,10 +18,6 @@
 /// Demand, as a share of the request rate of the best division without losses. Capacity beyond the demand is
 /// of no use.
 const DEMAND_SHARE: f64 = 0.25;
-/// Share of an engine's time that prefill and decoding may take before requests wait for each other.
-const UTILIZATION_LIMIT: f64 = 0.6;
-/// Time to transfer a token from one engine to the next in the same zone, in milliseconds.
-const TOKEN_TRANSFER_MS: f64 = 0.2;
 /// Maximum number of passes over all pairs of chains, so that planning stays cheap for many cards.
 const PASS_LIMIT: usize = 8;
 /// The search tries the maximum number of chains that memory allows, and up to this many smaller numbers.
@@ -390,29 +387,15 @@
 /// engines are up.
 fn chain_rate(pipeline: &Pipeline, chain: &[&Card], layer_share: f64) -> (f64, f64) {
     let Some(layer_counts) = divide_layers(pipeline, chain, layer_share) else { return (0.0, 0.0) };
-    let model_layers = f64::from(pipeline.layers.max(1));
-    let request_tokens = pipeline.usual_prompt_tokens + pipeline.usual_answer_tokens;
-    let prefill_ms = pipeline.usual_prompt_tokens * 1_000.0 / pipeline.prefill_tokens_per_s.max(1.0);
-    let (mut token_ms, mut first_token_ms, mut busiest_ms) = (0.0, 0.0, 0.0_f64);
-    let mut cache_tokens = f64::INFINITY;
-    for (card, layers) in chain.iter().zip(&layer_counts) {
-        let model_share = f64::from(*layers) / model_layers;
-        let card_prefill_ms = prefill_ms * card.read_factor * model_share;
-        token_ms += pipeline.step_ms * card.step_factor * model_share + TOKEN_TRANSFER_MS;
-        first_token_ms += card_prefill_ms;
-        let decoding_ms =
-            pipeline.sequence_ms * card.step_factor * model_share * pipeline.usual_answer_tokens;
-        busiest_ms = busiest_ms.max(card_prefill_ms + decoding_ms);
-        let cache_size = pipeline.cache_size(card.memory_mb, *layers);
-        cache_tokens = cache_tokens.min(cache_size / f64::from((*layers).max(1)));
-    }
-    let request_s = (first_token_ms + token_ms * pipeline.usual_answer_tokens) / 1_000.0;
+    let parts = chain.iter().zip(&layer_counts).map(|(card, layers)| ChainPart {
+        memory_mb: card.memory_mb,
+        step_factor: card.step_factor,
+        read_factor: card.read_factor,
+        layers: *layers,
+    });
     let slots = chain.first().map_or(0, |card| card.slots);
-    let memory_rate = cache_tokens / request_tokens.max(1.0) / request_s.max(0.001);
-    let slots_rate = f64::from(slots) / request_s.max(0.001);
-    let utilization_rate = UTILIZATION_LIMIT * 1_000.0 / busiest_ms.max(0.001);
     let availability = ENGINE_AVAILABILITY.powi(i32::try_from(chain.len()).unwrap_or(i32::MAX));
-    (memory_rate.min(slots_rate).min(utilization_rate), availability)
+    (request_rate(pipeline, slots, parts), availability)
 }
 
 /// Divides the model's layers over the cards of a chain in proportion to their memory. Returns the number of
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod journal;
 pub mod layout;
 mod model;
+mod rate;
 mod settings;
 mod start;
 
