layout: thousands of engines planned once and ordered by several owners

Change: a group with the same kinds of cards as another takes its division; the zones of a service with more than 256 engines are divided among the partitions of the ordering group, so up to four gateways plan and order; at most 48 calls to engines are in progress. Smaller services keep one owner, because their chains may cross zones.

Tests: a_plan_of_thousands_of_cards_searches_each_kind_of_group_once, owners_of_partitions_order_different_zones and few_calls_to_engines_are_in_progress_at_a_time; before, a plan of 2,400 cards searched 50 groups and all engines were inspected at once (read from the code, not run).

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -162,12 +162,12 @@
 }
 
 /// Membership in a group that the store coordinates.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Group {
     /// Generation of the group as of the last join.
     pub generation: u64,
-    /// Whether this member owns the partition that entitles it to give orders.
-    pub owner: bool,
+    /// Partitions that this member owns, sorted. Each entitles it to give orders to a part of the engines.
+    pub partitions: Vec<u64>,
 }
 
 /// Access to the platform's store. `limit_ms` is the timeout of each HTTP call that a method makes.
--- a/crates/banyannotch/src/gateway/layout/messages.rs
+++ b/crates/banyannotch/src/gateway/layout/messages.rs
@@ -23,6 +23,14 @@
     pub group_ttl_ms: u64,
     /// Number of gateways that join the group: one owner, and others that can take over at once.
     pub member_limit: usize,
+    /// Number of partitions that the members of the group divide among them.
+    pub partitions: u64,
+    /// Number of engines of a service up to which the owner of the first partition orders all of them. The zones of
+    /// larger services are divided among the partitions.
+    pub undivided_engines: usize,
+    /// Maximum number of inspections and orders in progress. A small instance that calls thousands of engines at once
+    /// gets no answer in time.
+    pub calls_in_progress: usize,
     /// Pause before an engine that does not hold its planned layers is inspected again, in milliseconds.
     pub order_retry_ms: u64,
 }
@@ -37,6 +45,9 @@
             join_interval_ms: 600,
             group_ttl_ms: 2_000,
             member_limit: 4,
+            partitions: 1,
+            undivided_engines: 256,
+            calls_in_progress: 48,
             order_retry_ms: 1_500,
         }
     }
@@ -117,12 +128,14 @@
 /// A decision that is logged as one line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    /// This gateway became the owner that sends orders, or ceased to be it.
+    /// This gateway became an owner of partitions, which entitle it to send orders, or ceased to be one.
     Owner {
-        /// Whether it is the owner now.
+        /// Whether it owns partitions now.
         owner: bool,
         /// Generation of the group.
         generation: u64,
+        /// Partitions that the last join returned.
+        partitions: Vec<u64>,
     },
     /// Other layers were planned for an engine.
     Planned {
@@ -164,9 +177,11 @@
 impl fmt::Display for Decision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Owner { owner, generation } => {
-                write!(formatter, "event=ordering_owner_changed owner={owner} generation={generation}")
-            }
+            Self::Owner { owner, generation, partitions } => write!(
+                formatter,
+                "event=ordering_owner_changed owner={owner} generation={generation} \
+                 partitions=\"{partitions:?}\""
+            ),
             Self::Planned { engine, before, layers } => {
                 let before = before.map_or_else(|| "none".to_owned(), |layers| layers.to_string());
                 write!(formatter, "event=layers_planned endpoint={engine} before={before} layers={layers}")
--- a/crates/banyannotch/src/gateway/layout/mod.rs
+++ b/crates/banyannotch/src/gateway/layout/mod.rs
@@ -6,6 +6,7 @@
 //! `docs/platform.md`.
 
 mod messages;
+mod ownership;
 mod plan;
 mod policy;
 mod runtime;
--- a/crates/banyannotch/src/gateway/layout/plan.rs
+++ b/crates/banyannotch/src/gateway/layout/plan.rs
@@ -11,6 +11,7 @@
 use crate::gateway::rate::{ChainPart, request_rate};
 use crate::ids::Zone;
 use crate::pipeline::{Address, LayerRange};
+use crate::table::Table;
 
 /// Assumed probability that an engine is available: on ordinary days up to a tenth of the engines are down at
 /// a time.
@@ -62,6 +63,16 @@
 
 /// Plans the layers of all engines when none holds any.
 pub fn plan(pipeline: &Pipeline, cards: &[Card], layer_share: f64) -> Vec<LayerAssignment> {
+    plan_with(&mut Vec::new(), pipeline, cards, layer_share)
+}
+
+/// Plans the layers of all engines, with the divisions that are known already, and adds those that it searches for.
+pub(super) fn plan_with(
+    shapes: &mut Vec<Shape>,
+    pipeline: &Pipeline,
+    cards: &[Card],
+    layer_share: f64,
+) -> Vec<LayerAssignment> {
     let mut zones: Vec<&Zone> = cards.iter().map(|card| &card.zone).collect();
     zones.sort_unstable();
     zones.dedup();
@@ -70,7 +81,17 @@
     for zone in zones {
         let of_zone: Vec<&Card> = cards.iter().filter(|card| card.zone == *zone).collect();
         for group in card_groups(&of_zone) {
-            match best_chains(pipeline, &group, layer_share) {
+            let kinds = Shape::kinds_of(&group);
+            let known = shapes.iter().find(|shape| shape.kinds == kinds);
+            let chains = match known {
+                Some(shape) => shape.chains_of(&group),
+                None => {
+                    let chains = best_chains(pipeline, &group, layer_share);
+                    shapes.push(Shape::new(kinds, chains.as_deref()));
+                    chains
+                }
+            };
+            match chains {
                 Some(chains) => assign_chains(pipeline, &chains, layer_share, &mut assignments),
                 None => rest.extend(group),
             }
@@ -201,6 +222,49 @@
 /// Cards that are to hold the whole model together.
 type Chain<'a> = Vec<&'a Card>;
 
+/// The division of a group of cards by the kinds of its cards. Large zones consist of many groups with the same cards,
+/// and the search for the best division takes most of the time of a plan.
+pub(super) struct Shape {
+    /// Kinds of the group's cards, each with the number of its cards.
+    kinds: Vec<(CardKind, usize)>,
+    /// Kinds of the cards of each chain; none if the group cannot hold the model.
+    chains: Option<Vec<Vec<CardKind>>>,
+}
+
+/// What distinguishes cards in a plan: factors, memory and slots.
+type CardKind = (u64, u64, u64, u32);
+
+impl Shape {
+    fn new(kinds: Vec<(CardKind, usize)>, chains: Option<&[Chain<'_>]>) -> Self {
+        let kinds_of = |chain: &Chain<'_>| chain.iter().map(|card| kind_of(card)).collect();
+        Self { kinds, chains: chains.map(|chains| chains.iter().map(kinds_of).collect()) }
+    }
+
+    /// Returns the kinds of the cards with their counts, sorted.
+    fn kinds_of(cards: &[&Card]) -> Vec<(CardKind, usize)> {
+        let mut counts: Table<CardKind, usize> = Table::default();
+        for card in cards {
+            *counts.entry(kind_of(card)) += 1;
+        }
+        counts.iter().map(|(kind, count)| (*kind, *count)).collect()
+    }
+
+    /// Divides cards of the same kinds in the same way.
+    fn chains_of<'a>(&self, cards: &[&'a Card]) -> Option<Vec<Chain<'a>>> {
+        let mut left: Vec<&'a Card> = cards.to_vec();
+        let mut take = |kind: &CardKind| {
+            let index = left.iter().position(|card| kind_of(card) == *kind)?;
+            Some(left.swap_remove(index))
+        };
+        let chains = self.chains.as_ref()?;
+        chains.iter().map(|kinds| kinds.iter().map(&mut take).collect()).collect()
+    }
+}
+
+fn kind_of(card: &Card) -> CardKind {
+    (card.step_factor.to_bits(), card.read_factor.to_bits(), card.memory_mb.to_bits(), card.slots)
+}
+
 /// Divides cards into the best chains, or returns nothing when they cannot hold the model even once.
 fn best_chains<'a>(pipeline: &Pipeline, cards: &[&'a Card], layer_share: f64) -> Option<Vec<Chain<'a>>> {
     let mut sorted: Vec<&Card> = cards.to_vec();
--- a/crates/banyannotch/src/gateway/layout/policy.rs
+++ b/crates/banyannotch/src/gateway/layout/policy.rs
@@ -1,19 +1,18 @@
 //! Policy of layout: when to plan, and when to inspect and order engines.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
+use super::ownership::Ownership;
 use super::plan::{Card, assign_empty_engine, fill_gap, plan};
 use super::{Action, Decision, Event, LayoutSettings};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::{Configuration, Endpoint, EngineReport, Group, OrderReply, Pipeline};
+use crate::ids::{ServiceId, Zone};
 use crate::pipeline::{Address, LayerRange};
 use crate::table::Table;
 
-/// Part of the group's time to live for which an ownership is valid. The margin allows for clocks that
-/// differ.
-const LEASE_SAFETY_FACTOR: f64 = 0.8;
-
 /// Layers that an engine is to hold, and its last known state.
 #[derive(Clone, Debug)]
 struct Target {
@@ -32,12 +31,17 @@
 pub struct Layout {
     settings: LayoutSettings,
     configuration: Option<Arc<Configuration>>,
+    /// Endpoints, sorted by address.
     endpoints: Arc<[Endpoint]>,
     targets: Table<Address, Target>,
-    group: Group,
-    /// Until when an ownership of the group is valid.
-    lease_until_us: u64,
+    ownership: Ownership,
     was_owner: bool,
+    /// Services and zones whose engines this gateway may give orders to, as of the last check.
+    owned_zones: Table<(ServiceId, Zone), ()>,
+    /// Engines that are to be inspected or ordered once fewer calls are in progress.
+    waiting: VecDeque<Address>,
+    /// Number of inspections and orders in progress.
+    calls: usize,
     first_endpoint_us: Option<u64>,
     /// When the number of endpoints last increased.
     last_increase_us: u64,
@@ -59,9 +63,11 @@
             configuration: None,
             endpoints: Arc::new([]),
             targets: Table::default(),
-            group: Group::default(),
-            lease_until_us: 0,
+            ownership: Ownership::default(),
             was_owner: false,
+            owned_zones: Table::default(),
+            waiting: VecDeque::new(),
+            calls: 0,
             first_endpoint_us: None,
             last_increase_us: 0,
             join_at_us: 0,
@@ -73,13 +79,20 @@
     }
 
     fn is_owner(&self, now_us: u64) -> bool {
-        self.group.owner && now_us < self.lease_until_us && !self.draining
+        self.ownership.is_owner(now_us) && !self.draining
+    }
+
+    /// Returns whether this gateway may give orders to an engine.
+    fn owns(&self, now_us: u64, address: Address) -> bool {
+        let engine = find_engine(&self.endpoints, address);
+        self.is_owner(now_us)
+            && engine.is_some_and(|engine| {
+                self.owned_zones.contains(&(engine.service.clone(), engine.zone.clone()))
+            })
     }
 
     fn handle_join(&mut self, now_us: u64, group: Group, sent_us: u64, out: &mut Vec<Action>) {
-        self.group = group;
-        let lease_us = (self.settings.group_ttl_ms * US_PER_MS) as f64 * LEASE_SAFETY_FACTOR;
-        self.lease_until_us = sent_us + lease_us as u64;
+        self.ownership.renew(group, sent_us, &self.settings);
         self.update_ownership(now_us, out);
     }
 
@@ -87,12 +100,33 @@
         let owner = self.is_owner(now_us);
         if owner != self.was_owner {
             self.was_owner = owner;
-            // Another owner may have sent orders meanwhile, so the targets are taken from the engines again.
-            self.targets = Table::default();
-            out.push(Action::Decide(Decision::Owner { owner, generation: self.group.generation }));
+            let (generation, partitions) =
+                (self.ownership.generation(), self.ownership.partitions().to_vec());
+            out.push(Action::Decide(Decision::Owner { owner, generation, partitions }));
+        }
+        if !owner {
+            self.set_owned_zones(Table::default());
         }
     }
 
+    /// Takes the zones that this gateway owns now. Another owner may have given orders in those that are new, so their
+    /// targets are taken from the engines again.
+    fn set_owned_zones(&mut self, owned: Table<(ServiceId, Zone), ()>) {
+        if owned == self.owned_zones {
+            return;
+        }
+        let known = std::mem::replace(&mut self.owned_zones, owned);
+        let (endpoints, owned) = (&self.endpoints, &self.owned_zones);
+        self.targets.retain(|address, _| {
+            let engine = find_engine(endpoints, *address);
+            engine.is_some_and(|engine| {
+                let zone = (engine.service.clone(), engine.zone.clone());
+                owned.contains(&zone) && known.contains(&zone)
+            })
+        });
+        self.waiting.clear();
+    }
+
     fn update_endpoints(&mut self, now_us: u64, endpoints: Arc<[Endpoint]>) {
         let before = self.endpoints.len();
         if endpoints.len() > before {
@@ -104,9 +138,8 @@
         self.endpoints = endpoints;
         let known = &self.endpoints;
         self.targets.retain(|address, target| {
-            known.iter().any(|endpoint| {
-                endpoint.address == *address && endpoint.id == target.id && endpoint.born_ms == target.born_ms
-            })
+            let engine = find_engine(known, *address);
+            engine.is_some_and(|engine| engine.id == target.id && engine.born_ms == target.born_ms)
         });
     }
 
@@ -117,23 +150,39 @@
         quiet || now_us >= first_endpoint_us + self.settings.settle_max_ms * US_PER_MS
     }
 
-    /// Plans layers and inspects engines if this gateway is the owner and the endpoints have settled.
+    /// Plans layers and inspects engines of the zones that this gateway owns, once the endpoints have settled.
     fn check(&mut self, now_us: u64, out: &mut Vec<Action>) {
         if !self.is_owner(now_us) || !self.is_settled(now_us) {
             return;
         }
         let Some(configuration) = self.configuration.clone() else { return };
+        let (mut owned, mut plans) = (Table::default(), Vec::new());
         for service in &configuration.services {
             let Some(pipeline) = &service.pipeline else { continue };
-            let engines: Vec<Endpoint> = self
-                .endpoints
-                .iter()
-                .filter(|engine| engine.service == service.id && !engine.leaving)
-                .cloned()
-                .collect();
-            self.plan_targets(now_us, pipeline, &engines, out);
+            let is_engine = |engine: &&Endpoint| engine.service == service.id && !engine.leaving;
+            let engines: Vec<Endpoint> = self.endpoints.iter().filter(is_engine).cloned().collect();
+            let mut zones: Vec<&Zone> = engines.iter().map(|engine| &engine.zone).collect();
+            zones.sort_unstable();
+            zones.dedup();
+            let owned_zones = self.ownership.owned_zones(now_us, &zones, engines.len(), &self.settings);
+            for zone in &owned_zones {
+                owned.insert((service.id.clone(), Zone::clone(zone)), ());
+            }
+            if owned_zones.len() == zones.len() {
+                plans.push((Arc::clone(pipeline), engines));
+                continue;
+            }
+            for zone in owned_zones {
+                let in_zone = engines.iter().filter(|engine| engine.zone == *zone).cloned().collect();
+                plans.push((Arc::clone(pipeline), in_zone));
+            }
         }
-        self.inspect_mismatched(now_us, out);
+        self.set_owned_zones(owned);
+        for (pipeline, engines) in plans {
+            self.plan_targets(now_us, &pipeline, &engines, out);
+        }
+        self.inspect_mismatched(now_us);
+        self.start_calls(now_us, out);
     }
 
     /// Plans layers for engines that have none, and moves engines into the gaps that remain.
@@ -209,18 +258,28 @@
         }
     }
 
-    /// Requests the state of engines that do not hold their planned layers; the report leads to an order.
-    fn inspect_mismatched(&mut self, now_us: u64, out: &mut Vec<Action>) {
-        let retry_us = self.settings.order_retry_ms * US_PER_MS;
+    /// Collects the engines that do not hold their planned layers.
+    fn inspect_mismatched(&mut self, now_us: u64) {
+        self.waiting.clear();
         for engine in &*self.endpoints {
-            let Some(target) = self.targets.get_mut(&engine.address) else { continue };
+            let Some(target) = self.targets.get(&engine.address) else { continue };
             let Some(planned) = target.layers else { continue };
             let holds = engine.layers == Some(planned) || target.reported_layers == Some(planned);
-            if holds || engine.leaving || now_us < target.next_inspection_us {
-                continue;
+            if !holds && !engine.leaving && now_us >= target.next_inspection_us {
+                self.waiting.push_back(engine.address);
             }
+        }
+    }
+
+    /// Inspects waiting engines, as many as may be in progress. The report leads to an order.
+    fn start_calls(&mut self, now_us: u64, out: &mut Vec<Action>) {
+        let retry_us = self.settings.order_retry_ms * US_PER_MS;
+        while self.calls < self.settings.calls_in_progress {
+            let Some(address) = self.waiting.pop_front() else { return };
+            let Some(target) = self.targets.get_mut(&address) else { continue };
             target.next_inspection_us = now_us + retry_us;
-            out.push(Action::Inspect(engine.address));
+            self.calls += 1;
+            out.push(Action::Inspect(address));
         }
     }
 
@@ -232,7 +291,8 @@
         report: Option<&EngineReport>,
         out: &mut Vec<Action>,
     ) {
-        if !self.is_owner(now_us) {
+        self.calls = self.calls.saturating_sub(1);
+        if !self.owns(now_us, address) {
             return;
         }
         let Some(target) = self.targets.get_mut(&address) else { return };
@@ -246,6 +306,7 @@
         if target.busy || target.reported_layers == Some(layers) {
             return;
         }
+        self.calls += 1;
         out.push(Action::Decide(Decision::OrderSent { address, layers, orders: report.orders }));
         out.push(Action::Place { address, layers, orders: report.orders });
     }
@@ -257,6 +318,7 @@
         reply: OrderReply,
         out: &mut Vec<Action>,
     ) {
+        self.calls = self.calls.saturating_sub(1);
         if let (OrderReply::Refused(_), Some(target)) = (&reply, self.targets.get_mut(&address)) {
             // The engine's state differs from its report, so it is inspected again at once.
             target.next_inspection_us = now_us;
@@ -265,6 +327,12 @@
     }
 }
 
+/// Returns the endpoint at an address; the catalog publishes the endpoints sorted by address.
+fn find_engine(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
+    let index = endpoints.binary_search_by_key(&address, |endpoint| endpoint.address).ok()?;
+    endpoints.get(index)
+}
+
 impl Duty for Layout {
     type Event = Event;
     type Action = Action;
@@ -277,9 +345,11 @@
             Event::NotJoined { fault } => actions.push(Action::Decide(Decision::NotJoined { fault })),
             Event::Report { address, report } => {
                 self.handle_report(now_us, address, report.as_ref(), actions);
+                self.start_calls(now_us, actions);
             }
             Event::OrderAnswered { address, reply } => {
                 self.handle_order_reply(now_us, address, reply, actions);
+                self.start_calls(now_us, actions);
             }
             Event::Rank(rank) => {
                 if rank < self.settings.member_limit && self.rank >= self.settings.member_limit {
@@ -316,7 +386,7 @@
             self.join_at_us = now_us + self.settings.join_interval_ms * US_PER_MS;
             if self.rank < self.settings.member_limit {
                 let ttl_ms = self.settings.group_ttl_ms;
-                actions.push(Action::Join { generation: self.group.generation, ttl_ms });
+                actions.push(Action::Join { generation: self.ownership.generation(), ttl_ms });
             }
         }
         if now_us >= self.check_at_us {
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::{Gen, QuickCheck};
 
-use super::plan::card_groups;
+use super::plan::{card_groups, plan_with};
 use super::{Action, Card, Decision, Event, Layout, LayoutSettings, assign_empty_engine, fill_gap, plan};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
@@ -124,12 +124,18 @@
     layout: Layout,
     now_us: u64,
     lines: Vec<String>,
+    /// Partitions of the group that an owner has.
+    partitions: Vec<u64>,
 }
 
 impl World {
     fn new() -> Self {
+        Self::with(LayoutSettings::default())
+    }
+
+    fn with(settings: LayoutSettings) -> Self {
         let mut world =
-            Self { layout: Layout::new(LayoutSettings::default()), now_us: 1_000_000, lines: Vec::new() };
+            Self { layout: Layout::new(settings), now_us: 1_000_000, lines: Vec::new(), partitions: vec![0] };
         world.event(Event::Configuration(Arc::new(configuration(1))));
         world.event(Event::Rank(0));
         world
@@ -142,7 +148,8 @@
     }
 
     fn join(&mut self, owner: bool) {
-        let group = Group { generation: 1, owner };
+        let partitions = if owner { self.partitions.clone() } else { vec![] };
+        let group = Group { generation: 1, partitions };
         self.event(Event::Joined { group, sent_us: self.now_us });
     }
 
@@ -367,3 +374,79 @@
     }
     false
 }
+
+/// A zone of hundreds of cards consists of groups of the same kinds. A search for each of them kept the owner of the
+/// orders on a small machine busy for longer than its membership lasts, so that no order was sent to 3,000 engines.
+#[test]
+fn a_plan_of_thousands_of_cards_searches_each_kind_of_group_once() {
+    let zones = ["a", "b", "c", "d", "e"];
+    let cards = |count: usize| -> Vec<Card> {
+        let card = |index: usize| {
+            let mut card = card(0, zones[index % 5], index % 10 < 3, None);
+            card.id = format!("engine-{index}").into();
+            card.address = ([10, 1, (index / 250) as u8, (index % 250) as u8], 80).into();
+            card
+        };
+        (0..count).map(card).collect()
+    };
+    let planned = |count: usize| {
+        let mut searches = Vec::new();
+        (plan_with(&mut searches, &pipeline(), &cards(count), LAYER_SHARE).len(), searches.len())
+    };
+    // Two zones have no fast cards, so there are two kinds of groups.
+    assert_eq!((planned(240), planned(2_400)), ((240, 2), (2_400, 2)));
+}
+
+/// Returns 300 empty engines in three zones.
+fn many_engines() -> Vec<Endpoint> {
+    let engine = |index: usize| {
+        let zone = ["a", "b", "c"][index / 100];
+        let engine = pipeline_engine(0, zone, if index % 3 == 0 { "fast" } else { "slow" }, 0, 0);
+        let address = ([10, 0, (index / 100) as u8, (index % 100) as u8], 80).into();
+        Endpoint { id: format!("engine-{index}").into(), layers: None, address, ..engine }
+    };
+    (0..300).map(engine).collect()
+}
+
+/// Orders for thousands of engines take one small instance too long, so each owner orders the zones of its partitions.
+/// Together they order every engine, and no engine has two owners.
+#[test]
+fn owners_of_partitions_order_different_zones() {
+    let settings = LayoutSettings { partitions: 8, calls_in_progress: 1_000, ..LayoutSettings::default() };
+    let mut ordered: Vec<Vec<String>> = Vec::new();
+    for partitions in [vec![0, 4], vec![1, 5], vec![2, 6], vec![3, 7]] {
+        let mut world = World::with(settings.clone());
+        world.event(Event::Endpoints(many_engines().into()));
+        world.partitions = partitions;
+        world.join(true);
+        world.run_ms(1_200, Some(true));
+        let zone_of = |line: &String| line.split(" inspect ").nth(1).map(|to| to[..6].to_owned());
+        let inspected = world.lines.iter().filter_map(|line| zone_of(&line.replace(": ", " ")));
+        let mut zones: Vec<String> = inspected.collect();
+        zones.dedup();
+        ordered.push(zones);
+    }
+    assert_eq!(ordered, [vec!["10.0.0"], vec!["10.0.2"], vec!["10.0.1"], vec![]]);
+}
+
+/// A small instance that calls all engines at once gets no answer in time.
+#[test]
+fn few_calls_to_engines_are_in_progress_at_a_time() {
+    let settings = LayoutSettings { calls_in_progress: 20, ..LayoutSettings::default() };
+    let mut world = World::with(settings);
+    world.event(Event::Endpoints(many_engines()[..200].into()));
+    world.join(true);
+    world.run_ms(600, Some(true));
+    let inspections = |world: &World| {
+        world.lines.iter().filter(|line| line.contains("inspect")).cloned().collect::<Vec<_>>()
+    };
+    let first = inspections(&world);
+    let engine = many_engines()[0].address;
+    world.event(Event::Report {
+        address: engine,
+        report: Some(EngineReport { born_ms: 1, ..EngineReport::default() }),
+    });
+    let while_ordering = inspections(&world).len();
+    world.event(Event::OrderAnswered { address: engine, reply: OrderReply::Accepted });
+    assert_eq!((first.len(), while_ordering, inspections(&world).len()), (20, 20, 21));
+}
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -50,6 +50,8 @@
     pub retry_allowance: f64,
     /// Minimum time to live that the store accepts for a group membership, in milliseconds.
     pub group_ttl_least_ms: u64,
+    /// Number of partitions of a topic of the store, which the members of a group divide among them.
+    pub group_partitions: u64,
     /// Maximum number of open file descriptors of the process.
     pub descriptors: usize,
 }
@@ -89,6 +91,7 @@
             ("retry_window_s", self.retry_window_s, 0.1, 600.0),
             ("retry_allowance", self.retry_allowance, 0.0, 1e9),
             ("group_ttl_least_ms", self.group_ttl_least_ms as f64, 10.0, 600_000.0),
+            ("group_partitions", self.group_partitions as f64, 1.0, 65_536.0),
             ("descriptors", self.descriptors as f64, 64.0, 1e9),
         ];
         let not_allowed = |key, value: String, allowed: String| {
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -253,6 +253,7 @@
     let defaults = LayoutSettings::default();
     LayoutSettings {
         group_ttl_ms: defaults.group_ttl_ms.max(settings.group_ttl_least_ms),
+        partitions: settings.group_partitions,
         // Endpoints that start together register within one heartbeat, and the next read of the entries finds them.
         settle_ms: settings.heartbeat_ms + endpoints_interval_ms(settings),
         ..defaults
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -79,6 +79,7 @@
             ("revoke_ms", "5000".to_owned()),
             ("strict_revocation", "true".to_owned()),
             ("config_apply_ms", "2000".to_owned()),
+            ("group_partitions", "4".to_owned()),
             ("drain_ms", "300".to_owned()),
             ("grace_s", "8".to_owned()),
             ("stall_ms", "2000".to_owned()),
