forwarding: only complete events are progress, and unused bodies are bounded

Cause: the time limit of a stream started anew with every byte, so an endpoint that sent single bytes held a stream until its deadline (Fault::TrickleAfter, seen: no further event until the caller left). The body of a rejection was read up to 16 MiB before the request was sent elsewhere, and the search for the end of an event started anew with every read (an event without end took longer than the deadline in a debug build).

Change: the limit runs from the last complete event that was written to the caller; a rejection's body gets 64 KiB and 50 ms; an event 64 KiB, a buffered body 4 MiB.

Tests: TrickleAfter, EndlessHead, EndlessBody and EndlessNotRun in a_broken_stream_resumes..., and bytes_without_end_cost_neither_memory_nor_the_request.

each_fault_of_a_plain_service... failed once (Encoded on /read/x, 502 in place of 200) beside other tests: it gave each replica one fault, and which replica a retry reaches depends on the failures of the last seconds. The replicas now share the faults, and each is played once and for all requests, which checks more.

--- a/crates/banyannotch/src/gateway/forwarding/events.rs
+++ b/crates/banyannotch/src/gateway/forwarding/events.rs
@@ -3,8 +3,8 @@
 use bytes::BytesMut;
 use thiserror::Error;
 
-/// Maximum number of bytes buffered of an incomplete event. Events of a token stream are never that large.
-const EVENT_LIMIT_BYTES: usize = 1 << 20;
+/// Maximum number of bytes buffered of an incomplete event. Events of a token stream take some hundred bytes.
+const EVENT_LIMIT_BYTES: usize = 65_536;
 
 /// Why the events of a stream cannot be forwarded.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
@@ -21,6 +21,11 @@
 #[derive(Debug)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
+    /// Number of bytes in the buffer that were searched for the end of the first event. They are not searched again, so
+    /// the time does not grow with the square of the event's size.
+    searched: usize,
+    /// Offset at which the line after the searched bytes begins.
+    line_start: usize,
     last_id: Option<u64>,
 }
 
@@ -28,14 +33,14 @@
     /// Creates a splitter for a stream that continues after the given event. Without one, the first event may
     /// have any id.
     pub fn new(last_id: Option<u64>) -> Self {
-        Self { buffer: BytesMut::new(), last_id }
+        Self { buffer: BytesMut::new(), searched: 0, line_start: 0, last_id }
     }
 
     /// Adds bytes and appends all complete events to `out`. Returns the number of events.
     pub fn push(&mut self, data: &[u8], out: &mut Vec<u8>) -> Result<usize, EventError> {
         self.buffer.extend_from_slice(data);
         let mut count = 0;
-        while let Some(size) = first_event_size(&self.buffer) {
+        while let Some(size) = self.first_event_size() {
             let event = self.buffer.split_to(size);
             let found = parse_event_id(&event).ok_or(EventError::NoId)?;
             if let Some(last) = self.last_id
@@ -53,6 +58,22 @@
         Ok(count)
     }
 
+    /// Returns the size of the first event in bytes, including the empty line that ends it, or `None` while it is
+    /// incomplete.
+    fn first_event_size(&mut self) -> Option<usize> {
+        let unsearched = self.buffer.iter().enumerate().skip(self.searched);
+        for (index, _) in unsearched.filter(|(_, byte)| **byte == b'\n') {
+            let line = self.buffer.get(self.line_start..index).unwrap_or_default();
+            if self.line_start > 0 && (line.is_empty() || line == b"\r") {
+                (self.searched, self.line_start) = (0, 0);
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
+        }
+        self.searched = self.buffer.len();
+        None
+    }
+
     /// Returns the id of the last event that was emitted, or else the id that the stream continues after.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -64,23 +85,6 @@
     }
 }
 
-/// Returns the size of the first event in bytes, including the empty line that ends it, or `None` while it is
-/// incomplete.
-fn first_event_size(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = buffer.get(line_start..index).unwrap_or_default();
-        if line_start > 0 && (line.is_empty() || line == b"\r") {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn parse_event_id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use super::answer::{Response, ResponseKind, classify, write_response, write_stream_head};
 use super::context::Context;
@@ -20,8 +20,14 @@
 
 /// Maximum number of bytes buffered of an incomplete response head.
 const HEAD_LIMIT_BYTES: usize = 65_536;
-/// Maximum size of the body of a response that is not a stream. It is buffered until it is complete.
-const BODY_LIMIT_BYTES: usize = 16 << 20;
+/// Maximum size of the body of a response that is not a stream. It is buffered until it is complete, and an instance
+/// with little memory may buffer several.
+const BODY_LIMIT_BYTES: usize = 4 << 20;
+/// Maximum size of the body of a rejection or of a response to another request. It is not used.
+const UNUSED_BODY_LIMIT_BYTES: usize = 65_536;
+/// Time limit for the body of a rejection, in milliseconds. The request waits for it before it is sent elsewhere, and
+/// without the body only the connection is lost.
+const REJECTION_BODY_TIMEOUT_MS: u64 = 50;
 /// The operating system closes a connection whose peer acknowledges no data for this long.
 const TCP_USER_TIMEOUT_MS: u64 = 2_000;
 
@@ -207,8 +213,11 @@
             ResponseKind::NotRun => {
                 let status = head.status;
                 // The endpoint did not run the request, even if the body of its response cannot be read.
-                if self.read_response(head, framing, decoder).await.is_err() {
-                    self.may_reuse = false;
+                let body = self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES);
+                let limit = Duration::from_millis(REJECTION_BODY_TIMEOUT_MS);
+                if matches!(timeout(limit, body).await, Ok(Ok(_))) {
+                    self.may_reuse &= framing != Framing::UntilClose && head.keeps_alive();
+                    self.allow_pooling(&head);
                 }
                 Ok((Ending::NotRun { status, fault_at }, None))
             }
@@ -261,7 +270,7 @@
                     );
                     self.may_reuse = false;
                     let decoder = BodyDecoder::new(head.framing()?);
-                    self.upstream.reader.whole_body(decoder, BODY_LIMIT_BYTES).await?;
+                    self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES).await?;
                 }
                 kind => return Ok((head, kind, response_info.fault_at)),
             }
@@ -280,7 +289,8 @@
         Ok(Response { head, body })
     }
 
-    /// Forwards complete events of a stream as they arrive.
+    /// Forwards complete events of a stream as they arrive. Only complete events are progress: an endpoint that sends
+    /// single bytes has stalled.
     async fn forward_stream(
         &mut self,
         head: &ResponseHead,
@@ -292,12 +302,13 @@
     ) -> Result<ExchangeOutcome, ExchangeError> {
         let stall_timeout = Duration::from_millis(self.order.stall_limit_ms);
         let mut splitter = EventSplitter::new(resume_after);
-        let mut read_timeout =
+        let start_timeout =
             response_start_timeout.saturating_sub(self.sent_at.elapsed()).max(Duration::from_millis(1));
+        let mut progress_due = tokio::time::Instant::now() + start_timeout;
         let mut first_ms = None;
         let (mut events, mut out) = (Vec::new(), Vec::new());
         loop {
-            let read = timeout(read_timeout, self.upstream.reader.body(&mut decoder)).await;
+            let read = timeout_at(progress_due, self.upstream.reader.body(&mut decoder)).await;
             let mut ended = false;
             match read.map_err(|_| ExchangeError::TimedOut)?? {
                 None => ended = true,
@@ -319,7 +330,6 @@
                     first_ms = Some(self.elapsed_ms());
                     self.context.report_first_event(self.request.ticket);
                 }
-                read_timeout = stall_timeout;
             }
             if !events.is_empty() || ended {
                 self.write_head_once(head, progress, &mut out);
@@ -333,6 +343,8 @@
                 if caller_writer.write_all(&out).await.is_err() {
                     return Err(ExchangeError::Ended(Ending::Left));
                 }
+                // The time that the caller took to read does not count.
+                progress_due = tokio::time::Instant::now() + stall_timeout;
                 events.clear();
                 out.clear();
             }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use banyannotch_standins::fleet::{Fault, RecordedResponse, stream};
+use banyannotch_standins::fleet::{Endpoint, Fault, RecordedResponse, stream};
 use common::{EVENTS, Fleet, Gateway, LIMIT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,8 +16,9 @@
     format!("{status} {signed} {whole} {:?} after {runs} runs", got.body.trim())
 }
 
-/// Each fault of both replicas gives the expected response and number of runs, on a route that must not repeat requests
-/// and on an idempotent one.
+/// Each fault gives the expected response and number of runs, on a route that must not repeat requests and on an
+/// idempotent one, whether one request fails or all do. The replica that a request is sent to depends on earlier
+/// failures and on time, so the replicas share the faults.
 #[actix_rt::test]
 async fn each_fault_of_a_plain_service_gives_the_expected_response() {
     let fleet = Fleet::start();
@@ -40,16 +41,13 @@
     ];
     let mut lines = Vec::new();
     for fault in faults {
-        for path in ["/call/x", "/read/x"] {
-            for replica in &fleet.replicas {
-                replica.set_fault(fault, 1);
-            }
-            let id = format!("{fault:?}{}", path.replace('/', "-"));
+        for (path, count) in [("/call/x", 1), ("/read/x", 1), ("/read/x", usize::MAX)] {
+            Endpoint::set_shared_fault(&fleet.replicas, fault, count);
+            let extent = if count == 1 { "once" } else { "always" };
+            let id = format!("{fault:?}-{extent}{}", path.replace('/', "-"));
             let got = gateway.call(&id, path).await;
-            lines.push(format!("{path} {fault:?}: {}", describe(&got, fleet.runs_of(&id))));
-            for replica in &fleet.replicas {
-                replica.set_fault(Fault::None, 0);
-            }
+            lines.push(format!("{path} {fault:?} {extent}: {}", describe(&got, fleet.runs_of(&id))));
+            Endpoint::set_shared_fault(&fleet.replicas, Fault::None, 0);
             let after = gateway.call(&format!("{id}-after"), path).await;
             assert_eq!(after.body, format!("answer of {id}-after"), "the response to the request after {id}");
         }
@@ -72,7 +70,12 @@
         Fault::EndInsideAfter(5),
         Fault::SkipAfter(5),
         Fault::StallAfter(5),
+        // Single bytes are no progress: the gateway once waited for the deadline of the stream.
+        Fault::TrickleAfter(5),
+        Fault::EndlessHead,
+        Fault::EndlessBody,
         Fault::NotRun,
+        Fault::EndlessNotRun,
     ];
     for (number, fault) in faults.into_iter().enumerate() {
         // The gateway may choose either chain, so every engine gets the fault until one of them has run the request.
@@ -83,7 +86,8 @@
         let (got, runs) = stream_with_one_fault(&gateway, &fleet, &id).await;
         assert!(got.complete && got.status == Some(200), "{fault:?}: {got:?}");
         assert_eq!(got.events(), (0..EVENTS).collect::<Vec<_>>(), "{fault:?}");
-        assert_eq!(runs, 2 - usize::from(fault == Fault::NotRun), "{fault:?}: runs");
+        let not_run = matches!(fault, Fault::NotRun | Fault::EndlessNotRun);
+        assert_eq!(runs, 2 - usize::from(not_run), "{fault:?}: runs");
     }
 }
 
@@ -113,6 +117,36 @@
     (got, fleet.runs_of(id))
 }
 
+/// Bytes without end, in a head, a body or the body of a rejection, must neither fill the memory of the gateway nor take
+/// the time of the request: an idempotent one gets the answer of the other replica, and the endpoint's connection is
+/// closed.
+#[actix_rt::test]
+async fn bytes_without_end_cost_neither_memory_nor_the_request() {
+    const MEMORY_LIMIT_KB: u64 = 40_000;
+    let fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    gateway.wait_ready().await;
+    let mut lines = Vec::new();
+    for fault in [Fault::EndlessHead, Fault::EndlessBody, Fault::EndlessNotRun] {
+        for path in ["/call/x", "/read/x"] {
+            fleet.replicas[0].set_fault(fault, usize::MAX);
+            for number in 0..4 {
+                let id = format!("{fault:?}{}-{number}", path.replace('/', "-"));
+                let got = gateway.call(&id, path).await;
+                if number == 0 {
+                    lines.push(format!("{path} {fault:?}: {}", describe(&got, fleet.runs_of(&id).min(1))));
+                }
+                if path == "/read/x" || fault == Fault::EndlessNotRun {
+                    assert_eq!(got.body, format!("answer of {id}"), "{fault:?} on {path}: {got:?}");
+                }
+            }
+            fleet.replicas[0].set_fault(Fault::None, 0);
+        }
+    }
+    let peak_kb = gateway.peak_memory_kb();
+    assert!(peak_kb < MEMORY_LIMIT_KB, "the gateway used {peak_kb} kB");
+}
+
 /// Endpoints receive the team and the path that the gateway determined, but never the key.
 #[actix_rt::test]
 async fn endpoints_receive_the_team_but_not_the_key() {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -132,6 +132,15 @@
             .collect()
     }
 
+    /// Returns the largest amount of memory that the process has used so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse().ok());
+        number.expect("the status contains the peak of the resident memory")
+    }
+
     /// Returns the HTTP status of the readiness check.
     pub async fn readiness(&self) -> Option<u16> {
         call(self.readiness, "probe", "/-/readyz", "", "").await.status
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint: an engine that holds layers, or a plain service.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,6 +59,14 @@
     Unframed,
     /// Sends the response to another request after its own and closes the connection.
     Extra,
+    /// Sends single bytes without completing another event after this many, until the connection is closed.
+    TrickleAfter(u64),
+    /// Sends a head without end until the connection is closed.
+    EndlessHead,
+    /// Sends a body without end until the connection is closed.
+    EndlessBody,
+    /// Responds that the request was not executed, with a body without end, and does not run it.
+    EndlessNotRun,
 }
 
 /// One request that an endpoint has run.
@@ -84,8 +92,8 @@
     id: String,
     events: u64,
     fault: Fault,
-    /// Number of requests to which the fault still applies.
-    fault_count: usize,
+    /// Number of requests to which the fault still applies, possibly shared with other endpoints.
+    fault_count: Rc<Cell<usize>>,
     runs: Vec<Run>,
     /// Range of layers of the last accepted order.
     layers: Option<(u64, u64)>,
@@ -113,7 +121,7 @@
             id: id.to_owned(),
             events,
             fault: Fault::None,
-            fault_count: 0,
+            fault_count: Rc::default(),
             runs: Vec::new(),
             layers: None,
             orders: 0,
@@ -144,7 +152,17 @@
     pub fn set_fault(&self, fault: Fault, count: usize) {
         let mut state = self.state.borrow_mut();
         state.fault = fault;
-        state.fault_count = count;
+        state.fault_count = Rc::new(Cell::new(count));
+    }
+
+    /// Sets the fault of the next requests to any of the endpoints, `count` of them together.
+    pub fn set_shared_fault(endpoints: &[Self], fault: Fault, count: usize) {
+        let shared = Rc::new(Cell::new(count));
+        for endpoint in endpoints {
+            let mut state = endpoint.state.borrow_mut();
+            state.fault = fault;
+            state.fault_count = Rc::clone(&shared);
+        }
     }
 
     /// Reports another engine as the one on which requests are stalled.
@@ -210,9 +228,9 @@
 ) -> bool {
     let header = |name: &str| head.headers.get(name).map(str::to_owned);
     let (id, events, fault) = {
-        let mut state = state.borrow_mut();
-        let fault = if state.fault_count > 0 { state.fault } else { Fault::None };
-        state.fault_count = state.fault_count.saturating_sub(1);
+        let state = state.borrow();
+        let fault = if state.fault_count.get() > 0 { state.fault } else { Fault::None };
+        state.fault_count.set(state.fault_count.get().saturating_sub(1));
         (state.id.clone(), state.events, fault)
     };
     if header("Expect-Instance").as_deref() != Some(id.as_str()) {
@@ -223,6 +241,12 @@
         let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
         return writer.write_all(&encode_response(503, &headers, b"")).await.is_ok();
     }
+    if fault == Fault::EndlessNotRun {
+        let head = format!(
+            "HTTP/1.1 503 Any\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
+    }
     let resumed_after: Option<u64> = header("Last-Event-Id").and_then(|id| id.parse().ok());
     let fault = match (fault, resumed_after) {
         (Fault::FailResumed(count), None) => Fault::BreakAfter(count),
@@ -238,6 +262,15 @@
         path: header("Hop-Count"),
         saw_key: head.headers.get("Key").is_some(),
     });
+    let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
+    if fault == Fault::EndlessHead {
+        let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
+        return write_without_end(head.as_bytes(), b"xxxxxxxxxxxxxxxx", writer).await;
+    }
+    if fault == Fault::EndlessBody {
+        let head = format!("HTTP/1.1 200 Any\r\n{signed}Transfer-Encoding: chunked\r\n\r\n");
+        return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
+    }
     if head.target.starts_with("/write/") && fault != Fault::Fail {
         return write_stream(&id, &attempt, resumed_after, events, fault, writer).await;
     }
@@ -314,6 +347,10 @@
                 return false;
             }
             Fault::SkipAfter(count) if sent as u64 == count => continue,
+            Fault::TrickleAfter(count) if sent as u64 == count => {
+                write_chunk(format!("id: {event}\ndata: ").as_bytes(), &mut out);
+                return write_slowly_without_end(&out, writer).await;
+            }
             _ => write_chunk(text.as_bytes(), &mut out),
         }
         if writer.write_all(&out).await.is_err() {
@@ -326,6 +363,32 @@
     writer.write_all(&out).await.is_ok()
 }
 
+/// A chunk of the chunked transfer coding.
+const FILLER_CHUNK: &[u8] = b"10\r\nxxxxxxxxxxxxxxxx\r\n";
+
+/// Writes the same bytes until the client closes the connection.
+async fn write_without_end(head: &[u8], filler: &[u8], writer: &mut OwnedWriteHalf) -> bool {
+    /// Number of times that the bytes are repeated in one write.
+    const REPETITIONS: usize = 256;
+    let filler = filler.repeat(REPETITIONS);
+    if writer.write_all(head).await.is_err() {
+        return false;
+    }
+    while writer.write_all(&filler).await.is_ok() {}
+    false
+}
+
+/// Writes a byte of a body after each interval of the events, until the client closes the connection.
+async fn write_slowly_without_end(head: &[u8], writer: &mut OwnedWriteHalf) -> bool {
+    if writer.write_all(head).await.is_err() {
+        return false;
+    }
+    while writer.write_all(b"1\r\nx\r\n").await.is_ok() {
+        actix_rt::time::sleep(EVENT_INTERVAL).await;
+    }
+    false
+}
+
 /// Delay between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(2);
 
