layout, dispatch: chains that lost an engine are used in part and made whole again

Cause: replacements took the layers with the least room, ranges that fit no chain; drawn paths use whole chains only, so the remaining ones were full, and every gateway then searched the cheapest path by late reports.

Change: the engines of a zone that are in no whole chain form further chains with parts of their ranges, which take part in the draw; an empty engine takes the layers that the engines outside whole chains lack most; of these, one whose layers others hold too moves into their gap if they could hold the model together.

Tests: replacements_restore_the_chains_that_lost_engines; filling_gaps_opens_no_new_gap now counts progress also between the engines outside whole chains, and checks in addition that no whole chain is lost. Not measured yet.

--- a/crates/banyannotch/src/gateway/dispatch/chains.rs
+++ b/crates/banyannotch/src/gateway/dispatch/chains.rs
@@ -5,13 +5,17 @@
 //! then reject them. A choice at random spreads the requests without any report, and the reports only correct it: of two
 //! chains drawn by their capacity the one with more free memory is taken. See "Choice of a path" in `docs/platform.md`.
 
+use super::health::HealthTable;
 use super::paths::{Candidate, Path, PathSearch};
-use crate::gateway::rate::{ChainPart, request_rate};
+use crate::gateway::chain::{ChainPart, Division, divide_into_chains, request_rate};
 use crate::gateway::{Endpoint, RequestInfo};
 use crate::ids::Zone;
 use crate::pipeline::{Address, LayerRange};
 use crate::random::Random;
 
+/// Maximum number of chains of a zone that use engines in part. The search for one takes longer than that for chains of
+/// whole ranges.
+const PARTIAL_CHAIN_LIMIT: usize = 12;
 /// Share of the KV cache in use above which a chain of the gateway's zone is compared with chains of other zones.
 const SPILL_FILL: f64 = 0.6;
 
@@ -34,7 +38,7 @@
         zones.sort_unstable();
         zones.dedup();
         let rated_chains = |zone: &Zone| {
-            let chains = disjoint_chains(self.pipeline.layers, self.usable_in_zone(zone));
+            let chains = self.chains_of_zone(zone);
             chains.into_iter().filter_map(|chain| self.rate(&chain, request, tried)).collect::<Vec<_>>()
         };
         let mut local: Vec<RatedChain<'_>> = Vec::new();
@@ -56,6 +60,35 @@
         self.path_of_chain(chosen, request)
     }
 
+    /// Divides the engines of a zone into chains. Those that are left over form further ones with parts of their ranges.
+    fn chains_of_zone(&self, zone: &Zone) -> Vec<Vec<(&'a Endpoint, LayerRange)>> {
+        let Division { mut chains, rest } =
+            divide_into_chains(self.pipeline.layers, self.usable_in_zone(zone));
+        let mut rest: Vec<&Endpoint> = rest.into_iter().map(|(engine, _)| engine).collect();
+        for _ in 0..PARTIAL_CHAIN_LIMIT {
+            let Some(chain) = self.partial_chain(&rest) else { break };
+            rest.retain(|engine| chain.iter().all(|(used, _)| used.address != engine.address));
+            chains.push(chain);
+        }
+        chains
+    }
+
+    /// Returns the cheapest chain through parts of the engines' ranges, whatever their load.
+    fn partial_chain(&self, engines: &[&'a Endpoint]) -> Option<Vec<(&'a Endpoint, LayerRange)>> {
+        let usual = RequestInfo {
+            prompt_tokens: self.pipeline.usual_prompt_tokens as u32,
+            answer_tokens: self.pipeline.usual_answer_tokens as u32,
+            ..RequestInfo::default()
+        };
+        let search = PathSearch { engines, health: &HealthTable::default(), ..*self };
+        let path = search.cheapest(&usual, &[])?;
+        let part = |(address, layers): &(Address, LayerRange)| {
+            let engine = engines.iter().find(|engine| engine.address == *address)?;
+            Some((*engine, *layers))
+        };
+        path.hops.iter().map(part).collect()
+    }
+
     /// Returns the engines of a zone that hold layers and are not excluded, whatever their load.
     fn usable_in_zone(&self, zone: &Zone) -> Vec<(&'a Endpoint, LayerRange)> {
         let in_zone = self.engines.iter().filter(|engine| engine.zone == *zone && !engine.leaving);
@@ -89,6 +122,7 @@
                 step_factor: kind.step_factor * candidate.slowdown,
                 read_factor: kind.read_factor * candidate.slowdown,
                 layers: layers.len(),
+                held_layers: candidate.layers.len(),
             });
             fill = fill.max(candidate.fill);
             health_weight *= 1.0 - candidate.failure_share;
@@ -137,52 +171,3 @@
     let (first, second) = (draw()?, draw()?);
     Some(if second.order(first).is_lt() { second } else { first })
 }
-
-/// Divides engines into chains that hold all layers, each engine with its whole range. Engines that are left over, such
-/// as those of a chain that lost one, are in no chain. Between engines with the same range the first one is taken.
-fn disjoint_chains(
-    layers: u16,
-    mut engines: Vec<(&Endpoint, LayerRange)>,
-) -> Vec<Vec<(&Endpoint, LayerRange)>> {
-    engines.sort_by_key(|(engine, range)| (range.begin, range.end, engine.address));
-    let mut used = vec![false; engines.len()];
-    let mut chains = Vec::new();
-    while let Some(chain) = next_chain(layers, &engines, &used) {
-        chains.push(chain.iter().filter_map(|index| engines.get(*index).copied()).collect());
-        for index in chain {
-            if let Some(used) = used.get_mut(index) {
-                *used = true;
-            }
-        }
-    }
-    chains
-}
-
-/// Returns the indices of the unused engines that form the chain with the fewest engines. The engines are sorted by the
-/// begin of their ranges.
-fn next_chain(layers: u16, engines: &[(&Endpoint, LayerRange)], used: &[bool]) -> Option<Vec<usize>> {
-    let size = usize::from(layers) + 1;
-    // For each boundary the number of engines up to it and the last one of them.
-    let mut reached: Vec<Option<(u32, Option<usize>)>> = vec![None; size];
-    *reached.first_mut()? = Some((0, None));
-    for (index, (_, range)) in engines.iter().enumerate() {
-        if used.get(index).copied().unwrap_or(true) {
-            continue;
-        }
-        let Some((count, _)) = reached.get(usize::from(range.begin)).copied().flatten() else { continue };
-        let Some(end) = reached.get_mut(usize::from(range.end)) else { continue };
-        if end.is_none_or(|(known, _)| count + 1 < known) {
-            *end = Some((count + 1, Some(index)));
-        }
-    }
-    let mut chain = Vec::new();
-    let mut boundary = layers;
-    while boundary > 0 {
-        let (_, last) = reached.get(usize::from(boundary)).copied().flatten()?;
-        let index = last?;
-        chain.push(index);
-        boundary = engines.get(index)?.1.begin;
-    }
-    chain.reverse();
-    Some(chain)
-}
--- a/crates/banyannotch/src/gateway/dispatch/paths.rs
+++ b/crates/banyannotch/src/gateway/dispatch/paths.rs
@@ -37,7 +37,8 @@
 /// An engine that may be part of the path, with its costs for one request.
 pub(super) struct Candidate<'a> {
     pub engine: &'a Endpoint,
-    layers: LayerRange,
+    /// Layers that the engine holds.
+    pub layers: LayerRange,
     /// Cost of each layer for the whole request, in milliseconds.
     pub layer_cost_ms: f64,
     /// Time that each layer adds to a token of the answer, in milliseconds.
--- a/crates/banyannotch/src/gateway/layout/plan.rs
+++ b/crates/banyannotch/src/gateway/layout/plan.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use crate::gateway::Pipeline;
-use crate::gateway::rate::{ChainPart, request_rate};
+use crate::gateway::chain::{ChainPart, divide_into_chains, request_rate};
 use crate::ids::Zone;
 use crate::pipeline::{Address, LayerRange};
 use crate::table::Table;
@@ -116,8 +116,8 @@
     (0..count).map(|group| sorted.iter().skip(group).step_by(count).copied().collect()).collect()
 }
 
-/// Chooses layers for an engine that holds none: the longest gap of its zone if it fits, else the least
-/// covered layers.
+/// Chooses layers for an engine that holds none: the longest gap of its zone if it fits, else what the engines outside
+/// whole chains lack most, so that a chain that lost an engine is whole again, else the least covered layers.
 pub fn assign_empty_engine(
     pipeline: &Pipeline,
     cards: &[Card],
@@ -147,6 +147,14 @@
         return Some(gap);
     }
     let missing = room_mb.iter().filter(|room_mb| **room_mb <= 0.0).count();
+    let of_zone: Vec<&Card> =
+        cards.iter().filter(|card| card.zone == empty.zone && card.address != empty.address).collect();
+    if missing == 0
+        && let Some(lacking) = most_lacking(pipeline.layers, &outside_chains(pipeline.layers, &of_zone))
+    {
+        let end = lacking.begin + lacking.len().min(max_count);
+        return Some(LayerRange::new(lacking.begin, end));
+    }
     let count = if missing > 0 { max_count } else { count.min(max_count) };
     least_covered(&room_mb, count)
 }
@@ -163,12 +171,47 @@
     })
 }
 
+/// Fills a gap of the zone, or else one between the engines outside whole chains if these could hold the model.
 fn fill_gap_in_zone(pipeline: &Pipeline, cards: &[&Card], layer_share: f64) -> Option<LayerAssignment> {
-    let holders = |layer: u16| {
-        let holds = |card: &&&Card| card.layers.is_some_and(|held| held.begin <= layer && layer < held.end);
-        cards.iter().filter(holds).count()
-    };
-    let counts: Vec<f64> = (0..pipeline.layers).map(|layer| holders(layer) as f64).collect();
+    if let Some(assignment) = move_into_gap(pipeline, cards, layer_share) {
+        return Some(assignment);
+    }
+    let outside = outside_chains(pipeline.layers, cards);
+    let total_layers: u32 = outside.iter().map(|card| u32::from(capacity(pipeline, card, layer_share))).sum();
+    (total_layers >= u32::from(pipeline.layers)).then(|| move_into_gap(pipeline, &outside, layer_share))?
+}
+
+/// Returns the cards that are not part of a chain of whole ranges.
+fn outside_chains<'a>(layers: u16, cards: &[&'a Card]) -> Vec<&'a Card> {
+    let holders = cards.iter().filter_map(|card| Some((*card, card.layers?))).collect();
+    divide_into_chains(layers, holders).rest.into_iter().map(|(card, _)| card).collect()
+}
+
+/// Returns the longest range of layers that the fewest of the cards hold, or none without cards.
+fn most_lacking(layers: u16, cards: &[&Card]) -> Option<LayerRange> {
+    if cards.is_empty() {
+        return None;
+    }
+    let counts = holder_counts(layers, cards);
+    let fewest = counts.iter().copied().fold(f64::INFINITY, f64::min);
+    longest_gap(&counts.iter().map(|count| count - fewest).collect::<Vec<_>>())
+}
+
+/// Returns for each layer the number of cards that hold it.
+fn holder_counts(layers: u16, cards: &[&Card]) -> Vec<f64> {
+    let mut counts = vec![0.0; usize::from(layers)];
+    for held in cards.iter().filter_map(|card| card.layers) {
+        let held = usize::from(held.begin)..usize::from(held.end.min(layers));
+        for count in counts.get_mut(held).unwrap_or_default() {
+            *count += 1.0;
+        }
+    }
+    counts
+}
+
+/// Chooses an engine whose layers others of the cards hold too, and that fills most of the longest gap between them.
+fn move_into_gap(pipeline: &Pipeline, cards: &[&Card], layer_share: f64) -> Option<LayerAssignment> {
+    let counts = holder_counts(pipeline.layers, cards);
     let gap = longest_gap(&counts)?;
     let is_redundant = |card: &Card| {
         let held = card.layers.filter(|held| !held.is_empty());
@@ -456,6 +499,7 @@
         step_factor: card.step_factor,
         read_factor: card.read_factor,
         layers: *layers,
+        held_layers: *layers,
     });
     let slots = chain.first().map_or(0, |card| card.slots);
     let availability = ENGINE_AVAILABILITY.powi(i32::try_from(chain.len()).unwrap_or(i32::MAX));
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -8,6 +8,7 @@
 use super::{Action, Card, Decision, Event, Layout, LayoutSettings, assign_empty_engine, fill_gap, plan};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
+use crate::gateway::chain::divide_into_chains;
 use crate::gateway::dispatch::fixtures::{address, configuration, pipeline, pipeline_engine};
 use crate::gateway::{Endpoint, EngineReport, Group, OrderReply, Pipeline};
 use crate::ids::Zone;
@@ -358,17 +359,33 @@
         };
         (0..8).map(held).collect()
     };
-    for _ in 0..=cards.len() {
-        let before = covered(&cards);
+    let outside = |cards: &[Card]| -> Vec<Card> {
+        let holders = cards.iter().filter_map(|card| Some((card, card.layers?))).collect();
+        divide_into_chains(8, holders).rest.into_iter().map(|(card, _)| card.clone()).collect()
+    };
+    let chains = |cards: &[Card]| {
+        divide_into_chains(8, cards.iter().filter_map(|card| Some((card, card.layers?))).collect())
+            .chains
+            .len()
+    };
+    let count = |covered: &[bool]| covered.iter().filter(|held| **held).count();
+    // Each move adds a layer to the zone or to the engines outside whole chains, or forms a chain.
+    for _ in 0..=cards.len() * 8 {
+        let (before, outside_before, chains_before) =
+            (covered(&cards), covered(&outside(&cards)), chains(&cards));
         let Some(assignment) = fill_gap(&pipeline, &cards, LAYER_SHARE) else { return true };
         let Some(moved) = cards.iter_mut().find(|card| card.address == assignment.address) else {
             return false;
         };
         moved.layers = Some(assignment.layers);
         let fits = assignment.layers.len() <= pipeline.layers_within(moved.memory_mb, LAYER_SHARE);
-        let after = covered(&cards);
-        let more = after.iter().filter(|held| **held).count() > before.iter().filter(|held| **held).count();
-        if !fits || !more || before.iter().zip(&after).any(|(before, after)| *before && !after) {
+        let (after, outside_after, chains_after) =
+            (covered(&cards), covered(&outside(&cards)), chains(&cards));
+        let progress = chains_after > chains_before
+            || count(&after) > count(&before)
+            || count(&outside_after) > count(&outside_before);
+        let loses_layers = before.iter().zip(&after).any(|(before, after)| *before && !after);
+        if !fits || !progress || loses_layers || chains_after < chains_before {
             return false;
         }
     }
@@ -450,3 +467,41 @@
     world.event(Event::OrderAnswered { address: engine, reply: OrderReply::Accepted });
     assert_eq!((first.len(), while_ordering, inspections(&world).len()), (20, 20, 21));
 }
+
+/// Replacements must make the chains whole that lost an engine. When they took the layers with the least room, a release of
+/// 27 engines of dacd-riga-large left ranges that fit no chain, and two of five requests were served for the rest of the day.
+#[test]
+fn replacements_restore_the_chains_that_lost_engines() {
+    let pipeline = Pipeline { layers: 80, ..pipeline() };
+    let pipeline = Pipeline { layer_mb: 100.0, ..pipeline };
+    let new_card = |host: u8| card(host, "a", host % 4 == 0, None);
+    let mut cards: Vec<Card> = (0..24).map(new_card).collect();
+    for assignment in plan(&pipeline, &cards, LAYER_SHARE) {
+        let card = cards.iter_mut().find(|card| card.address == assignment.address);
+        card.expect("a planned card").layers = Some(assignment.layers);
+    }
+    let whole = |cards: &[Card]| {
+        let holders = cards.iter().filter_map(|card| Some((card, card.layers?))).collect();
+        divide_into_chains(80, holders).chains.len()
+    };
+    let planned = whole(&cards);
+    let mut lines = Vec::new();
+    for lost in [vec![1_usize], vec![2, 7], vec![3, 9, 14, 20]] {
+        let mut left = cards.clone();
+        for index in lost.iter().rev() {
+            left.remove(*index);
+        }
+        let after_loss = whole(&left);
+        for index in &lost {
+            let mut replacement = new_card(*index as u8);
+            replacement.address = address(100 + *index as u8);
+            replacement.layers = assign_empty_engine(&pipeline, &left, &replacement, LAYER_SHARE);
+            left.push(replacement);
+        }
+        lines.push(format!(
+            "{planned} chains, {after_loss} without {lost:?}, {} with replacements",
+            whole(&left)
+        ));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod adapter;
 pub mod catalog;
+mod chain;
 pub mod dispatch;
 mod error;
 pub mod forwarding;
@@ -13,7 +14,6 @@
 pub mod journal;
 pub mod layout;
 mod model;
-mod rate;
 mod settings;
 mod start;
 
