catalog: a starting gateway gets configuration and endpoints from a peer

Cause: 300 gateways that start read the entries of 3,000 engines at the same time, in seven pages each; the store's reads are shared, each page exceeds its time limit, and the read starts anew.

Gateways that are no seeds wait 1 s for a peer that has one with recent proofs, and 3 s more if peers answer; then they read the store. A peer whose proofs are old is not asked, so a gateway that starts beside one that is cut off does not take its endpoints or keys.

Tests: a_starting_gateway_gets_everything_from_a_peer, a_starting_gateway_without_peers_reads_the_store, a_snapshot_arrives_whole_or_not_at_all. Not measured yet.

--- a/crates/banyannotch/src/gateway/catalog/exchange.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange.rs
@@ -1,7 +1,8 @@
-//! Passes the configuration from one gateway to another over TCP, because it may be too large for datagrams.
+//! Passes the configuration and the endpoints from one gateway to another over TCP, because they may be too large for
+//! datagrams.
 //!
-//! A gateway that accepts a connection sends its configuration and closes the connection. Like gossip, the exchange is
-//! open to every host that reaches the port for other gateways.
+//! A gateway that accepts a connection sends its snapshot and closes the connection. Like gossip, the exchange is open to
+//! every host that reaches the port for other gateways.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -9,32 +10,33 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::gateway::Configuration;
+use crate::gateway::{Configuration, Endpoint};
 use crate::pipeline::Address;
 
-/// Maximum size of an encoded configuration, in bytes; some thousand routes take a few hundred kilobytes.
-const CONFIGURATION_LIMIT_BYTES: usize = 8 << 20;
+/// Maximum size of an encoded snapshot, in bytes; some thousand routes or endpoints take a few hundred kilobytes.
+const SNAPSHOT_LIMIT_BYTES: usize = 8 << 20;
 /// Maximum number of connections that are served at a time. Others are closed at once, and their gateways read the
 /// store.
 const SERVED_LIMIT: usize = 24;
-/// Time limit for sending a configuration, in milliseconds.
+/// Time limit for sending a snapshot, in milliseconds.
 const SEND_TIMEOUT_MS: u64 = 2_000;
 /// Pause after a failure to accept a connection, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 50;
 
-/// Result of receiving a configuration.
+/// Result of receiving a snapshot.
 pub type Result<T> = std::result::Result<T, ExchangeError>;
 
-/// Error of receiving a configuration from another gateway.
+/// Error of receiving a snapshot from another gateway.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
-    /// The other gateway did not send its configuration in time.
-    #[error("the other gateway did not send its configuration within {limit_ms} ms")]
+    /// The other gateway did not send its snapshot in time.
+    #[error("the other gateway did not send its snapshot within {limit_ms} ms")]
     TimedOut {
         /// Time limit, in milliseconds.
         limit_ms: u64,
@@ -42,11 +44,11 @@
     /// The connection failed.
     #[error("the connection failed: {0}")]
     Connection(#[from] std::io::Error),
-    /// The configuration is larger than is accepted.
-    #[error("the configuration is larger than {CONFIGURATION_LIMIT_BYTES} bytes")]
+    /// The snapshot is larger than is accepted.
+    #[error("the snapshot is larger than {SNAPSHOT_LIMIT_BYTES} bytes")]
     TooLarge,
-    /// The bytes are no configuration. No bytes at all mean that the other gateway has none or serves too many others.
-    #[error("the {bytes} bytes received are no configuration: {detail}")]
+    /// The bytes are no snapshot. No bytes at all mean that the other gateway has none or serves too many others.
+    #[error("the {bytes} bytes received are no snapshot: {detail}")]
     Unreadable {
         /// Number of bytes received.
         bytes: usize,
@@ -55,21 +57,54 @@
     },
 }
 
-/// The encoded configuration that is sent to other gateways.
+/// What a gateway has read from the store or received from others.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// The configuration.
+    pub configuration: Arc<Configuration>,
+    /// The endpoints; several may have the same address.
+    pub endpoints: Vec<Endpoint>,
+    /// Offset after the last record that changed an endpoint.
+    pub change_offset: u64,
+    /// Offset up to which the records of the endpoints are complete.
+    pub next_offset: u64,
+}
+
+/// The snapshot that is sent to other gateways.
 #[derive(Clone, Debug, Default)]
-pub struct Offer(Rc<RefCell<Bytes>>);
+pub struct Offer(Rc<RefCell<Offered>>);
+
+#[derive(Debug, Default)]
+struct Offered {
+    snapshot: Option<Snapshot>,
+    /// The encoded snapshot, from the first request after a change.
+    encoded: Option<Bytes>,
+}
 
 impl Offer {
-    /// Replaces the configuration that is sent from now on.
-    pub fn replace(&self, configuration: &Configuration) {
-        match postcard::to_allocvec(configuration) {
-            Ok(encoded) => *self.0.borrow_mut() = encoded.into(),
-            Err(error) => log::error!("event=configuration_not_offered error=\"{error}\""),
+    /// Replaces the snapshot that is sent from now on.
+    pub fn replace(&self, snapshot: Snapshot) {
+        *self.0.borrow_mut() = Offered { snapshot: Some(snapshot), encoded: None };
+    }
+
+    /// Returns the encoded snapshot; no bytes if there is none.
+    fn encoded(&self) -> Bytes {
+        let mut offered = self.0.borrow_mut();
+        if offered.encoded.is_none() {
+            offered.encoded = match offered.snapshot.as_ref().map(postcard::to_allocvec) {
+                None => None,
+                Some(Ok(encoded)) => Some(encoded.into()),
+                Some(Err(error)) => {
+                    log::error!("event=snapshot_not_offered error=\"{error}\"");
+                    None
+                }
+            };
         }
+        offered.encoded.clone().unwrap_or_default()
     }
 }
 
-/// Sends the offered configuration to each gateway that connects; never returns.
+/// Sends the offered snapshot to each gateway that connects; never returns.
 pub async fn serve(listener: TcpListener, offer: Offer) {
     let served = Rc::new(Cell::new(0));
     loop {
@@ -85,37 +120,35 @@
             continue;
         }
         served.set(served.get() + 1);
-        let (encoded, served) = (offer.0.borrow().clone(), Rc::clone(&served));
+        let (encoded, served) = (offer.encoded(), Rc::clone(&served));
         actix_rt::spawn(async move {
             let sent = timeout(Duration::from_millis(SEND_TIMEOUT_MS), async {
                 stream.write_all(&encoded).await?;
                 stream.shutdown().await
             });
             if !matches!(sent.await, Ok(Ok(()))) {
-                log::debug!("event=configuration_not_sent bytes={}", encoded.len());
+                log::debug!("event=snapshot_not_sent bytes={}", encoded.len());
             }
             served.set(served.get() - 1);
         });
     }
 }
 
-/// Receives the configuration of another gateway.
+/// Receives the snapshot of another gateway.
 ///
 /// # Errors
-/// Returns [`ExchangeError`] if the gateway cannot be reached, is too slow, or sends no configuration.
-pub async fn fetch(from: Address, limit_ms: u64) -> Result<Arc<Configuration>> {
+/// Returns [`ExchangeError`] if the gateway cannot be reached, is too slow, or sends no snapshot.
+pub async fn fetch(from: Address, limit_ms: u64) -> Result<Snapshot> {
     let received = timeout(Duration::from_millis(limit_ms), async {
         let mut encoded = Vec::new();
         let stream = TcpStream::connect(from).await?;
-        stream.take(CONFIGURATION_LIMIT_BYTES as u64 + 1).read_to_end(&mut encoded).await?;
+        stream.take(SNAPSHOT_LIMIT_BYTES as u64 + 1).read_to_end(&mut encoded).await?;
         Ok::<_, ExchangeError>(encoded)
     });
     let encoded = received.await.map_err(|_| ExchangeError::TimedOut { limit_ms })??;
-    if encoded.len() > CONFIGURATION_LIMIT_BYTES {
+    if encoded.len() > SNAPSHOT_LIMIT_BYTES {
         return Err(ExchangeError::TooLarge);
     }
-    match postcard::from_bytes::<Configuration>(&encoded) {
-        Ok(configuration) => Ok(Arc::new(configuration)),
-        Err(error) => Err(ExchangeError::Unreadable { bytes: encoded.len(), detail: error.to_string() }),
-    }
+    postcard::from_bytes(&encoded)
+        .map_err(|error| ExchangeError::Unreadable { bytes: encoded.len(), detail: error.to_string() })
 }
--- a/crates/banyannotch/src/gateway/catalog/exchange_tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange_tests.rs
@@ -1,18 +1,28 @@
-//! Tests of the exchange of configurations: a peer that sends too much, too little, nothing or something else must neither
-//! hold up a gateway nor hand it a wrong configuration.
+//! Tests of the exchange of snapshots: a peer that sends too much, too little, nothing or something else must neither
+//! hold up a gateway nor hand it a wrong snapshot.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
-use super::exchange::{self, ExchangeError, Offer};
-use crate::gateway::dispatch::fixtures::configuration;
+use super::exchange::{self, ExchangeError, Offer, Snapshot};
+use crate::gateway::dispatch::fixtures::{configuration, endpoints};
 use crate::pipeline::Address;
 
 /// Time limit of a request, in milliseconds.
 const LIMIT_MS: u64 = 200;
 
+fn snapshot() -> Snapshot {
+    Snapshot {
+        configuration: Arc::new(configuration(6)),
+        endpoints: endpoints(),
+        change_offset: 7,
+        next_offset: 9,
+    }
+}
+
 async fn listener() -> (TcpListener, Address) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("the address of the listener");
@@ -31,7 +41,7 @@
 
 async fn send_faulty(listener: TcpListener, fault: Fault) {
     let (mut stream, _) = listener.accept().await.expect("a connection");
-    let encoded = postcard::to_allocvec(&configuration(6)).expect("it serializes");
+    let encoded = postcard::to_allocvec(&snapshot()).expect("it serializes");
     let bytes = match fault {
         Fault::ClosesAtOnce => Vec::new(),
         Fault::Silent => {
@@ -50,7 +60,7 @@
 }
 
 #[test]
-fn a_configuration_arrives_whole_or_not_at_all() {
+fn a_snapshot_arrives_whole_or_not_at_all() {
     actix_rt::System::new().block_on(async {
         let (serving, address) = listener().await;
         let offer = Offer::default();
@@ -59,9 +69,9 @@
             exchange::fetch(address, LIMIT_MS).await,
             Err(ExchangeError::Unreadable { bytes: 0, .. })
         ));
-        offer.replace(&configuration(6));
-        let fetched = exchange::fetch(address, LIMIT_MS).await.expect("the configuration");
-        assert_eq!(*fetched, configuration(6));
+        offer.replace(snapshot());
+        let fetched = exchange::fetch(address, LIMIT_MS).await.expect("the snapshot");
+        assert_eq!(fetched, snapshot());
         let faults =
             [Fault::ClosesAtOnce, Fault::Silent, Fault::Truncates, Fault::OtherBytes, Fault::WithoutEnd];
         for fault in faults {
--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use super::exchange::Snapshot;
 use crate::gateway::dispatch::Proof;
 use crate::gateway::gossip::Changes;
 use crate::gateway::{Batch, Configuration, Endpoint, Feed, StoreError};
@@ -25,8 +26,10 @@
     pub endpoints_interval_ms: u64,
     /// How much later than the reader's next proof is due the standby reads for itself.
     pub standby_delay_ms: u64,
-    /// How long to wait for a peer to send its configuration, before reading the store.
+    /// How long to wait for a peer to send its snapshot, before reading the store.
     pub fetch_timeout_ms: u64,
+    /// How long to wait after the start for a peer that has a snapshot, before reading the store.
+    pub start_wait_ms: u64,
     /// How long to wait for gossip to deliver endpoint changes that a peer has, before reading the store.
     pub gossip_wait_ms: u64,
     /// Pause after the first failed read; doubles with each consecutive failure.
@@ -53,6 +56,7 @@
             endpoints_interval_ms: 700,
             standby_delay_ms: 500,
             fetch_timeout_ms: 700,
+            start_wait_ms: 0,
             gossip_wait_ms: 300,
             retry_min_ms: 150,
             reader_retry_max_ms: 300,
@@ -101,9 +105,9 @@
         /// When the read was sent.
         sent_us: u64,
     },
-    /// A peer sent its configuration.
-    Fetched(Arc<Configuration>),
-    /// A peer did not send its configuration.
+    /// A peer sent its snapshot.
+    Fetched(Box<Snapshot>),
+    /// A peer did not send its snapshot.
     NotFetched {
         /// Address of the peer.
         from: Address,
@@ -141,7 +145,9 @@
         /// How long the read waits in the store for a record, in milliseconds.
         wait_ms: u64,
     },
-    /// Request the configuration of a peer.
+    /// Offer a snapshot to peers.
+    Offer(Box<Snapshot>),
+    /// Request the snapshot of a peer.
     Fetch {
         /// Address of the peer.
         from: Address,
@@ -164,7 +170,7 @@
         /// Number of callers' keys.
         keys: usize,
     },
-    /// A peer did not send its configuration, so the store is read instead.
+    /// A peer did not send its snapshot, so the store is read instead.
     NotFetched {
         /// Address of the peer.
         from: Address,
@@ -216,7 +222,7 @@
                 "event=configuration_applied version={version} before={before} routes={routes} keys={keys}"
             ),
             Self::NotFetched { from, fault } => {
-                write!(formatter, "event=configuration_not_fetched peer={from} fault=\"{fault}\"")
+                write!(formatter, "event=snapshot_not_fetched peer={from} fault=\"{fault}\"")
             }
             Self::Unusable { key, fault } => {
                 write!(formatter, "event=record_unusable key={key} fault=\"{fault}\"")
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::exchange::Snapshot;
 use super::{Action, CatalogSettings, Decision, Event, PeerUpdate};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
@@ -26,6 +27,9 @@
 /// others before they read.
 const READ_JITTER_US: u64 = 400_000;
 
+/// How many times longer a starting gateway waits for a snapshot when peers answer.
+const START_PATIENCE_FACTOR: u64 = 3;
+
 /// Maximum number of doublings of the pause after a failed read.
 const BACKOFF_DOUBLING_LIMIT: u32 = 8;
 
@@ -65,8 +69,14 @@
     change_offset: u64,
     configuration_feed: FeedState,
     endpoints_feed: FeedState,
-    /// Whether a peer was asked for its configuration and has not sent it so far.
-    fetching: bool,
+    /// The update that led to the request of a peer's snapshot, while the request is in progress.
+    fetching: Option<PeerUpdate>,
+    /// Configuration in force.
+    configuration: Arc<Configuration>,
+    /// Whether the first reads have been scheduled.
+    started: bool,
+    /// Whether they were put off, because peers answer.
+    relies_on_peers: bool,
     /// Number of gateways before this one in the order that all gateways share; none before the first update of a
     /// peer.
     rank: Option<usize>,
@@ -87,7 +97,10 @@
             change_offset: 0,
             configuration_feed: FeedState::default(),
             endpoints_feed: FeedState::default(),
-            fetching: false,
+            fetching: None,
+            configuration: Arc::default(),
+            started: false,
+            relies_on_peers: false,
             rank: None,
             last_contact_us: None,
             random: Random::seeded(seed),
@@ -103,6 +116,7 @@
         sent_us: u64,
         out: &mut Vec<Action>,
     ) {
+        let version_before = self.version;
         self.record_success(now_us, feed, sent_us, out);
         self.last_contact_us.get_or_insert(now_us);
         let mut batch = batch;
@@ -163,7 +177,12 @@
             self.publish(out);
         }
         let state = self.state(feed);
+        let is_first = state.next_offset.is_none();
         state.next_offset = Some(next);
+        if changed || dropped || newly_missing || is_first || self.version != version_before {
+            self.offer(out);
+        }
+        let state = self.state(feed);
         state.in_flight = false;
         state.catch_up_us = None;
         self.publish_proof(feed, sent_us, out);
@@ -222,18 +241,21 @@
     fn handle_peer_update(&mut self, now_us: u64, update: PeerUpdate, out: &mut Vec<Action>) {
         self.last_contact_us = Some(now_us);
         self.rank = Some(update.rank);
+        self.put_off_first_reads(now_us);
         let asked_us = update.asked_us;
         let proof_us =
             |age_ms: u64| asked_us.map(|at_us| at_us.saturating_sub(age_ms.saturating_mul(US_PER_MS)));
         let (version_us, change_us) =
             (proof_us(update.version_proof_age_ms), proof_us(update.change_proof_age_ms));
-        if let (Some(changes), Some(at_us)) = (update.changes, change_us) {
-            self.apply_changes(now_us, *changes, at_us, out);
+        if let (Some(changes), Some(at_us)) = (&update.changes, change_us) {
+            self.apply_changes(now_us, changes, at_us, out);
         }
         let has_version = update.version <= self.version;
-        if !has_version && !self.fetching {
-            self.fetching = true;
+        // A gateway that starts takes nothing from a peer whose own proofs are old.
+        let is_useful = self.lacks_endpoints_of(&update) || (!has_version && !self.is_starting());
+        if self.fetching.is_none() && is_useful {
             out.push(Action::Fetch { from: update.from });
+            self.fetching = Some(PeerUpdate { changes: None, ..update.clone() });
         }
         let proves_version = update.version == self.version;
         self.reconcile(now_us, Feed::Configuration, has_version, version_us.filter(|_| proves_version), out);
@@ -252,6 +274,9 @@
         proof_us: Option<u64>,
         out: &mut Vec<Action>,
     ) {
+        if !up_to_date && self.is_starting() {
+            return;
+        }
         if !up_to_date {
             let wait_us = match feed {
                 // The peer is asked for it at the same time.
@@ -270,8 +295,12 @@
         }
         let state = self.state(feed);
         state.catch_up_us = None;
-        let Some(at_us) = proof_us.filter(|at_us| state.proof_us.is_some_and(|known_us| known_us < *at_us))
-        else {
+        let has_read = match feed {
+            Feed::Configuration => self.version > 0,
+            Feed::Endpoints => self.endpoints_feed.next_offset.is_some(),
+        };
+        let state = self.state(feed);
+        let Some(at_us) = proof_us.filter(|at_us| has_read && state.proof_us < Some(*at_us)) else {
             return;
         };
         state.standby_reads = false;
@@ -282,19 +311,73 @@
         }
     }
 
-    fn handle_fetched(&mut self, now_us: u64, configuration: Arc<Configuration>, out: &mut Vec<Action>) {
-        self.fetching = false;
-        self.apply_configuration(configuration, out);
+    /// Returns whether this gateway waits for the snapshot of a peer before it reads the store.
+    fn is_starting(&self) -> bool {
+        self.settings.start_wait_ms > 0 && self.version == 0 && self.endpoints_feed.next_offset.is_none()
+    }
+
+    /// Puts off the first reads once, if peers answer. They may be starting as well, and hundreds of gateways that read
+    /// all entries at the same time get none of them in time.
+    fn put_off_first_reads(&mut self, now_us: u64) {
+        if self.relies_on_peers || !self.is_starting() {
+            return;
+        }
+        self.relies_on_peers = true;
+        let wait_us = START_PATIENCE_FACTOR * self.settings.start_wait_ms * US_PER_MS;
+        let due_us = now_us + wait_us + self.random.below(READ_JITTER_US as usize) as u64;
+        for feed in [Feed::Configuration, Feed::Endpoints] {
+            let state = self.state(feed);
+            state.due_us = state.due_us.max(due_us);
+        }
+    }
+
+    /// Returns whether this gateway has no endpoints yet, and the peer has some that were confirmed recently.
+    fn lacks_endpoints_of(&self, update: &PeerUpdate) -> bool {
+        let is_confirmed = update.asked_us.is_some()
+            && update.change_proof_age_ms < self.settings.endpoints_fallback_age_ms
+            && update.version_proof_age_ms < self.settings.configuration_fallback_age_ms;
+        self.endpoints_feed.next_offset.is_none() && update.change_offset > 0 && is_confirmed
+    }
+
+    /// Takes the configuration of a peer if it is newer, and its endpoints if this gateway has none yet.
+    fn handle_fetched(&mut self, now_us: u64, snapshot: Snapshot, out: &mut Vec<Action>) {
+        let Some(update) = self.fetching.take() else { return };
+        self.apply_configuration(Arc::clone(&snapshot.configuration), out);
+        let lacks_endpoints = self.lacks_endpoints_of(&update) && snapshot.next_offset > 0;
+        if lacks_endpoints {
+            for endpoint in snapshot.endpoints {
+                self.upsert_endpoint(endpoint, out);
+            }
+            self.endpoints_feed.next_offset = Some(snapshot.next_offset);
+            self.change_offset = snapshot.change_offset;
+            let (from, through) = (snapshot.next_offset, snapshot.next_offset);
+            out.push(Action::Changed(Changes { from, through, list: Vec::new() }));
+            self.publish(out);
+        }
+        self.offer(out);
         let state = &mut self.configuration_feed;
         if state.catch_up_us.take().is_some() && !state.in_flight {
             let proof_us = state.proof_us.unwrap_or(0);
             self.schedule_read(now_us, Feed::Configuration, proof_us);
         }
+        // The proofs that came with the peer's update also hold for what it has sent.
+        self.handle_peer_update(now_us, update, out);
+    }
+
+    /// Offers what this gateway has to peers.
+    fn offer(&self, out: &mut Vec<Action>) {
+        let (Some(next_offset), true) = (self.endpoints_feed.next_offset, self.version > 0) else { return };
+        out.push(Action::Offer(Box::new(Snapshot {
+            configuration: Arc::clone(&self.configuration),
+            endpoints: self.known_endpoints.iter().map(|(_, endpoint)| endpoint.clone()).collect(),
+            change_offset: self.change_offset,
+            next_offset,
+        })));
     }
 
     /// Reads the store for the version that a peer has and did not send, unless a pause after a failed read is running.
     fn handle_failed_fetch(&mut self, now_us: u64, from: Address, fault: String, out: &mut Vec<Action>) {
-        self.fetching = false;
+        self.fetching = None;
         out.push(Action::Decide(Decision::NotFetched { from, fault }));
         let state = &mut self.configuration_feed;
         if state.catch_up_us.is_some() && !state.failing {
@@ -303,7 +386,7 @@
     }
 
     /// Applies endpoint changes that a peer has read. Changes that leave a gap or are all known are ignored.
-    fn apply_changes(&mut self, now_us: u64, changes: Changes, at_us: u64, out: &mut Vec<Action>) {
+    fn apply_changes(&mut self, now_us: u64, changes: &Changes, at_us: u64, out: &mut Vec<Action>) {
         let Some(next) = self.endpoints_feed.next_offset else { return };
         if changes.from > next || changes.through <= next {
             return;
@@ -321,10 +404,11 @@
         let dropped = self.drop_missing(now_us, out);
         self.endpoints_feed.next_offset = Some(changes.through);
         self.change_offset = changes.through;
-        out.push(Action::Changed(changes));
+        out.push(Action::Changed(changes.clone()));
         if changed || dropped {
             self.publish(out);
         }
+        self.offer(out);
     }
 
     fn handle_failure(&mut self, now_us: u64, feed: Feed, error: StoreError, out: &mut Vec<Action>) {
@@ -375,6 +459,7 @@
             keys: configuration.credentials.len(),
         }));
         self.version = configuration.version;
+        self.configuration = Arc::clone(&configuration);
         out.push(Action::Configuration(configuration));
     }
 
@@ -493,7 +578,7 @@
             Event::Read { feed, batch, snapshot, sent_us } => {
                 self.handle_read(now_us, feed, batch, snapshot, sent_us, actions);
             }
-            Event::Fetched(configuration) => self.handle_fetched(now_us, configuration, actions),
+            Event::Fetched(snapshot) => self.handle_fetched(now_us, *snapshot, actions),
             Event::NotFetched { from, fault } => self.handle_failed_fetch(now_us, from, fault, actions),
             Event::Failed { feed, error } => self.handle_failure(now_us, feed, error, actions),
             Event::PeerUpdate(update) => self.handle_peer_update(now_us, update, actions),
@@ -508,6 +593,13 @@
     }
 
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        if !self.started {
+            self.started = true;
+            let wait_us = self.settings.start_wait_ms * US_PER_MS;
+            let jitter_us = if wait_us > 0 { self.random.below(READ_JITTER_US as usize) as u64 } else { 0 };
+            self.configuration_feed.due_us = now_us + wait_us + jitter_us;
+            self.endpoints_feed.due_us = now_us + wait_us + jitter_us;
+        }
         self.start_reads(now_us, actions);
         // While reads fail, an entry may return unnoticed, so missing endpoints are kept for a further grace
         // period.
--- a/crates/banyannotch/src/gateway/catalog/runtime.rs
+++ b/crates/banyannotch/src/gateway/catalog/runtime.rs
@@ -32,7 +32,7 @@
 }
 
 /// Starts the thread of the catalog. `store` creates the store client on that thread, and `listener` accepts the
-/// connections of other gateways that request the configuration.
+/// connections of other gateways that request the snapshot.
 ///
 /// # Errors
 /// Returns the error of the operating system when no thread can be created.
@@ -106,7 +106,6 @@
         let supervisor = &self.supervisor;
         match action {
             Action::Configuration(configuration) => {
-                self.offer.replace(&configuration);
                 let limits = forwarding::Event::Limits(configuration.limits);
                 self.links.forwarding.send_or_fail(limits, "catalog_forwarding", supervisor);
                 let event = layout::Event::Configuration(configuration.clone());
@@ -148,15 +147,16 @@
                     });
                 });
             }
+            Action::Offer(snapshot) => self.offer.replace(*snapshot),
             Action::Fetch { from } => {
                 let (mailbox, limit_ms) = (self.mailbox.clone(), self.settings.fetch_timeout_ms);
                 actix_rt::spawn(async move {
                     let fetched = exchange::fetch(from, limit_ms).await;
                     let result = if fetched.is_ok() { "ok" } else { "failed" };
-                    metrics::counter!("banyannotch_gateway_configuration_fetches_total", "result" => result)
+                    metrics::counter!("banyannotch_gateway_snapshot_fetches_total", "result" => result)
                         .increment(1);
                     mailbox.put(match fetched {
-                        Ok(configuration) => Event::Fetched(configuration),
+                        Ok(snapshot) => Event::Fetched(Box::new(snapshot)),
                         Err(error) => Event::NotFetched { from, fault: error.to_string() },
                     });
                 });
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use super::exchange::Snapshot;
 use super::{Action, Catalog, CatalogSettings, Event, PeerUpdate};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
@@ -33,7 +34,11 @@
 
 impl World {
     fn new() -> Self {
-        let catalog = Catalog::new(CatalogSettings::default(), 1);
+        Self::with(CatalogSettings::default())
+    }
+
+    fn with(settings: CatalogSettings) -> Self {
+        let catalog = Catalog::new(settings, 1);
         Self { catalog, now_us: 10_000_000, next: 0, lines: Vec::new() }
     }
 
@@ -61,7 +66,7 @@
                 Action::EndpointsProof(proof) => format!("endpoints are {} ms old", age_ms(proof.at_us)),
                 Action::Read { feed, from, wait_ms } => format!("read {feed:?} from {from:?} wait {wait_ms}"),
                 Action::Fetch { from } => format!("fetch from {}", from.ip()),
-                Action::Decide(_) | Action::Changed(_) => continue,
+                Action::Decide(_) | Action::Changed(_) | Action::Offer(_) => continue,
             };
             self.lines.push(format!("{at_ms}: {text}"));
         }
@@ -447,8 +452,14 @@
     world.event(Event::PeerUpdate(newer.clone()));
     world.event(Event::PeerUpdate(newer));
     world.wait_ms(50);
-    world.event(Event::Fetched(Arc::new(configuration(6))));
-    world.event(Event::Fetched(Arc::new(configuration(5))));
+    let snapshot = |version| {
+        Event::Fetched(Box::new(Snapshot {
+            configuration: Arc::new(configuration(version)),
+            ..Snapshot::default()
+        }))
+    };
+    world.event(snapshot(6));
+    world.event(snapshot(5));
     world.wait_ms(100);
     let event =
         Event::PeerUpdate(PeerUpdate { version: 6, asked_us: Some(world.now_us), ..update_of_peer() });
@@ -481,3 +492,47 @@
     }
     assert_eq!(counts, [(1, 1), (0, 1)]);
 }
+
+/// A gateway that starts beside others gets everything from one of them. When hundreds of gateways read the entries of
+/// 3,000 engines from the store, no read ended in time, and nothing was served for the day.
+#[test]
+fn a_starting_gateway_gets_everything_from_a_peer() {
+    let mut world = World::with(CatalogSettings { start_wait_ms: 1_000, ..CatalogSettings::default() });
+    world.wait_ms(100);
+    let update = |world: &World, change_proof_age_ms| {
+        Event::PeerUpdate(PeerUpdate {
+            version: 6,
+            version_proof_age_ms: 50,
+            change_offset: 7,
+            change_proof_age_ms,
+            asked_us: Some(world.now_us),
+            ..update_of_peer()
+        })
+    };
+    world.lines.push("from a peer that was cut off".to_owned());
+    let event = update(&world, 60_000);
+    world.event(event);
+    world.event(Event::NotFetched { from: address(9), fault: "reset".to_owned() });
+    world.lines.push("from a peer with recent proofs".to_owned());
+    let event = update(&world, 50);
+    world.event(event);
+    let snapshot = Snapshot {
+        configuration: Arc::new(configuration(6)),
+        endpoints: vec![plain_endpoint(1, "a"), plain_endpoint(2, "a")],
+        change_offset: 7,
+        next_offset: 9,
+    };
+    world.event(Event::Fetched(Box::new(snapshot)));
+    world.wait_ms(900);
+    insta::assert_snapshot!(world.lines.join("\n"));
+}
+
+/// A gateway that starts alone reads the store itself, after the time in which a peer would have answered.
+#[test]
+fn a_starting_gateway_without_peers_reads_the_store() {
+    let mut world = World::with(CatalogSettings { start_wait_ms: 1_000, ..CatalogSettings::default() });
+    world.wait_ms(900);
+    let before = world.lines.len();
+    world.wait_ms(600);
+    assert_eq!((before, world.lines.len()), (0, 2), "{}", world.lines.join("\n"));
+}
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -36,6 +36,8 @@
 const CONFIGURATION_FALLBACK_SHARE: f64 = 0.7;
 /// Share of `drain_ms` at which a gateway that gets no proof from others reads the endpoints itself.
 const ENDPOINTS_FALLBACK_SHARE: f64 = 0.6;
+/// Time after the start in which a gateway that is no seed gets a snapshot from a peer, in milliseconds.
+const START_WAIT_MS: u64 = 1_000;
 /// Time from the fallback age until the read that it leads to was sent, in milliseconds, with its random delay.
 const FALLBACK_READ_MS: u64 = 600;
 
@@ -162,7 +164,7 @@
                 forwarding: catalog_to_forwarding,
                 gossip: catalog_to_gossip,
             },
-            catalog_settings(settings),
+            catalog_settings(settings, peers),
             exchange_listener,
             seed,
             move || clients().0,
@@ -226,7 +228,7 @@
     }
 }
 
-fn catalog_settings(settings: &GatewaySettings) -> CatalogSettings {
+fn catalog_settings(settings: &GatewaySettings, own: Address) -> CatalogSettings {
     let share = |limit_ms: u64, share: f64| (limit_ms as f64 * share) as u64;
     let configuration_wait_ms = share(settings.config_apply_ms, CONFIGURATION_WAIT_SHARE);
     let configuration_fallback_age_ms = share(settings.config_apply_ms, CONFIGURATION_FALLBACK_SHARE);
@@ -237,6 +239,12 @@
         endpoints_interval_ms: endpoints_interval_ms(settings),
         configuration_fallback_age_ms,
         endpoints_fallback_age_ms,
+        // The others ask the seeds first, which therefore read the store at once.
+        start_wait_ms: if settings.seeds.iter().all(|seed| *seed == own) || settings.seeds.contains(&own) {
+            0
+        } else {
+            START_WAIT_MS
+        },
         // A gateway without contact to peers reads at the fallback age, which is no outage.
         outage_gap_ms: fallback_age_ms + FALLBACK_READ_MS,
         ..CatalogSettings::default()
