dispatch, forwarding: late streams end by evidence of their path

Change: a stream whose next event is late (0.6 s for the first one, three times the expected gap between events for the others) is reported to dispatch and goes on; its first engine is asked for a report; the send ends if the report names an engine of the path as stalled, or does not come, or at seven tenths of the time for which callers wait.

Tests: a_late_stream_ends_only_by_evidence_of_its_path, a_late_report_does_not_end_the_next_send, and with processes a_slow_but_sound_stream_runs_once (a pause of 0.9 s; by the earlier limits it ran twice, not run). Not measured yet.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::health::Load;
-use super::messages::{Action, BrokenBy, Decision, PeerState};
+use super::messages::{Action, BrokenBy, Decision, PeerState, Verdict};
 use super::policy::Dispatch;
 use super::tickets::Reservation;
 use crate::clock::US_PER_MS;
@@ -37,6 +37,50 @@
         }
     }
 
+    /// Requests a report of the first engine on the path of a stream whose next event is late. A path of one engine is
+    /// given up at once, because its report would show nothing about another engine.
+    pub(super) fn on_late_event(&mut self, ticket_id: u64, actions: &mut Vec<Action>) {
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        let Some((first, _)) = ticket.reservation.loads.first().copied() else { return };
+        if ticket.reservation.loads.len() == 1 {
+            actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Abandon });
+            return;
+        }
+        ticket.is_waiting = true;
+        if !self.inspections.contains(&first) {
+            self.inspections.insert(first, ());
+            actions.push(Action::Inspect(first));
+        }
+    }
+
+    /// Decides on the late streams whose first engine has reported: those that wait for a stalled engine, or whose first
+    /// engine does not answer, end and continue elsewhere. The others are slow but sound.
+    fn judge_late_streams(
+        &mut self,
+        address: Address,
+        report: Option<&EngineReport>,
+        actions: &mut Vec<Action>,
+    ) {
+        for (ticket_id, ticket) in self.tickets.iter_mut().filter(|(_, ticket)| ticket.is_waiting) {
+            let loads = &ticket.reservation.loads;
+            if loads.first().is_none_or(|(first, _)| *first != address) {
+                continue;
+            }
+            ticket.is_waiting = false;
+            let evidence = match report {
+                None => "no_report",
+                Some(report) if loads.iter().any(|(engine, _)| report.stalled.contains(engine)) => "stalled",
+                Some(_) => "sound",
+            };
+            let abandoned = evidence != "sound";
+            let id = Arc::clone(&ticket.request.id);
+            actions.push(Action::Decide(Decision::Judged { id, address, abandoned, evidence }));
+            if abandoned {
+                actions.push(Action::Reply { ticket: *ticket_id, verdict: Verdict::Abandon });
+            }
+        }
+    }
+
     /// Excludes the engine that a rejection names, or the endpoint itself if it answered 421. Any other
     /// rejection counts as a failure of the endpoint.
     pub(super) fn record_rejection(
@@ -113,6 +157,7 @@
         report: Option<&EngineReport>,
         actions: &mut Vec<Action>,
     ) {
+        self.inspections.remove(&address);
         match report {
             None => {
                 self.suspects.confirm_breaks(address, now_us);
@@ -125,11 +170,16 @@
                     self.suspects.confirm_breaks(address, now_us);
                 }
                 self.health.entry(address).record_slowdown(now_us, report.pace);
-                for stalled in &report.stalled {
-                    self.exclude(now_us, *stalled, "stalled", actions);
+                // The report names an engine once for each request that waits for it.
+                let mut stalled = report.stalled.clone();
+                stalled.sort_unstable();
+                stalled.dedup();
+                for engine in stalled {
+                    self.exclude(now_us, engine, "stalled", actions);
                 }
             }
         }
+        self.judge_late_streams(address, report, actions);
     }
 
     /// Stores the state of another gateway. Its loads take effect with the next call of
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -130,6 +130,11 @@
         /// Number of the request.
         ticket: u64,
     },
+    /// The next event of a stream did not arrive within its time limit; forwarding continues to wait.
+    Waiting {
+        /// Number of the request.
+        ticket: u64,
+    },
     /// A send ended.
     Ended {
         /// Number of the request.
@@ -179,10 +184,12 @@
     /// Time limit for making a connection, in milliseconds.
     pub connect_limit_ms: u64,
     /// Time limit for the head of the answer and the first event of a stream, in milliseconds. The time taken
-    /// to connect counts as well.
+    /// to connect counts as well. A stream that exceeds it is reported to dispatch, any other send ends.
     pub first_response_limit_ms: u64,
-    /// Time limit between two events of a stream, in milliseconds.
+    /// Time between two events of a stream after which it is reported to dispatch, in milliseconds.
     pub stall_limit_ms: u64,
+    /// Time without an event after which the send of a stream ends, in milliseconds.
+    pub silence_limit_ms: u64,
     /// Whether the answer is a stream of events.
     pub stream: bool,
     /// Maximum number of idle connections to keep to this endpoint.
@@ -196,6 +203,8 @@
     Send(Box<SendOrder>),
     /// Pass on the error that the endpoint answered.
     Deliver,
+    /// End the send, because the path has stalled.
+    Abandon,
     /// Answer with an error of the gateway.
     Refuse(Refusal),
 }
@@ -333,6 +342,17 @@
         /// Time since the request was submitted, in milliseconds.
         age_ms: u64,
     },
+    /// A stream whose next event is late continues or ends, by the report of its first engine.
+    Judged {
+        /// Id that the caller gave to the attempt.
+        id: Arc<str>,
+        /// Address of the first engine.
+        address: Address,
+        /// Whether the send ends.
+        abandoned: bool,
+        /// What the report showed.
+        evidence: &'static str,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -363,6 +383,11 @@
                 formatter,
                 "event=ended request={id} endpoint={endpoint} ending=\"{ending:?}\" age_ms={age_ms}"
             ),
+            Self::Judged { id, address, abandoned, evidence } => write!(
+                formatter,
+                "event=late_stream_judged request={id} endpoint_address={address} abandoned={abandoned} \
+                 evidence={evidence}"
+            ),
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -42,6 +42,8 @@
     pub(super) configuration_proof: Option<Proof>,
     pub(super) health: HealthTable,
     pub(super) tickets: Table<u64, Ticket>,
+    /// Engines that were asked for a report because of late events and have not answered so far.
+    pub(super) inspections: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
     pub(super) suspects: Suspects,
     pub(super) peers: Table<String, Peer>,
@@ -62,7 +64,8 @@
     hops: Arc<[(Address, LayerRange)]>,
     loads: Vec<(Address, Load)>,
     cost_ms: f64,
-    token_interval_ms: f64,
+    /// Expected time between two events of a stream.
+    event_interval_ms: f64,
     idle_connections: usize,
 }
 
@@ -77,6 +80,7 @@
             configuration_proof: None,
             health: Table::default(),
             tickets: Table::default(),
+            inspections: Table::default(),
             budgets: Table::default(),
             suspects: Suspects::default(),
             peers: Table::default(),
@@ -206,14 +210,15 @@
         let repeatable =
             ticket.retry_mode.is_repeatable() && ticket.possible_runs + 1 < ticket.endpoint_limit;
         let first_response_limit_ms = match (stream, repeatable) {
-            (true, true) => settings.first_event_limit_min_ms.max((choice.cost_ms * 0.5) as u64),
+            (true, true) => settings.first_event_limit_ms,
             (false, true) => ((remaining_ms as f64) * FIRST_RESPONSE_SHARE) as u64,
             (_, false) => remaining_ms,
         };
-        let stall_limit_ms = if repeatable {
-            settings.stall_limit_min_ms.max((choice.token_interval_ms * settings.stall_factor) as u64)
+        let (stall_limit_ms, silence_limit_ms) = if repeatable {
+            let stall_ms = (choice.event_interval_ms * settings.stall_factor) as u64;
+            (settings.stall_limit_min_ms.max(stall_ms), settings.silence_limit_ms(ticket))
         } else {
-            remaining_ms
+            (remaining_ms, remaining_ms)
         };
         let order = SendOrder {
             address: choice.address,
@@ -229,6 +234,7 @@
             connect_limit_ms: settings.connect_limit_ms,
             first_response_limit_ms,
             stall_limit_ms,
+            silence_limit_ms,
             stream,
             idle_connections: choice.idle_connections,
         };
@@ -266,7 +272,7 @@
                     hops: path.hops,
                     loads: path.loads,
                     cost_ms: path.cost_ms,
-                    token_interval_ms: path.token_interval_ms,
+                    event_interval_ms: path.token_interval_ms * f64::from(pipeline.stride.max(1)),
                     idle_connections: service.connection_limit,
                 })
             }
@@ -312,7 +318,7 @@
             hops: Arc::new([]),
             loads: vec![(replica.address, Load { requests: 1, ..Load::default() })],
             cost_ms,
-            token_interval_ms: 0.0,
+            event_interval_ms: 0.0,
             // The endpoint runs at most `slots` requests at once, so further idle connections are of no use.
             idle_connections: (replica.slots as usize).min(service.connection_limit),
         })
@@ -321,6 +327,7 @@
     fn on_ending(&mut self, now_us: u64, ticket_id: u64, ending: Ending, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         let reservation = std::mem::take(&mut ticket.reservation);
+        ticket.is_waiting = false;
         for (address, load) in &reservation.loads {
             if let Some(health) = self.health.get_mut(address) {
                 health.own.remove(load);
@@ -517,6 +524,7 @@
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
             Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
+            Event::Waiting { ticket } => return self.on_late_event(ticket, actions),
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of dispatch: limits, retry budget and cost weights.
 
+use super::tickets::Ticket;
 use crate::gateway::gossip::GossipSettings;
 
 /// Settings of dispatch. Times are in milliseconds unless the name says otherwise.
@@ -51,13 +52,15 @@
     pub hop_cost_ms: f64,
     /// Time limit for connecting to an endpoint.
     pub connect_limit_ms: u64,
-    /// Minimum time limit for the next event of a stream that can be continued on other endpoints. Callers
-    /// give up after 2 s.
+    /// Minimum time without an event after which the path of a stream that can be continued on other endpoints is
+    /// examined.
     pub stall_limit_min_ms: u64,
-    /// Minimum time limit for the first event of a stream that can be continued on other endpoints.
-    pub first_event_limit_min_ms: u64,
-    /// Time limit between two events of a stream, as a multiple of the expected time for each token.
+    /// Time without a first event after which the path of such a stream is examined.
+    pub first_event_limit_ms: u64,
+    /// Time between two events after which the path is examined, as a multiple of the expected time.
     pub stall_factor: f64,
+    /// Minimum time without an event after which callers give up.
+    pub caller_patience_min_ms: u64,
     /// Time after which a caller that was refused with status 503 may retry.
     pub retry_after_ms: u64,
     /// Time after which a caller may retry when another gateway may be able to serve the request at once.
@@ -96,8 +99,9 @@
             hop_cost_ms: 40.0,
             connect_limit_ms: 250,
             stall_limit_min_ms: 400,
-            first_event_limit_min_ms: 1_000,
-            stall_factor: 8.0,
+            first_event_limit_ms: 600,
+            stall_factor: 3.0,
+            caller_patience_min_ms: 2_000,
             retry_after_ms: 500,
             retry_elsewhere_after_ms: 20,
             full_exchange_gateways: GossipSettings::default().fanout + 1,
@@ -106,3 +110,20 @@
         }
     }
 }
+
+impl DispatchSettings {
+    /// Returns the time without an event after which a stream is continued on other endpoints although its path seems
+    /// sound, so that an event arrives before the caller gives up.
+    pub(super) fn silence_limit_ms(&self, ticket: &Ticket) -> u64 {
+        /// Callers wait for this multiple of the objective for the first event, and of that for the gap between events.
+        const OBJECTIVE_FACTOR: u64 = 4;
+        const GAP_FACTOR: u64 = 8;
+        /// Share of the time that callers wait, in tenths.
+        const SHARE_TENTHS: u64 = 7;
+        let patience_ms = self
+            .caller_patience_min_ms
+            .max(ticket.objective_ms * OBJECTIVE_FACTOR)
+            .max(ticket.event_gap_objective_ms * GAP_FACTOR);
+        patience_ms * SHARE_TENTHS / 10
+    }
+}
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -197,3 +197,39 @@
     let waits = [None, Some(5), Some(6)].map(retry_after_ms);
     assert_eq!(waits, [Some(Some(20)), Some(Some(500)), Some(Some(20))]);
 }
+
+/// A stream whose next event is late ends only if a report shows that its path has stalled. Under load first events took
+/// longer than the limit of 1 s, and gateways cut sound streams, whose prompts were then read again elsewhere.
+#[test]
+fn a_late_stream_ends_only_by_evidence_of_its_path() {
+    let report = |stalled| EngineReport { pace: 1.0, stalled, ..EngineReport::default() };
+    let cases = [
+        ("a sound path", Some(report(vec![]))),
+        ("another path has stalled", Some(report(vec![address(15)]))),
+        ("the path has stalled", Some(report(vec![address(12), address(12)]))),
+        ("no report", None),
+    ];
+    let mut text = String::new();
+    for (name, report) in cases {
+        let mut world = World::new();
+        let first = world.submit("/write/x");
+        let second = world.submit("/write/x");
+        world.event(Event::Waiting { ticket: first });
+        world.event(Event::Waiting { ticket: second });
+        world.event(Event::Report { address: address(11), report: report.clone() });
+        world.event(Event::Waiting { ticket: first });
+        text.push_str(&format!("{name}\n  {}\n", world.lines.join("\n  ")));
+    }
+    insta::assert_snapshot!(text);
+}
+
+/// A report that arrives after a send has ended must not end the next send of the request.
+#[test]
+fn a_late_report_does_not_end_the_next_send() {
+    let mut world = World::new();
+    let ticket = world.submit("/write/x");
+    world.event(Event::Waiting { ticket });
+    world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    world.event(Event::Report { address: address(11), report: None });
+    assert!(!world.text().contains("abandon"), "{}", world.text());
+}
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -28,6 +28,8 @@
     pub endpoint_limit: u32,
     /// Latency objective of the route.
     pub objective_ms: u64,
+    /// Objective for the gap between two events of a stream.
+    pub event_gap_objective_ms: u64,
     pub arrived_us: u64,
     /// Time by which the final answer is due.
     pub deadline_us: u64,
@@ -36,6 +38,8 @@
     /// Number of sends in which the request may have run.
     pub possible_runs: u32,
     pub reservation: Reservation,
+    /// Whether the next event of the current send is late and its first engine was asked for a report.
+    pub is_waiting: bool,
     /// Endpoints on the paths of all sends so far.
     pub tried: Vec<Address>,
 }
@@ -58,11 +62,13 @@
             team,
             endpoint_limit: route.endpoint_limit,
             objective_ms: route.objective_ms,
+            event_gap_objective_ms: route.event_gap_objective_ms,
             arrived_us: now_us,
             deadline_us: now_us + limit_ms * crate::clock::US_PER_MS,
             sends: 0,
             possible_runs: 0,
             reservation: Reservation::default(),
+            is_waiting: false,
             tried: Vec::new(),
         }
     }
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -15,7 +15,7 @@
 use super::exchange::{Progress, Request, exchange};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
-use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
+use crate::gateway::dispatch::{BrokenBy, Ending, Refusal, RefusalReason, Verdict};
 use crate::gateway::http1::{BodyDecoder, HttpError, Reader, RequestHead, split};
 
 /// The operating system closes a connection whose peer acknowledges no data for this long.
@@ -223,8 +223,9 @@
                     });
                 }
             },
-            // Dispatch never drops a request, so its thread has ended, and the process will exit.
-            Err(_) => {
+            // Dispatch never drops a request, so its thread has ended, and the process will exit. A verdict to abandon
+            // a send is delivered to the send.
+            Ok(Verdict::Abandon) | Err(_) => {
                 return ServeOutcome::Refused(Refusal {
                     reason: RefusalReason::Broken,
                     retry_after_ms: None,
@@ -234,8 +235,17 @@
         let remaining_us = order.deadline_us.saturating_sub(context.clock.now_us());
         let remaining =
             Duration::from_micros(remaining_us).saturating_sub(Duration::from_millis(RESPONSE_MARGIN_MS));
-        let sending = exchange(context, &order, request, progress, writer);
-        let Ok((ending, response)) = timeout(remaining, sending).await else { return ServeOutcome::Expired };
+        let abandoned = context.begin_send(ticket);
+        let sending = timeout(remaining, exchange(context, &order, request, progress, writer));
+        let (ending, response) = tokio::select! {
+            biased;
+            sent = sending => match sent {
+                Ok(sent) => sent,
+                Err(_) => return ServeOutcome::Expired,
+            },
+            Ok(()) = abandoned => (Ending::Broken { by: BrokenBy::Silence }, None),
+        };
+        context.end_send(ticket);
         match ending {
             Ending::Completed { .. } => {
                 context.finish(ticket, ending);
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -29,6 +29,8 @@
     pub dispatch: RefCell<Sender<dispatch::Event>>,
     /// Requests that wait for a verdict, by number.
     pub pending_verdicts: RefCell<Table<u64, oneshot::Sender<Verdict>>>,
+    /// Sends of streams in progress, by number of the request, which dispatch may abandon.
+    pub sends: RefCell<Table<u64, oneshot::Sender<()>>>,
     pub next_ticket: Cell<u64>,
 }
 
@@ -75,6 +77,12 @@
         self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
     }
 
+    /// Reports to dispatch that the next event of a stream is late.
+    pub fn report_late_event(&self, ticket: u64) {
+        let event = dispatch::Event::Waiting { ticket };
+        self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
+    }
+
     /// Reports the final outcome of a request to dispatch. No further verdict is expected.
     pub fn finish(&self, ticket: u64, ending: Ending) {
         if let Ending::Completed { first_ms } = ending {
@@ -82,11 +90,32 @@
             metrics::histogram!("banyannotch_gateway_first_answer_seconds").record(seconds);
         }
         self.pending_verdicts.borrow_mut().remove(&ticket);
+        self.end_send(ticket);
         self.send_ended(ticket, ending);
     }
 
+    /// Returns a receiver that is notified when dispatch abandons the send that begins now.
+    pub fn begin_send(&self, ticket: u64) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.sends.borrow_mut().insert(ticket, sender);
+        receiver
+    }
+
+    /// Removes the send of a request that has ended. A later verdict to abandon it has no effect.
+    pub fn end_send(&self, ticket: u64) {
+        self.sends.borrow_mut().remove(&ticket);
+    }
+
     /// Delivers a verdict to the connection that waits for it.
     pub fn deliver_verdict(&self, ticket: u64, verdict: Verdict) {
+        if verdict == Verdict::Abandon {
+            if let Some(sender) = self.sends.borrow_mut().remove(&ticket) {
+                if sender.send(()).is_err() {
+                    log::debug!("event=send_already_ended ticket={ticket}");
+                }
+            }
+            return;
+        }
         if let Some(sender) = self.pending_verdicts.borrow_mut().remove(&ticket) {
             // The connection may have ended meanwhile and reported that to dispatch.
             drop(sender.send(verdict));
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -181,10 +181,8 @@
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
     ) -> Result<ExchangeOutcome, ExchangeError> {
-        let head_result = timeout(response_start_timeout, self.send_and_read_head(request_bytes))
-            .await
-            .map_err(|_| ExchangeError::TimedOut)?;
-        let (head, kind, fault_at) = head_result?;
+        let head_result = self.read_head_in_time(request_bytes, response_start_timeout).await?;
+        let (head, kind, fault_at) = head_result;
         let framing = head.framing()?;
         let decoder = BodyDecoder::new(framing);
         match kind {
@@ -232,6 +230,28 @@
         }
     }
 
+    /// Sends the request and reads the head of its response within the time limits of the order.
+    async fn read_head_in_time(
+        &mut self,
+        request_bytes: &[u8],
+        limit: Duration,
+    ) -> Result<(ResponseHead, ResponseKind, Option<crate::pipeline::Address>), ExchangeError> {
+        let (context, ticket, stream) = (self.context, self.request.ticket, self.order.stream);
+        let silence_due = self.sent_at + Duration::from_millis(self.order.silence_limit_ms);
+        let mut reading = std::pin::pin!(self.send_and_read_head(request_bytes));
+        let mut due = Instant::now() + limit;
+        loop {
+            if let Ok(head) = timeout_at(due.into(), &mut reading).await {
+                return head;
+            }
+            if !stream || Instant::now() >= silence_due {
+                return Err(ExchangeError::TimedOut);
+            }
+            context.report_late_event(ticket);
+            due = (Instant::now() + limit).min(silence_due);
+        }
+    }
+
     /// Sends the request and reads the head of its response. Interim responses and responses to other
     /// attempts are skipped.
     async fn send_and_read_head(
@@ -300,17 +320,24 @@
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
     ) -> Result<ExchangeOutcome, ExchangeError> {
-        let stall_timeout = Duration::from_millis(self.order.stall_limit_ms);
+        let stall_limit = Duration::from_millis(self.order.stall_limit_ms);
         let mut splitter = EventSplitter::new(resume_after);
-        let start_timeout =
-            response_start_timeout.saturating_sub(self.sent_at.elapsed()).max(Duration::from_millis(1));
-        let mut progress_due = tokio::time::Instant::now() + start_timeout;
+        let silence_limit = Duration::from_millis(self.order.silence_limit_ms);
+        let mut silence_due = self.sent_at + silence_limit;
+        let mut event_due = (self.sent_at + response_start_timeout).max(Instant::now());
         let mut first_ms = None;
         let (mut events, mut out) = (Vec::new(), Vec::new());
         loop {
-            let read = timeout_at(progress_due, self.upstream.reader.body(&mut decoder)).await;
+            let Ok(read) = timeout_at(event_due.into(), self.upstream.reader.body(&mut decoder)).await else {
+                if Instant::now() >= silence_due {
+                    return Err(ExchangeError::TimedOut);
+                }
+                self.context.report_late_event(self.request.ticket);
+                event_due = (Instant::now() + stall_limit).min(silence_due);
+                continue;
+            };
             let mut ended = false;
-            match read.map_err(|_| ExchangeError::TimedOut)?? {
+            match read? {
                 None => ended = true,
                 Some(data) => self.split_events(&mut splitter, &data, &mut events)?,
             }
@@ -344,7 +371,8 @@
                     return Err(ExchangeError::Ended(Ending::Left));
                 }
                 // The time that the caller took to read does not count.
-                progress_due = tokio::time::Instant::now() + stall_timeout;
+                event_due = Instant::now() + stall_limit;
+                silence_due = Instant::now() + silence_limit;
                 events.clear();
                 out.clear();
             }
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -99,6 +99,7 @@
             in_flight: Cell::new(0),
             dispatch: RefCell::new(dispatch),
             pending_verdicts: RefCell::new(Table::default()),
+            sends: RefCell::new(Table::default()),
             next_ticket: Cell::new(1),
         });
         let drain_times = DrainTimes {
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -91,6 +91,30 @@
     }
 }
 
+/// A stream that pauses while its engines report nothing wrong is slow but sound: it is neither cut nor run again.
+#[actix_rt::test]
+async fn a_slow_but_sound_stream_runs_once() {
+    let mut fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for (number, after) in [0, 5].into_iter().enumerate() {
+        for engine in &fleet.engines {
+            engine.set_fault(Fault::PauseAfter(after), usize::MAX);
+        }
+        let id = format!("slow-{number}");
+        let got = stream(gateway.callers, &id, "secret").await;
+        assert_eq!((got.status, got.complete), (Some(200), true), "{got:?}");
+        assert_eq!(got.events(), (0..EVENTS).collect::<Vec<_>>(), "after {after} events");
+        assert_eq!(fleet.runs_of(&id), 1, "runs with a pause after {after} events");
+        let judged = gateway.lines("event=late_stream_judged");
+        assert!(
+            judged.iter().any(|line| line.contains(&id) && line.contains("evidence=sound")),
+            "{judged:?}"
+        );
+    }
+}
+
 /// Requests a stream, and clears the faults of all engines as soon as one of them has run the request. Returns the
 /// stream and the number of runs.
 async fn stream_with_one_fault(gateway: &Gateway, fleet: &Fleet, id: &str) -> (RecordedResponse, usize) {
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -61,6 +61,8 @@
     Extra,
     /// Sends single bytes without completing another event after this many, until the connection is closed.
     TrickleAfter(u64),
+    /// Pauses for 900 ms after this many events and then continues.
+    PauseAfter(u64),
     /// Sends a head without end until the connection is closed.
     EndlessHead,
     /// Sends a body without end until the connection is closed.
@@ -347,6 +349,14 @@
                 return false;
             }
             Fault::SkipAfter(count) if sent as u64 == count => continue,
+            Fault::PauseAfter(count) if sent as u64 == count => {
+                if writer.write_all(&out).await.is_err() {
+                    return false;
+                }
+                out.clear();
+                actix_rt::time::sleep(LONG_PAUSE).await;
+                write_chunk(text.as_bytes(), &mut out);
+            }
             Fault::TrickleAfter(count) if sent as u64 == count => {
                 write_chunk(format!("id: {event}\ndata: ").as_bytes(), &mut out);
                 return write_slowly_without_end(&out, writer).await;
@@ -389,6 +399,9 @@
     false
 }
 
+/// Pause of a slow stream, longer than the time after which a gateway examines its path.
+const LONG_PAUSE: Duration = Duration::from_millis(900);
+
 /// Delay between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(2);
 
