catalog: entries of endpoints in a module of their own, and the latest departures are kept

The policy had grown past one job; what it knows of the endpoints moves to entries.rs. A gateway recorded only the first 4,096 departures, some forty hours at the two-year target; later ones could be revived by a late record. Now the oldest one gives way.

Test: a_late_record_does_not_revive_an_endpoint_after_many_departures, which fails without the eviction.

--- /dev/null
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -0,0 +1,147 @@
+//! The endpoints by their entries in the store: which are known, missing or leaving.
+
+use std::sync::Arc;
+
+use super::{Action, Decision};
+use crate::clock::US_PER_MS;
+use crate::gateway::Endpoint;
+use crate::table::Table;
+
+/// Maximum number of departures kept, the latest ones. They prevent a late record from reviving an endpoint that is
+/// leaving.
+const DEPARTURE_LIMIT: usize = 4_096;
+
+/// The endpoints of all services.
+#[derive(Debug)]
+pub(super) struct Entries {
+    /// How long after an outage of the store an endpoint without an entry is kept, in milliseconds.
+    return_grace_ms: u64,
+    known: Table<Arc<str>, Endpoint>,
+    /// Endpoints whose entry is missing, and when they are removed.
+    missing: Table<Arc<str>, u64>,
+    /// Name and start of the endpoints that have announced their departure, with the position in their order.
+    departures: Table<(Arc<str>, u64), u64>,
+    departure_count: u64,
+}
+
+impl Entries {
+    /// Creates the state of a gateway that knows no endpoint.
+    pub fn new(return_grace_ms: u64) -> Self {
+        Self {
+            return_grace_ms,
+            known: Table::default(),
+            missing: Table::default(),
+            departures: Table::default(),
+            departure_count: 0,
+        }
+    }
+
+    /// Returns all endpoints; several may have the same address.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.known.iter().map(|(_, endpoint)| endpoint)
+    }
+
+    /// Returns the names of the known endpoints that are not in a sorted list.
+    pub fn absent_from(&self, present: &[Arc<str>]) -> Vec<Arc<str>> {
+        let is_absent = |id: &&Arc<str>| present.binary_search(id).is_err();
+        self.known.iter().map(|(id, _)| id).filter(is_absent).cloned().collect()
+    }
+
+    /// Returns when the next missing endpoint is removed.
+    pub fn next_removal_us(&self) -> Option<u64> {
+        self.missing.iter().map(|(_, removal_us)| *removal_us).min()
+    }
+
+    /// Keeps missing endpoints for a further grace period, because an entry may return unnoticed while reads fail.
+    pub fn extend_grace(&mut self, now_us: u64) {
+        let extended_us = now_us + self.return_grace_ms * US_PER_MS;
+        for (_, removal_us) in self.missing.iter_mut() {
+            *removal_us = (*removal_us).max(extended_us);
+        }
+    }
+
+    /// Adds or updates an endpoint from its entry. Returns whether anything but its heartbeat changed.
+    pub fn upsert(&mut self, mut endpoint: Endpoint, out: &mut Vec<Action>) -> bool {
+        let known = self.known.get(&endpoint.id);
+        if known.is_some_and(|known| known.born_ms > endpoint.born_ms) {
+            // The record is late and belongs to an earlier start of the endpoint.
+            return false;
+        }
+        let start = (Arc::clone(&endpoint.id), endpoint.born_ms);
+        if endpoint.leaving {
+            self.record_departure(start);
+        } else if self.departures.contains(&start) {
+            endpoint.leaving = true;
+        }
+        self.missing.remove(&endpoint.id);
+        if self.known.get(&endpoint.id) == Some(&endpoint) {
+            return false;
+        }
+        let state = format!(
+            "service={} address={} zone={} born_ms={} leaving={} accelerator={} layers={}",
+            endpoint.service,
+            endpoint.address,
+            endpoint.zone,
+            endpoint.born_ms,
+            endpoint.leaving,
+            endpoint.accelerator.as_deref().unwrap_or("none"),
+            endpoint.layers.map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
+        );
+        out.push(Action::Decide(Decision::Known { id: Arc::clone(&endpoint.id), state }));
+        self.known.insert(Arc::clone(&endpoint.id), endpoint);
+        true
+    }
+
+    /// Records a departure, in place of the oldest one if too many are kept.
+    fn record_departure(&mut self, start: (Arc<str>, u64)) {
+        if self.departures.contains(&start) {
+            return;
+        }
+        if self.departures.len() >= DEPARTURE_LIMIT {
+            let oldest = self.departures.iter().min_by_key(|(_, position)| **position);
+            if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
+                self.departures.remove(&oldest);
+            }
+        }
+        self.departure_count += 1;
+        self.departures.insert(start, self.departure_count);
+    }
+
+    /// Marks an endpoint whose entry is missing for removal. After an outage, in which the entry may have
+    /// expired, the endpoint is kept for a grace period. `recovered_us` is when the last outage ended. Returns whether a known endpoint was newly marked.
+    pub fn mark_missing(&mut self, now_us: u64, id: &Arc<str>, recovered_us: Option<u64>) -> bool {
+        if !self.known.contains(id) || self.missing.contains(id) {
+            return false;
+        }
+        let grace_us = self.return_grace_ms * US_PER_MS;
+        let removal_us = recovered_us.map_or(now_us, |recovered_us| (recovered_us + grace_us).max(now_us));
+        self.missing.insert(Arc::clone(id), removal_us);
+        true
+    }
+
+    /// Removes the missing endpoints whose grace period is over. Returns whether there were any.
+    pub fn drop_missing(&mut self, now_us: u64, recovered_us: Option<u64>, out: &mut Vec<Action>) -> bool {
+        let after_outage = recovered_us
+            .is_some_and(|recovered_us| now_us < recovered_us + 2 * self.return_grace_ms * US_PER_MS);
+        let due: Vec<_> = self
+            .missing
+            .iter()
+            .filter(|(_, removal_us)| **removal_us <= now_us)
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in &due {
+            self.missing.remove(id);
+            self.known.remove(id);
+            out.push(Action::Decide(Decision::Gone { id: Arc::clone(id), after_outage }));
+        }
+        !due.is_empty()
+    }
+
+    /// Publishes the endpoints; of several at one address, only the one that started last.
+    pub fn publish(&self, out: &mut Vec<Action>) {
+        let mut by_address: Vec<&Endpoint> = self.known.iter().map(|(_, endpoint)| endpoint).collect();
+        by_address.sort_by_key(|endpoint| (endpoint.address, std::cmp::Reverse(endpoint.born_ms)));
+        by_address.dedup_by_key(|endpoint| endpoint.address);
+        out.push(Action::Endpoints(by_address.into_iter().cloned().collect()));
+    }
+}
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -2,19 +2,16 @@
 
 use std::sync::Arc;
 
+use super::entries::Entries;
 use super::exchange::Snapshot;
 use super::{Action, CatalogSettings, Decision, Event, PeerUpdate};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::Proof;
 use crate::gateway::gossip::{Change, Changes};
-use crate::gateway::{Batch, Configuration, Endpoint, Feed, Record, StoreError};
+use crate::gateway::{Batch, Configuration, Feed, Record, StoreError};
 use crate::pipeline::Address;
 use crate::random::Random;
-use crate::table::Table;
-
-/// Maximum number of departures kept. They prevent a late record from reviving an endpoint that is leaving.
-const DEPARTURE_LIMIT: usize = 4_096;
 
 /// Rank of the gateway that reads the store for the others.
 const READER_RANK: usize = 0;
@@ -60,11 +57,7 @@
 pub struct Catalog {
     settings: CatalogSettings,
     version: u64,
-    known_endpoints: Table<Arc<str>, Endpoint>,
-    /// Endpoints whose entry is missing, and when they are removed.
-    missing: Table<Arc<str>, u64>,
-    /// Name and start of the endpoints that have announced their departure.
-    departures: Table<(Arc<str>, u64), ()>,
+    entries: Entries,
     /// Offset after the last read or update that changed an endpoint.
     change_offset: u64,
     configuration_feed: FeedState,
@@ -91,9 +84,7 @@
         Self {
             settings,
             version: 0,
-            known_endpoints: Table::default(),
-            missing: Table::default(),
-            departures: Table::default(),
+            entries: Entries::new(settings.return_grace_ms),
             change_offset: 0,
             configuration_feed: FeedState::default(),
             endpoints_feed: FeedState::default(),
@@ -126,6 +117,7 @@
         }
         let next = batch.next;
         let (mut changed, mut newly_missing) = (false, false);
+        let recovered_us = self.endpoints_feed.recovered_us;
         let mut present = Vec::new();
         let mut changes = Vec::new();
         for record in batch.records {
@@ -133,7 +125,7 @@
                 Record::Configuration(configuration) => self.apply_configuration(configuration, out),
                 Record::Endpoint(endpoint) => {
                     present.push(Arc::clone(&endpoint.id));
-                    if self.upsert_endpoint(endpoint.clone(), out) {
+                    if self.entries.upsert(endpoint.clone(), out) {
                         changed = true;
                         changes.push(Change::Known(endpoint));
                     }
@@ -143,7 +135,7 @@
                         out.push(Action::Decide(Decision::Unusable { key: id.to_string(), fault }));
                     }
                     present.retain(|known| *known != id);
-                    if self.mark_missing(now_us, &id) {
+                    if self.entries.mark_missing(now_us, &id, recovered_us) {
                         newly_missing = true;
                         changes.push(Change::Missing(id));
                     }
@@ -155,18 +147,12 @@
         }
         if snapshot && feed == Feed::Endpoints {
             present.sort_unstable();
-            let absent: Vec<_> = self
-                .known_endpoints
-                .iter()
-                .map(|(id, _)| id)
-                .filter(|id| present.binary_search(id).is_err())
-                .cloned()
-                .collect();
+            let absent = self.entries.absent_from(&present);
             for id in absent {
-                newly_missing |= self.mark_missing(now_us, &id);
+                newly_missing |= self.entries.mark_missing(now_us, &id, recovered_us);
             }
         }
-        let dropped = self.drop_missing(now_us, out);
+        let dropped = self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, out);
         if changed || newly_missing {
             // A snapshot does not show which changes led to it.
             let (from, list) = if snapshot { (next, Vec::new()) } else { (self.change_offset, changes) };
@@ -174,7 +160,7 @@
             self.change_offset = next;
         }
         if changed || dropped {
-            self.publish(out);
+            self.entries.publish(out);
         }
         let state = self.state(feed);
         let is_first = state.next_offset.is_none();
@@ -346,13 +332,13 @@
         let lacks_endpoints = self.lacks_endpoints_of(&update) && snapshot.next_offset > 0;
         if lacks_endpoints {
             for endpoint in snapshot.endpoints {
-                self.upsert_endpoint(endpoint, out);
+                self.entries.upsert(endpoint, out);
             }
             self.endpoints_feed.next_offset = Some(snapshot.next_offset);
             self.change_offset = snapshot.change_offset;
             let (from, through) = (snapshot.next_offset, snapshot.next_offset);
             out.push(Action::Changed(Changes { from, through, list: Vec::new() }));
-            self.publish(out);
+            self.entries.publish(out);
         }
         self.offer(out);
         let state = &mut self.configuration_feed;
@@ -369,7 +355,7 @@
         let (Some(next_offset), true) = (self.endpoints_feed.next_offset, self.version > 0) else { return };
         out.push(Action::Offer(Box::new(Snapshot {
             configuration: Arc::clone(&self.configuration),
-            endpoints: self.known_endpoints.iter().map(|(_, endpoint)| endpoint.clone()).collect(),
+            endpoints: self.entries.iter().cloned().collect(),
             change_offset: self.change_offset,
             next_offset,
         })));
@@ -393,20 +379,21 @@
         }
         self.detect_outage(now_us, Feed::Endpoints, at_us);
         let mut changed = false;
+        let recovered_us = self.endpoints_feed.recovered_us;
         for change in &changes.list {
             match change {
-                Change::Known(endpoint) => changed |= self.upsert_endpoint(endpoint.clone(), out),
+                Change::Known(endpoint) => changed |= self.entries.upsert(endpoint.clone(), out),
                 Change::Missing(id) => {
-                    self.mark_missing(now_us, id);
+                    self.entries.mark_missing(now_us, id, recovered_us);
                 }
             }
         }
-        let dropped = self.drop_missing(now_us, out);
+        let dropped = self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, out);
         self.endpoints_feed.next_offset = Some(changes.through);
         self.change_offset = changes.through;
         out.push(Action::Changed(changes.clone()));
         if changed || dropped {
-            self.publish(out);
+            self.entries.publish(out);
         }
         self.offer(out);
     }
@@ -463,81 +450,6 @@
         out.push(Action::Configuration(configuration));
     }
 
-    /// Adds or updates an endpoint from its entry. Returns whether anything but its heartbeat changed.
-    fn upsert_endpoint(&mut self, mut endpoint: Endpoint, out: &mut Vec<Action>) -> bool {
-        let known = self.known_endpoints.get(&endpoint.id);
-        if known.is_some_and(|known| known.born_ms > endpoint.born_ms) {
-            // The record is late and belongs to an earlier start of the endpoint.
-            return false;
-        }
-        let start = (Arc::clone(&endpoint.id), endpoint.born_ms);
-        if endpoint.leaving && self.departures.len() < DEPARTURE_LIMIT {
-            self.departures.insert(start, ());
-        } else if self.departures.contains(&start) {
-            endpoint.leaving = true;
-        }
-        self.missing.remove(&endpoint.id);
-        if known == Some(&endpoint) {
-            return false;
-        }
-        let state = format!(
-            "service={} address={} zone={} born_ms={} leaving={} accelerator={} layers={}",
-            endpoint.service,
-            endpoint.address,
-            endpoint.zone,
-            endpoint.born_ms,
-            endpoint.leaving,
-            endpoint.accelerator.as_deref().unwrap_or("none"),
-            endpoint.layers.map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
-        );
-        out.push(Action::Decide(Decision::Known { id: Arc::clone(&endpoint.id), state }));
-        self.known_endpoints.insert(Arc::clone(&endpoint.id), endpoint);
-        true
-    }
-
-    /// Marks an endpoint whose entry is missing for removal. After an outage, in which the entry may have
-    /// expired, the endpoint is kept for a grace period. Returns whether a known endpoint was newly marked.
-    fn mark_missing(&mut self, now_us: u64, id: &Arc<str>) -> bool {
-        if !self.known_endpoints.contains(id) || self.missing.contains(id) {
-            return false;
-        }
-        let grace_us = self.settings.return_grace_ms * US_PER_MS;
-        let removal_us = self
-            .endpoints_feed
-            .recovered_us
-            .map_or(now_us, |recovered_us| (recovered_us + grace_us).max(now_us));
-        self.missing.insert(Arc::clone(id), removal_us);
-        true
-    }
-
-    /// Removes the missing endpoints whose grace period is over. Returns whether there were any.
-    fn drop_missing(&mut self, now_us: u64, out: &mut Vec<Action>) -> bool {
-        let after_outage = self.endpoints_feed.recovered_us.is_some_and(|recovered_us| {
-            now_us < recovered_us + 2 * self.settings.return_grace_ms * US_PER_MS
-        });
-        let due: Vec<_> = self
-            .missing
-            .iter()
-            .filter(|(_, removal_us)| **removal_us <= now_us)
-            .map(|(id, _)| Arc::clone(id))
-            .collect();
-        for id in &due {
-            self.missing.remove(id);
-            self.known_endpoints.remove(id);
-            out.push(Action::Decide(Decision::Gone { id: Arc::clone(id), after_outage }));
-        }
-        !due.is_empty()
-    }
-
-    /// Publishes the endpoints; of several at one address, only the one that started last.
-    fn publish(&self, out: &mut Vec<Action>) {
-        let mut by_address: Vec<&Endpoint> =
-            self.known_endpoints.iter().map(|(_, endpoint)| endpoint).collect();
-        by_address.sort_by_key(|endpoint| (endpoint.address, std::cmp::Reverse(endpoint.born_ms)));
-        by_address.dedup_by_key(|endpoint| endpoint.address);
-        out.push(Action::Endpoints(by_address.into_iter().cloned().collect()));
-    }
-
     /// Records a successful read: ends the state of failure and resets the pause.
     fn record_success(&mut self, now_us: u64, feed: Feed, sent_us: u64, out: &mut Vec<Action>) {
         let gap_us = self.detect_outage(now_us, feed, sent_us);
@@ -589,7 +501,7 @@
     fn next_timer_us(&self) -> Option<u64> {
         let reads = [self.configuration_feed, self.endpoints_feed];
         let due = reads.iter().filter(|state| !state.in_flight).map(|state| state.due_us);
-        due.chain(self.missing.iter().map(|(_, removal_us)| *removal_us)).min()
+        due.chain(self.entries.next_removal_us()).min()
     }
 
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
@@ -601,15 +513,10 @@
             self.endpoints_feed.due_us = now_us + wait_us + jitter_us;
         }
         self.start_reads(now_us, actions);
-        // While reads fail, an entry may return unnoticed, so missing endpoints are kept for a further grace
-        // period.
         if self.endpoints_feed.failing {
-            let extended_us = now_us + self.settings.return_grace_ms * US_PER_MS;
-            for (_, removal_us) in self.missing.iter_mut() {
-                *removal_us = (*removal_us).max(extended_us);
-            }
-        } else if self.drop_missing(now_us, actions) {
-            self.publish(actions);
+            self.entries.extend_grace(now_us);
+        } else if self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, actions) {
+            self.entries.publish(actions);
         }
     }
 }
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -536,3 +536,18 @@
     world.wait_ms(600);
     assert_eq!((before, world.lines.len()), (0, 2), "{}", world.lines.join("\n"));
 }
+
+/// A gateway that has seen thousands of endpoints leave must still not revive the latest one by a late record. It used to
+/// record the first 4,096 departures only.
+#[test]
+fn a_late_record_does_not_revive_an_endpoint_after_many_departures() {
+    let mut world = World::new();
+    for born_ms in 0..5_000 {
+        let leaving = Endpoint { born_ms, leaving: true, ..plain_endpoint(1, "a") };
+        world.answer_endpoints(vec![Record::Endpoint(leaving)], false);
+    }
+    let late = Endpoint { born_ms: 4_999, ..plain_endpoint(1, "a") };
+    world.lines.clear();
+    world.answer_endpoints(vec![Record::Endpoint(late)], false);
+    assert_eq!(world.endpoints_text(), "", "the endpoint counts as usable again");
+}
