--- a/crates/banyannotch/src/gateway/catalog/exchange_tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange_tests.rs
@@ -8,8 +8,14 @@
 use tokio::net::TcpListener;
 
 use super::exchange::{self, ExchangeError, Offer, Snapshot};
+use super::tests::update_of_peer;
+use super::{Action, Catalog, CatalogSettings, Event, PeerUpdate};
+use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::{configuration, endpoints};
+use crate::gateway::mutation::mutate;
+use crate::gateway::{Batch, Feed, Record};
 use crate::pipeline::Address;
+use crate::random::Random;
 
 /// Time limit of a request, in milliseconds.
 const LIMIT_MS: u64 = 200;
@@ -85,3 +91,30 @@
         }
     });
 }
+
+/// A snapshot may contain anything. It must neither end the process nor replace a newer configuration.
+#[test]
+fn gateways_withstand_any_snapshot() {
+    let mut random = Random::seeded(12);
+    let valid = postcard::to_allocvec(&snapshot()).expect("it serializes");
+    let mut decoded = 0;
+    for _ in 0..5_000 {
+        let bytes = mutate(&valid, &mut random);
+        let Ok(received) = postcard::from_bytes::<Snapshot>(&bytes) else { continue };
+        decoded += 1;
+        let mut catalog = Catalog::new(CatalogSettings::default(), 1);
+        let (sent_us, mut actions) = (1_000_000, Vec::new());
+        let record = Record::Configuration(Arc::new(configuration(6)));
+        let batch = Batch { records: vec![record], next: 1, bytes: 0 };
+        let feed = Feed::Configuration;
+        catalog.on_event(sent_us, Event::Read { feed, batch, snapshot: true, sent_us }, &mut actions);
+        actions.clear();
+        let update = PeerUpdate { version: 7, change_offset: 7, asked_us: Some(sent_us), ..update_of_peer() };
+        catalog.on_event(sent_us, Event::PeerUpdate(update), &mut actions);
+        catalog.on_event(sent_us, Event::Fetched(Box::new(received)), &mut actions);
+        catalog.on_timer(sent_us + 1_000_000, &mut actions);
+        let is_older = |action: &Action| matches!(action, Action::Configuration(configuration) if configuration.version < 6);
+        assert!(!actions.iter().any(is_older), "an older configuration came into force: {actions:?}");
+    }
+    assert!(decoded > 100, "only {decoded} mutated snapshots were valid");
+}
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -12,7 +12,7 @@
 use crate::gateway::{Batch, Endpoint, Feed, Record, StoreError};
 
 /// Returns the update of a peer that has read nothing.
-fn update_of_peer() -> PeerUpdate {
+pub fn update_of_peer() -> PeerUpdate {
     PeerUpdate {
         from: address(9),
         version: 0,
--- a/crates/banyannotch/src/gateway/dispatch/health.rs
+++ b/crates/banyannotch/src/gateway/dispatch/health.rs
@@ -20,10 +20,10 @@
 }
 
 impl Load {
-    /// Adds another load.
+    /// Adds another load. Counts that other gateways report may be anything.
     pub fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.sequences += other.sequences;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.sequences = self.sequences.saturating_add(other.sequences);
         self.cache += other.cache;
         self.reading += other.reading;
     }
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -4,10 +4,12 @@
 use super::relays::relays_of;
 use super::{Action, Change, Changes, Event, Gossip, GossipSettings, Mention, Message, READER_COUNT};
 use crate::duty::Duty;
-use crate::gateway::dispatch::PeerState;
-use crate::gateway::dispatch::fixtures::address;
+use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine};
+use crate::gateway::dispatch::{Load, PeerState};
+use crate::gateway::mutation::mutate;
 use crate::ids::Zone;
 use crate::pipeline::Address;
+use crate::random::Random;
 
 fn state(name: u8, proof_age_ms: u64) -> PeerState {
     PeerState {
@@ -317,3 +319,57 @@
     own.on_event(1_250_500, Event::Received { from: address(2), message: Box::new(ask) }, &mut actions);
     insta::assert_debug_snapshot!(actions);
 }
+
+/// Datagrams may come from anywhere and contain anything. No sequence of them may end a process, or keep a gateway from
+/// choosing endpoints and exchanging datagrams.
+#[test]
+fn gateways_withstand_any_datagrams() {
+    let mut random = Random::seeded(11);
+    let load = Load { requests: u32::MAX, sequences: 3, cache: 1e4, reading: f64::NAN };
+    let full_state = PeerState {
+        zone: Zone::from("a"),
+        zone_loads: vec![(address(11), load), (address(12), load)],
+        other_loads: vec![(address(21), load)],
+        down: vec![address(13)],
+        suspects: vec![(1 << 40, 1)],
+        endpoints_change: 5,
+        ..state(2, 30)
+    };
+    let known = vec![Mention { address: address(4), zone: Zone::from("b"), contact_age_ms: 7 }];
+    let list = vec![Change::Known(pipeline_engine(11, "a", "fast", 0, 4)), missing(2)];
+    let valid = [
+        Message::Ask { asked_us: 900_000, state: full_state.clone(), known: known.clone() },
+        Message::Tell {
+            asked_us: 900_000,
+            state: full_state,
+            changes: Some(Changes { from: 5, through: 8, list }),
+            known,
+        },
+    ];
+    let valid = valid.map(|message| postcard::to_allocvec(&message).expect("it serializes"));
+    let (mut own, mut world, mut decoded) = (gossip(1, &[2], 8), World::new(), 0);
+    for round in 0..30_000_u64 {
+        let bytes = mutate(&valid[random.below(2)], &mut random);
+        let Ok(message) = postcard::from_bytes::<Message>(&bytes) else { continue };
+        decoded += 1;
+        let now_us = 1_000_000 + round * 100;
+        let mut actions = Vec::new();
+        let event = Event::Received { from: address(2), message: Box::new(message) };
+        own.on_event(now_us, event, &mut actions);
+        for action in actions {
+            if let Action::PeerUpdate { state, known, zone_known, .. } = action {
+                world.event(crate::gateway::dispatch::Event::Peer { state, known, zone_known });
+            }
+        }
+        if decoded % 50 == 0 {
+            own.on_event(now_us, Event::State(Box::new(state(1, 0))), &mut Vec::new());
+            world.publish_state();
+        }
+    }
+    assert!(decoded > 1_000, "only {decoded} mutated datagrams were valid");
+    world.wait_ms(20_000);
+    world.confirm_configuration();
+    world.publish_state();
+    world.submit("/write/x");
+    assert!(world.last_order.is_some(), "no endpoint was chosen: {}", world.text());
+}
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 pub mod journal;
 pub mod layout;
 mod model;
+#[cfg(test)]
+mod mutation;
 mod settings;
 mod start;
 
