dispatch: a gateway that has just started draws its paths

Cause: after all gateways were killed each knows no other for a moment, counted as one that knows all loads, and took the cheapest path like hundreds of others.

--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -53,6 +53,8 @@
     pub(super) zone_gateways: Table<Zone, usize>,
     pub(super) endpoints_proof: Proof,
     pub(super) publish_at_us: u64,
+    /// When the first timer was handled.
+    started_us: Option<u64>,
     pub(super) ready: bool,
     pub(super) draining: bool,
 }
@@ -88,6 +90,7 @@
             zone_gateways: Table::default(),
             endpoints_proof: Proof::default(),
             publish_at_us: 0,
+            started_us: None,
             ready: false,
             draining: false,
         }
@@ -243,8 +246,7 @@
     }
 
     fn choose(&mut self, now_us: u64, ticket_id: u64) -> Option<Choice> {
-        // Gateways that exchange their loads in every round know each other's choices.
-        let knows_all_loads = self.known_gateways <= self.settings.full_exchange_gateways;
+        let knows_all_loads = self.knows_all_loads(now_us);
         let ticket = self.tickets.get(&ticket_id)?;
         let service = self.configuration.as_deref()?.service(&ticket.service)?;
         let endpoints: Vec<&Endpoint> =
@@ -281,6 +283,15 @@
         }
     }
 
+    /// Returns whether this gateway exchanges loads with all others in every round, so that they know each other's
+    /// choices. In the first second after its start a gateway that has heard of no other may be one of many.
+    fn knows_all_loads(&self, now_us: u64) -> bool {
+        let discovery_us = self.settings.discovery_ms * US_PER_MS;
+        let is_discovering = self.started_us.is_some_and(|started_us| now_us < started_us + discovery_us);
+        let may_be_alone = self.known_gateways > 1 || !is_discovering;
+        may_be_alone && self.known_gateways <= self.settings.full_exchange_gateways
+    }
+
     fn choose_replica(
         &self,
         now_us: u64,
@@ -549,6 +560,7 @@
     }
 
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.started_us.get_or_insert(now_us);
         if now_us >= self.publish_at_us {
             self.publish_at_us = now_us + self.settings.publish_interval_ms * US_PER_MS;
             self.update_peer_loads(now_us);
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -70,6 +70,8 @@
     /// Number of gateways up to which each of them exchanges its loads with all others in every interval. More
     /// gateways draw their paths at random.
     pub full_exchange_gateways: usize,
+    /// Time after the start in which a gateway that has heard of no other assumes that there are many.
+    pub discovery_ms: u64,
     /// Interval at which the state is published to other gateways.
     pub publish_interval_ms: u64,
     /// Time without contact after which another gateway's load is dropped.
@@ -108,6 +110,7 @@
             retry_after_ms: 500,
             retry_elsewhere_after_ms: 20,
             full_exchange_gateways: GossipSettings::default().fanout + 1,
+            discovery_ms: 1_000,
             publish_interval_ms: 250,
             peer_timeout_ms: 1_500,
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/chains.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/chains.rs
@@ -51,6 +51,18 @@
     insta::assert_snapshot!(text);
 }
 
+/// Hundreds of gateways that start together have heard of nobody and know no load. They must not all take the cheapest path.
+#[test]
+fn a_gateway_that_has_just_started_draws_its_paths() {
+    let mut world = World::new();
+    world.publish_state();
+    let first = count_first_engines(&mut world, 200).len();
+    world.wait_ms(1_500);
+    world.confirm_configuration();
+    let later = count_first_engines(&mut world, 200).len();
+    assert_eq!((first, later), (2, 1));
+}
+
 /// A retry must avoid the engines that rejected the request while others have room.
 #[test]
 fn a_retry_takes_another_chain() {
