--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -28,8 +28,8 @@
 
 /// Seeds that are run by default.
 const SEEDS: [u64; 3] = [1, 2, 3];
-/// Seeds that have failed. Seed 25: a connection reset counts as a failure that the content of the request caused, and
-/// after three of them every gateway rejects equal requests for a minute, although no endpoint has crashed.
+/// Seeds that have failed. Seed 25: a connection reset counted as a failure that the content of the request caused, and
+/// after three of them every gateway rejected equal requests for a minute, although no endpoint had crashed.
 const FAILED_SEEDS: [u64; 1] = [25];
 /// Number of gateways.
 const GATEWAY_COUNT: usize = 3;
