catalog: late gateways wait for the proofs of the first ones while the store is away

Every gateway read for itself once its proofs were old, and repeated it after 150 ms.

Change: the 18 first gateways read at the fallback age; the others, while peers answer, wait up to 1 s more for their proofs. Their pauses after failed reads begin at 600 ms. Without contact nothing changes.

--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -32,10 +32,13 @@
     pub start_wait_ms: u64,
     /// How long to wait for gossip to deliver endpoint changes that a peer has, before reading the store.
     pub gossip_wait_ms: u64,
-    /// Pause after the first failed read; doubles with each consecutive failure.
-    pub retry_min_ms: u64,
+    /// Pause after the first failed read of the reader or the standby, or of a gateway without contact to others; doubles
+    /// with each consecutive failure.
+    pub reader_retry_min_ms: u64,
     /// Longest pause after a failed read of the reader or the standby.
     pub reader_retry_max_ms: u64,
+    /// Pause after the first failed read of any other gateway; doubles with each consecutive failure.
+    pub retry_min_ms: u64,
     /// Longest pause after a failed read of any other gateway in contact with peers, from which it gets the proofs of
     /// those that reach the store.
     pub retry_max_ms: u64,
@@ -58,8 +61,9 @@
             fetch_timeout_ms: 700,
             start_wait_ms: 0,
             gossip_wait_ms: 300,
-            retry_min_ms: 150,
+            reader_retry_min_ms: 150,
             reader_retry_max_ms: 300,
+            retry_min_ms: 600,
             retry_max_ms: 6_000,
             outage_gap_ms: 2_000,
             return_grace_ms: 2_500,
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -17,6 +17,15 @@
 const READER_RANK: usize = 0;
 /// Rank of the gateway that reads the store as well once the reader's proofs are late.
 const STANDBY_RANK: usize = 1;
+/// Number of gateways, the first of the common order, that read the store as soon as proofs are late. The others get the
+/// proofs of these.
+const FIRST_FALLBACK_RANKS: usize = 18;
+/// How much longer the other gateways wait for these proofs, in microseconds.
+const LATER_FALLBACK_US: u64 = 1_000_000;
+/// Time since the last update of a peer within which a gateway relies on the proofs of others, in microseconds.
+const RECENT_CONTACT_US: u64 = 600_000;
+/// Interval at which a gateway that waits for the proofs of others checks whether they have come, in microseconds.
+const FALLBACK_CHECK_US: u64 = 200_000;
 /// Time without an update from a peer after which this gateway schedules its reads as the reader does, in
 /// microseconds.
 const PEER_SILENCE_LIMIT_US: u64 = 3_000_000;
@@ -209,6 +218,21 @@
         };
     }
 
+    /// Returns when to check again whether a read is necessary, if the proofs of the first gateways may still come. While
+    /// the store is away, hundreds of gateways would otherwise call it in vain.
+    fn later_fallback_us(&self, now_us: u64, feed: Feed) -> Option<u64> {
+        let is_later = self.rank.is_some_and(|rank| (FIRST_FALLBACK_RANKS..usize::MAX).contains(&rank));
+        let in_contact =
+            self.last_contact_us.is_some_and(|contact_us| now_us < contact_us + RECENT_CONTACT_US);
+        let (state, fallback_age_ms) = match feed {
+            Feed::Configuration => (&self.configuration_feed, self.settings.configuration_fallback_age_ms),
+            Feed::Endpoints => (&self.endpoints_feed, self.settings.endpoints_fallback_age_ms),
+        };
+        let latest_us = state.proof_us? + fallback_age_ms * US_PER_MS + LATER_FALLBACK_US;
+        let waits = is_later && in_contact && state.catch_up_us.is_none() && now_us < latest_us;
+        waits.then_some(now_us + FALLBACK_CHECK_US)
+    }
+
     /// Returns whether this gateway reads the store at the pace of the reader.
     fn reads_as_reader(&mut self, now_us: u64, feed: Feed) -> bool {
         let is_alone =
@@ -224,7 +248,7 @@
     }
 
     /// Applies the changes and proofs of a peer's update, and schedules reads of what only the peer has.
-    fn handle_peer_update(&mut self, now_us: u64, update: PeerUpdate, out: &mut Vec<Action>) {
+    fn handle_peer_update(&mut self, now_us: u64, update: &PeerUpdate, out: &mut Vec<Action>) {
         self.last_contact_us = Some(now_us);
         self.rank = Some(update.rank);
         self.put_off_first_reads(now_us);
@@ -238,7 +262,7 @@
         }
         let has_version = update.version <= self.version;
         // A gateway that starts takes nothing from a peer whose own proofs are old.
-        let is_useful = self.lacks_endpoints_of(&update) || (!has_version && !self.is_starting());
+        let is_useful = self.lacks_endpoints_of(update) || (!has_version && !self.is_starting());
         if self.fetching.is_none() && is_useful {
             out.push(Action::Fetch { from: update.from });
             self.fetching = Some(PeerUpdate { changes: None, ..update.clone() });
@@ -347,7 +371,7 @@
             self.schedule_read(now_us, Feed::Configuration, proof_us);
         }
         // The proofs that came with the peer's update also hold for what it has sent.
-        self.handle_peer_update(now_us, update, out);
+        self.handle_peer_update(now_us, &update, out);
     }
 
     /// Offers what this gateway has to peers.
@@ -402,9 +426,13 @@
         let settings = self.settings;
         let relies_on_peers =
             self.rank.is_some_and(|rank| rank > STANDBY_RANK) && !self.reads_as_reader(now_us, feed);
-        let max_ms = if relies_on_peers { settings.retry_max_ms } else { settings.reader_retry_max_ms };
+        let (min_ms, max_ms) = if relies_on_peers {
+            (settings.retry_min_ms, settings.retry_max_ms)
+        } else {
+            (settings.reader_retry_min_ms, settings.reader_retry_max_ms)
+        };
         let state = self.state(feed);
-        let pause_ms = (settings.retry_min_ms << state.failures.min(BACKOFF_DOUBLING_LIMIT)).min(max_ms);
+        let pause_ms = (min_ms << state.failures.min(BACKOFF_DOUBLING_LIMIT)).min(max_ms);
         state.failures += 1;
         state.in_flight = false;
         state.due_us = now_us + pause_ms * US_PER_MS;
@@ -426,6 +454,11 @@
             if state.in_flight || now_us < state.due_us {
                 continue;
             }
+            if let Some(due_us) = self.later_fallback_us(now_us, feed) {
+                self.state(feed).due_us = due_us;
+                continue;
+            }
+            let state = self.state(feed);
             state.in_flight = true;
             state.standby_reads |= is_standby;
             let waits = feed == Feed::Configuration && self.reads_as_reader(now_us, feed);
@@ -493,7 +526,7 @@
             Event::Fetched(snapshot) => self.handle_fetched(now_us, *snapshot, actions),
             Event::NotFetched { from, fault } => self.handle_failed_fetch(now_us, from, fault, actions),
             Event::Failed { feed, error } => self.handle_failure(now_us, feed, error, actions),
-            Event::PeerUpdate(update) => self.handle_peer_update(now_us, update, actions),
+            Event::PeerUpdate(update) => self.handle_peer_update(now_us, &update, actions),
         }
         self.start_reads(now_us, actions);
     }
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -238,7 +238,7 @@
         }
     }
 
-    pub(super) fn update_endpoints(&mut self, now_us: u64, endpoints: Arc<[Endpoint]>) {
+    pub(super) fn update_endpoints(&mut self, now_us: u64, endpoints: &[Endpoint]) {
         let mut endpoints = endpoints.to_vec();
         endpoints.sort_by_key(|endpoint| endpoint.address);
         for known in &*self.endpoints {
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -543,7 +543,7 @@
                     self.configuration = Some(configuration);
                 }
             }
-            Event::Endpoints(endpoints) => self.update_endpoints(now_us, endpoints),
+            Event::Endpoints(endpoints) => self.update_endpoints(now_us, &endpoints),
             Event::ConfigurationProof(proof) => self.update_configuration_proof(proof),
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
             Event::Peer { state, known, zone_known } => {
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -109,10 +109,10 @@
     /// Delivers a verdict to the connection that waits for it.
     pub fn deliver_verdict(&self, ticket: u64, verdict: Verdict) {
         if verdict == Verdict::Abandon {
-            if let Some(sender) = self.sends.borrow_mut().remove(&ticket) {
-                if sender.send(()).is_err() {
-                    log::debug!("event=send_already_ended ticket={ticket}");
-                }
+            if let Some(sender) = self.sends.borrow_mut().remove(&ticket)
+                && sender.send(()).is_err()
+            {
+                log::debug!("event=send_already_ended ticket={ticket}");
             }
             return;
         }
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -352,11 +352,9 @@
             if ended && (splitter.is_inside_event() || has_no_event) {
                 return Err(ExchangeError::Upstream(HttpError::Truncated));
             }
-            if !events.is_empty() {
-                if first_ms.is_none() {
-                    first_ms = Some(self.elapsed_ms());
-                    self.context.report_first_event(self.request.ticket);
-                }
+            if !events.is_empty() && first_ms.is_none() {
+                first_ms = Some(self.elapsed_ms());
+                self.context.report_first_event(self.request.ticket);
             }
             if !events.is_empty() || ended {
                 self.write_head_once(head, progress, &mut out);
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -418,7 +418,7 @@
 fn many_engines() -> Vec<Endpoint> {
     let engine = |index: usize| {
         let zone = ["a", "b", "c"][index / 100];
-        let engine = pipeline_engine(0, zone, if index % 3 == 0 { "fast" } else { "slow" }, 0, 0);
+        let engine = pipeline_engine(0, zone, if index.is_multiple_of(3) { "fast" } else { "slow" }, 0, 0);
         let address = ([10, 0, (index / 100) as u8, (index % 100) as u8], 80).into();
         Endpoint { id: format!("engine-{index}").into(), layers: None, address, ..engine }
     };
@@ -474,7 +474,7 @@
 fn replacements_restore_the_chains_that_lost_engines() {
     let pipeline = Pipeline { layers: 80, ..pipeline() };
     let pipeline = Pipeline { layer_mb: 100.0, ..pipeline };
-    let new_card = |host: u8| card(host, "a", host % 4 == 0, None);
+    let new_card = |host: u8| card(host, "a", host.is_multiple_of(4), None);
     let mut cards: Vec<Card> = (0..24).map(new_card).collect();
     for assignment in plan(&pipeline, &cards, LAYER_SHARE) {
         let card = cards.iter_mut().find(|card| card.address == assignment.address);
