--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -54,8 +54,18 @@
     ("banyannotch_gateway_peers", Gauge, "Other gateways that share their state"),
     ("banyannotch_gateway_refusals_total", Counter, "Requests answered with a failure of our own, by reason"),
     ("banyannotch_gateway_requests_in_flight", Gauge, "Requests of a gateway that have no final answer yet"),
+    (
+        "banyannotch_gateway_sends_abandoned_total",
+        Counter,
+        "Sends of streams that ended because their path had stalled",
+    ),
     ("banyannotch_gateway_sends_total", Counter, "Sends of requests to endpoints"),
     ("banyannotch_gateway_shares_lost_total", Counter, "States for other gateways that found a full ring"),
+    (
+        "banyannotch_gateway_snapshot_fetches_total",
+        Counter,
+        "Requests for the snapshot of another gateway, by result",
+    ),
     ("banyannotch_gateway_store_reads_total", Counter, "Reads of the store by result"),
     ("banyannotch_in_flight", Gauge, "Requests in flight at the last decision of admission"),
     ("banyannotch_invariant_violations_total", Counter, "Invariants that did not hold"),
