--- a/crates/banyannotch/src/gateway/gossip/messages.rs
+++ b/crates/banyannotch/src/gateway/gossip/messages.rs
@@ -7,8 +7,8 @@
 use crate::ids::Zone;
 use crate::pipeline::Address;
 
-/// Number of gateways that read the store on behalf of the others. If one of two loses contact with the store, the
-/// other still reads it.
+/// Number of gateways at the top of the relay tree, the reader of the store and the standby. If the reader loses contact
+/// with the store, the standby reads it.
 pub const READER_COUNT: usize = 2;
 
 /// Settings of gossip.
