dispatch: late streams of a single engine need evidence too

Found in the read-through: the stream of an engine that holds the whole model, or of a plain service, was given up 0.6 s after its last event without a question.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -37,13 +37,13 @@
         }
     }
 
-    /// Requests a report of the first engine on the path of a stream whose next event is late. A path of one engine is
-    /// given up at once, because its report would show nothing about another engine.
+    /// Requests a report of the first engine on the path of a stream whose next event is late. Replicas of plain services
+    /// give no reports, so their streams go on until the limit of silence.
     pub(super) fn on_late_event(&mut self, ticket_id: u64, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
-        let Some((first, _)) = ticket.reservation.loads.first().copied() else { return };
-        if ticket.reservation.loads.len() == 1 {
-            actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Abandon });
+        let Some((first, load)) = ticket.reservation.loads.first().copied() else { return };
+        let is_engine = load.sequences > 0;
+        if !is_engine {
             return;
         }
         ticket.is_waiting = true;
