gateway: responses close their connections before readiness is withdrawn

Cause: a stopping gateway told dispatch first, which withdraws readiness, and forwarding last. With a pause of 100 ms between the two the test fails in the same place; with the order changed it passes with the pause (both run).

Change: forwarding is told first.

--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -196,9 +196,10 @@
 
     /// Starts a graceful shutdown.
     pub fn drain(&mut self) {
+        // Dispatch withdraws readiness. Once that is visible, responses must close their connections already.
+        self.forwarding.send_or_fail(forwarding::Event::Drain, "daemon_forwarding", &self.supervisor);
         self.dispatch.send_or_fail(dispatch::Event::Draining, "daemon_dispatch", &self.supervisor);
         self.layout.send_or_fail(layout::Event::Draining, "daemon_layout", &self.supervisor);
-        self.forwarding.send_or_fail(forwarding::Event::Drain, "daemon_forwarding", &self.supervisor);
     }
 
     /// Waits until a draining gateway has answered all its requests.
