catalog, dispatch: findings of the last read-through

It now waits 0.2 s (a_refused_request_for_a_snapshot_is_followed_by_a_pause: 100 requests in 1 s without the pause). - Counts of gateways were kept for every zone name that a datagram ever carried; they now go with the last gateway of the zone. - Two fields and two comments are clearer.

--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -107,8 +107,9 @@
         self.departures.insert(start, self.departure_count);
     }
 
-    /// Marks an endpoint whose entry is missing for removal. After an outage, in which the entry may have
-    /// expired, the endpoint is kept for a grace period. `recovered_us` is when the last outage ended. Returns whether a known endpoint was newly marked.
+    /// Marks an endpoint whose entry is missing for removal. After an outage, in which the entry may have expired, the
+    /// endpoint is kept for a grace period. `recovered_us` is when the last outage ended. Returns whether a known
+    /// endpoint was newly marked.
     pub fn mark_missing(&mut self, now_us: u64, id: &Arc<str>, recovered_us: Option<u64>) -> bool {
         if !self.known.contains(id) || self.missing.contains(id) {
             return false;
--- a/crates/banyannotch/src/gateway/catalog/exchange.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange.rs
@@ -21,8 +21,8 @@
 
 /// Maximum size of an encoded snapshot, in bytes; some thousand routes or endpoints take a few hundred kilobytes.
 const SNAPSHOT_LIMIT_BYTES: usize = 8 << 20;
-/// Maximum number of connections that are served at a time. Others are closed at once, and their gateways read the
-/// store.
+/// Maximum number of connections that are served at a time. Others are closed at once, and their gateways ask again or
+/// read the store.
 const SERVED_LIMIT: usize = 24;
 /// Time limit for sending a snapshot, in milliseconds.
 const SEND_TIMEOUT_MS: u64 = 2_000;
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -17,8 +17,8 @@
 const READER_RANK: usize = 0;
 /// Rank of the gateway that reads the store as well once the reader's proofs are late.
 const STANDBY_RANK: usize = 1;
-/// Number of gateways, the first of the common order, that read the store as soon as proofs are late. The others get the
-/// proofs of these.
+/// Number of gateways that read the store as soon as proofs are late: those at the top of the relay tree and their
+/// children. The others get the proofs of these.
 const FIRST_FALLBACK_RANKS: usize = 18;
 /// How much longer the other gateways wait for these proofs, in microseconds.
 const LATER_FALLBACK_US: u64 = 1_000_000;
@@ -33,6 +33,8 @@
 /// others before they read.
 const READ_JITTER_US: u64 = 400_000;
 
+/// Pause after a peer did not send its snapshot, before another one is asked, in microseconds.
+const FETCH_PAUSE_US: u64 = 200_000;
 /// How many times longer a starting gateway waits for a snapshot when peers answer.
 const START_PATIENCE_FACTOR: u64 = 3;
 
@@ -78,7 +80,9 @@
     /// Whether the first reads have been scheduled.
     started: bool,
     /// Whether they were put off, because peers answer.
-    relies_on_peers: bool,
+    put_off: bool,
+    /// Time before which no peer is asked for its snapshot.
+    next_fetch_us: u64,
     /// Number of gateways before this one in the order that all gateways share; none before the first update of a
     /// peer.
     rank: Option<usize>,
@@ -100,7 +104,8 @@
             fetching: None,
             configuration: Arc::default(),
             started: false,
-            relies_on_peers: false,
+            put_off: false,
+            next_fetch_us: 0,
             rank: None,
             last_contact_us: None,
             random: Random::seeded(seed),
@@ -263,7 +268,7 @@
         let has_version = update.version <= self.version;
         // A gateway that starts takes nothing from a peer whose own proofs are old.
         let is_useful = self.lacks_endpoints_of(update) || (!has_version && !self.is_starting());
-        if self.fetching.is_none() && is_useful {
+        if self.fetching.is_none() && is_useful && now_us >= self.next_fetch_us {
             out.push(Action::Fetch { from: update.from });
             self.fetching = Some(PeerUpdate { changes: None, ..update.clone() });
         }
@@ -329,10 +334,10 @@
     /// Puts off the first reads once, if peers answer. They may be starting as well, and hundreds of gateways that read
     /// all entries at the same time get none of them in time.
     fn put_off_first_reads(&mut self, now_us: u64) {
-        if self.relies_on_peers || !self.is_starting() {
+        if self.put_off || !self.is_starting() {
             return;
         }
-        self.relies_on_peers = true;
+        self.put_off = true;
         let wait_us = START_PATIENCE_FACTOR * self.settings.start_wait_ms * US_PER_MS;
         let due_us = now_us + wait_us + self.random.below(READ_JITTER_US as usize) as u64;
         for feed in [Feed::Configuration, Feed::Endpoints] {
@@ -387,7 +392,10 @@
 
     /// Reads the store for the version that a peer has and did not send, unless a pause after a failed read is running.
     fn handle_failed_fetch(&mut self, now_us: u64, from: Address, fault: String, out: &mut Vec<Action>) {
-        self.fetching = None;
+        if self.fetching.take().is_none() {
+            return;
+        }
+        self.next_fetch_us = now_us + FETCH_PAUSE_US;
         out.push(Action::Decide(Decision::NotFetched { from, fault }));
         let state = &mut self.configuration_feed;
         if state.catch_up_us.is_some() && !state.failing {
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -589,3 +589,22 @@
     assert!(is_fallback(&first_reads_ms[0]) && is_fallback(&first_reads_ms[2]), "{first_reads_ms:?}");
     assert!((2_000..=2_700).contains(&first_reads_ms[1]), "{first_reads_ms:?}");
 }
+
+/// A peer that refuses its snapshot, because it serves others, must not be asked again with each of its many messages.
+#[test]
+fn a_refused_request_for_a_snapshot_is_followed_by_a_pause() {
+    let mut world = World::with(CatalogSettings { start_wait_ms: 5_000, ..CatalogSettings::default() });
+    world.wait_ms(100);
+    for _ in 0..100 {
+        let event = proof(&world, 5);
+        world.event(event);
+        let refused = Event::NotFetched { from: address(9), fault: "no bytes".to_owned() };
+        if world.lines.last().is_some_and(|line| line.contains("fetch")) {
+            world.lines.push("refused".to_owned());
+            world.event(refused);
+        }
+        world.wait_ms(10);
+    }
+    let fetches = world.lines.iter().filter(|line| line.contains("fetch")).count();
+    assert!((4..=6).contains(&fetches), "expected one request in 200 ms, found {fetches} in 1 s");
+}
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -229,6 +229,7 @@
         for (_, peer) in self.peers.iter().filter(|(_, peer)| peer.last_contact_us + timeout_us >= now_us) {
             recent.entry(&peer.zone).push(peer);
         }
+        self.zone_gateways.retain(|zone, _| recent.contains(&zone));
         for (zone, peers) in recent.iter() {
             let known = self.zone_gateways.get(zone).copied().unwrap_or_default();
             let scale = known.max(peers.len()) as f64 / peers.len().max(1) as f64;
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -246,7 +246,7 @@
     }
 
     fn choose(&mut self, now_us: u64, ticket_id: u64) -> Option<Choice> {
-        let knows_all_loads = self.knows_all_loads(now_us);
+        let takes_cheapest = self.takes_cheapest_path(now_us);
         let ticket = self.tickets.get(&ticket_id)?;
         let service = self.configuration.as_deref()?.service(&ticket.service)?;
         let endpoints: Vec<&Endpoint> =
@@ -260,7 +260,7 @@
                     settings: &self.settings,
                     now_us,
                 };
-                let sampled = if knows_all_loads {
+                let sampled = if takes_cheapest {
                     None
                 } else {
                     search.sampled(&ticket.request, &ticket.tried, &mut self.random)
@@ -284,11 +284,11 @@
     }
 
     /// Returns whether there are so few gateways that this one hears of most choices of the others in time. In the first second after its start a gateway that has heard of no other may be one of many.
-    fn knows_all_loads(&self, now_us: u64) -> bool {
+    fn takes_cheapest_path(&self, now_us: u64) -> bool {
         let discovery_us = self.settings.discovery_ms * US_PER_MS;
         let is_discovering = self.started_us.is_some_and(|started_us| now_us < started_us + discovery_us);
         let may_be_alone = self.known_gateways > 1 || !is_discovering;
-        may_be_alone && self.known_gateways <= self.settings.full_exchange_gateways
+        may_be_alone && self.known_gateways <= self.settings.cheapest_path_gateways
     }
 
     fn choose_replica(
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -68,7 +68,7 @@
     pub retry_elsewhere_after_ms: u64,
     /// Number of gateways up to which each takes the cheapest path, because it hears of most loads of its zone in time.
     /// More gateways draw their paths at random.
-    pub full_exchange_gateways: usize,
+    pub cheapest_path_gateways: usize,
     /// Time after the start in which a gateway that has heard of no other assumes that there are many.
     pub discovery_ms: u64,
     /// Interval at which the state is published to other gateways.
@@ -108,7 +108,7 @@
             caller_patience_min_ms: 2_000,
             retry_after_ms: 500,
             retry_elsewhere_after_ms: 20,
-            full_exchange_gateways: 128,
+            cheapest_path_gateways: 128,
             discovery_ms: 1_000,
             publish_interval_ms: 250,
             peer_timeout_ms: 1_500,
