forwarding: log and count responses that are cut, and changes of the limits

A response that ended after its head was visible only as a refusal with status 502, as if the caller had got an answer, and limits of callers were applied without a trace.

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -69,7 +69,14 @@
         return true;
     }
     let idle_timeout = Duration::from_millis(context.limits.get().idle_timeout_ms);
-    matches!(timeout(idle_timeout, reader.fill()).await, Ok(Ok(())))
+    match timeout(idle_timeout, reader.fill()).await {
+        Ok(result) => result.is_ok(),
+        Err(_) => {
+            metrics::counter!("banyannotch_gateway_idle_connections_closed_total").increment(1);
+            log::debug!("event=idle_connection_closed after_ms={}", idle_timeout.as_millis());
+            false
+        }
+    }
 }
 
 /// Reads a complete request. The head and the body must each arrive within `head_timeout_ms`.
@@ -152,6 +159,10 @@
         Some(ServeOutcome::CallerLeft) => ConnectionAction::Close,
         Some(ServeOutcome::Expired) => {
             context.finish(ticket, Ending::Expired);
+            if progress.head_sent {
+                record_cut(&request.id, RefusalReason::Expired);
+                return ConnectionAction::Close;
+            }
             reply_expired(writer, &request, &progress).await
         }
         Some(ServeOutcome::Refused(refusal)) if !progress.head_sent => {
@@ -165,10 +176,23 @@
         }
         // The response has begun and cannot be completed. The connection is closed without the end of the
         // body, so that the caller detects the truncation.
-        Some(ServeOutcome::Refused(_) | ServeOutcome::Deliver(_)) => ConnectionAction::Close,
+        Some(ServeOutcome::Refused(refusal)) => {
+            record_cut(&request.id, refusal.reason);
+            ConnectionAction::Close
+        }
+        Some(ServeOutcome::Deliver(_)) => {
+            record_cut(&request.id, RefusalReason::Broken);
+            ConnectionAction::Close
+        }
     }
 }
 
+/// Logs and counts a response that ends before it is complete.
+fn record_cut(id: &str, reason: RefusalReason) {
+    metrics::counter!("banyannotch_gateway_responses_cut_total").increment(1);
+    log::info!("event=response_cut request={id} reason=\"{reason}\"");
+}
+
 async fn reply_refusal(writer: &mut OwnedWriteHalf, refusal: &Refusal, close: bool) -> ConnectionAction {
     let mut out = Vec::new();
     write_refusal(refusal, close, &mut out);
@@ -183,9 +207,6 @@
     request: &Request,
     progress: &Progress,
 ) -> ConnectionAction {
-    if progress.head_sent {
-        return ConnectionAction::Close;
-    }
     let reason = if progress.request_sent { RefusalReason::Expired } else { RefusalReason::NoCapacity };
     reply_refusal(writer, &Refusal { reason, retry_after_ms: None }, request.close).await
 }
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -116,7 +116,7 @@
                 match event {
                     Event::Verdict { ticket, verdict } => context.deliver_verdict(ticket, verdict),
                     Event::Ready(ready) => context.ready.set(ready),
-                    Event::Limits(limits) => context.limits.set(limits),
+                    Event::Limits(limits) => apply_limits(&context, limits),
                     Event::Drain => {
                         actix_rt::spawn(drain(Rc::clone(&context), drain_times, drained.clone()));
                     }
@@ -132,6 +132,18 @@
     })
 }
 
+fn apply_limits<D, C>(context: &Context<D, C>, limits: CallerLimits) {
+    if context.limits.replace(limits) != limits {
+        log::info!(
+            "event=limits_changed head_bytes={} body_bytes={} head_timeout_ms={} idle_timeout_ms={}",
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.head_timeout_ms,
+            limits.idle_timeout_ms
+        );
+    }
+}
+
 fn accept_connections<D, C, F>(
     context: &Rc<Context<D, C>>,
     listener: TcpListener,
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -49,11 +49,21 @@
         Histogram,
         "Time from a send to the first event or the head of a whole answer",
     ),
+    (
+        "banyannotch_gateway_idle_connections_closed_total",
+        Counter,
+        "Connections of callers closed because they were idle for too long",
+    ),
     ("banyannotch_gateway_log_lines_dropped_total", Counter, "Log lines dropped because the queue was full"),
     ("banyannotch_gateway_orders_total", Counter, "Orders sent to engines"),
     ("banyannotch_gateway_peers", Gauge, "Other gateways that share their state"),
     ("banyannotch_gateway_refusals_total", Counter, "Requests answered with a failure of our own, by reason"),
     ("banyannotch_gateway_requests_in_flight", Gauge, "Requests of a gateway that have no final answer yet"),
+    (
+        "banyannotch_gateway_responses_cut_total",
+        Counter,
+        "Responses to callers that ended before they were complete",
+    ),
     (
         "banyannotch_gateway_sends_abandoned_total",
         Counter,
