dispatch, forwarding: a late answer is abandoned only once another endpoint is booked

Callers saw streams that broke off without an end, or got status 502, although the engine of the stream was sound and only silent for a second.

Cause: a send was ended before it was known whether anything else could take the request. The streams of one engine are judged together, so a single retry left in the budget let all of them be abandoned. The class of fault is a decision that gives up a resource before its replacement is secured; the same held for idempotent requests at their first time limit, and for streams at the limit of silence.

Change: forwarding only reports that an answer is late, for every kind of request, and dispatch books the path, the load and the retry before it abandons the send. Without a booking the send goes on. If an event arrives meanwhile, the booking is given back.

--- a/crates/banyannotch/src/gateway/dispatch/budget.rs
+++ b/crates/banyannotch/src/gateway/dispatch/budget.rs
@@ -31,6 +31,13 @@
         self.current_slice(now_us, window_ms).retries += 1;
     }
 
+    /// Takes back the latest retry, because it was not sent.
+    pub fn cancel_retry(&mut self) {
+        if let Some(slice) = self.slices.iter_mut().rev().find(|slice| slice.retries > 0) {
+            slice.retries -= 1;
+        }
+    }
+
     /// Returns how many retries this gateway may still send: `ratio` for each request in the window, plus
     /// `allowance`, minus the retries in the window.
     pub fn remaining(&mut self, now_us: u64, window_ms: u64, ratio: f64, allowance: f64) -> f64 {
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -1,9 +1,7 @@
 //! Updates the health of endpoints from answers, time-outs, engine reports and the state of other gateways.
 
-use std::sync::Arc;
-
 use super::health::Load;
-use super::messages::{Action, BrokenBy, Decision, PeerState, Verdict};
+use super::messages::{Action, BrokenBy, Decision, PeerState};
 use super::policy::Dispatch;
 use super::tickets::Reservation;
 use crate::clock::US_PER_MS;
@@ -37,50 +35,6 @@
         }
     }
 
-    /// Requests a report of the first engine on the path of a stream whose next event is late. Replicas of plain services
-    /// give no reports, so their streams go on until the limit of silence.
-    pub(super) fn on_late_event(&mut self, ticket_id: u64, actions: &mut Vec<Action>) {
-        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
-        let Some((first, load)) = ticket.reservation.loads.first().copied() else { return };
-        let is_engine = load.sequences > 0;
-        if !is_engine {
-            return;
-        }
-        ticket.is_waiting = true;
-        if !self.inspections.contains(&first) {
-            self.inspections.insert(first, ());
-            actions.push(Action::Inspect(first));
-        }
-    }
-
-    /// Decides on the late streams whose first engine has reported: those that wait for a stalled engine, or whose first
-    /// engine does not answer, end and continue elsewhere. The others are slow but sound.
-    fn judge_late_streams(
-        &mut self,
-        address: Address,
-        report: Option<&EngineReport>,
-        actions: &mut Vec<Action>,
-    ) {
-        for (ticket_id, ticket) in self.tickets.iter_mut().filter(|(_, ticket)| ticket.is_waiting) {
-            let loads = &ticket.reservation.loads;
-            if loads.first().is_none_or(|(first, _)| *first != address) {
-                continue;
-            }
-            ticket.is_waiting = false;
-            let evidence = match report {
-                None => "no_report",
-                Some(report) if loads.iter().any(|(engine, _)| report.stalled.contains(engine)) => "stalled",
-                Some(_) => "sound",
-            };
-            let abandoned = evidence != "sound";
-            let id = Arc::clone(&ticket.request.id);
-            actions.push(Action::Decide(Decision::Judged { id, address, abandoned, evidence }));
-            if abandoned {
-                actions.push(Action::Reply { ticket: *ticket_id, verdict: Verdict::Abandon });
-            }
-        }
-    }
-
     /// Records a rejection. An engine that does not hold its layers, and one that a rejection names after the time in
     /// which engines find others dead, is excluded. A quick rejection that names an engine shows that it lacks room, and
     /// if gateways excluded it for each other, its whole chain would stand idle while others are overloaded.
@@ -188,7 +142,7 @@
                 }
             }
         }
-        self.judge_late_streams(address, report, actions);
+        self.judge_late_streams(now_us, address, report, actions);
     }
 
     /// Stores the state of another gateway. Its loads take effect with the next call of
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -130,10 +130,17 @@
         /// Number of the request.
         ticket: u64,
     },
-    /// The next event of a stream did not arrive within its time limit; forwarding continues to wait.
+    /// The answer or the next event of a stream did not arrive within its time limit; forwarding continues to wait.
     Waiting {
         /// Number of the request.
         ticket: u64,
+        /// Time since the last event, or since the send if there was none, in milliseconds.
+        silent_ms: u64,
+    },
+    /// The answer or the next event arrived after it was reported as late.
+    Resumed {
+        /// Number of the request.
+        ticket: u64,
     },
     /// A send ended.
     Ended {
@@ -184,12 +191,11 @@
     /// Time limit for making a connection, in milliseconds.
     pub connect_limit_ms: u64,
     /// Time limit for the head of the answer and the first event of a stream, in milliseconds. The time taken
-    /// to connect counts as well. A stream that exceeds it is reported to dispatch, any other send ends.
+    /// to connect counts as well. A send that exceeds it is reported to dispatch.
     pub first_response_limit_ms: u64,
-    /// Time between two events of a stream after which it is reported to dispatch, in milliseconds.
+    /// Time between two events of a stream after which it is reported to dispatch, and time between two such reports, in
+    /// milliseconds.
     pub stall_limit_ms: u64,
-    /// Time without an event after which the send of a stream ends, in milliseconds.
-    pub silence_limit_ms: u64,
     /// Whether the answer is a stream of events.
     pub stream: bool,
     /// Maximum number of idle connections to keep to this endpoint.
@@ -203,7 +209,7 @@
     Send(Box<SendOrder>),
     /// Pass on the error that the endpoint answered.
     Deliver,
-    /// End the send, because the path has stalled.
+    /// End the send if no event has arrived since it was reported as late. The next endpoint is chosen already.
     Abandon,
     /// Answer with an error of the gateway.
     Refuse(Refusal),
@@ -342,15 +348,15 @@
         /// Time since the request was submitted, in milliseconds.
         age_ms: u64,
     },
-    /// A stream whose next event is late continues or ends, by the report of its first engine.
+    /// A send whose answer or next event is late continues or ends.
     Judged {
         /// Id that the caller gave to the attempt.
         id: Arc<str>,
-        /// Address of the first engine.
+        /// Address of the endpoint that the request was sent to.
         address: Address,
         /// Whether the send ends.
         abandoned: bool,
-        /// What the report showed.
+        /// What is known of the endpoint or its path.
         evidence: &'static str,
     },
     /// An endpoint is excluded after a failure.
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod chains;
 mod evidence;
 mod health;
+mod late;
 mod messages;
 mod paths;
 mod policy;
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -11,12 +11,12 @@
 };
 use super::paths::PathSearch;
 use super::suspects::Suspects;
-use super::tickets::{Reservation, Ticket};
+use super::tickets::{Choice, Reservation, Ticket};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::{Configuration, Endpoint, ForwardingInfo, RetryMode, Route, Service, Team};
 use crate::ids::{ServiceId, Zone};
-use crate::pipeline::{Address, LayerRange};
+use crate::pipeline::Address;
 use crate::random::Random;
 use crate::table::Table;
 
@@ -59,18 +59,6 @@
     pub(super) draining: bool,
 }
 
-/// Endpoint or path that was chosen for a send.
-struct Choice {
-    address: Address,
-    endpoint: Arc<str>,
-    hops: Arc<[(Address, LayerRange)]>,
-    loads: Vec<(Address, Load)>,
-    cost_ms: f64,
-    /// Expected time between two events of a stream.
-    event_interval_ms: f64,
-    idle_connections: usize,
-}
-
 impl Dispatch {
     /// Creates a policy that has no configuration yet.
     pub fn new(settings: DispatchSettings, seed: u64) -> Self {
@@ -166,36 +154,71 @@
         route.targets.first().map_or_else(|| ServiceId::from(""), |target| target.service.clone())
     }
 
-    /// Chooses an endpoint and orders the send, or refuses the request when the time, the retry budget or the
-    /// capacity is exhausted.
+    /// Chooses an endpoint, unless that was done before the last send was abandoned, and orders the send. Refuses the
+    /// request when the time, the retry budget or the capacity is exhausted.
     fn send(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
-        let Some(ticket) = self.tickets.get(&ticket_id) else { return };
-        let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
-        if remaining_ms == 0 {
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        if now_us >= ticket.deadline_us {
             return self.refuse(now_us, ticket_id, RefusalReason::Expired, actions);
         }
-        let is_retry = ticket.sends > 0;
+        let booked = match ticket.successor.take() {
+            Some(choice) => Ok(choice),
+            None => self.book(now_us, ticket_id),
+        };
+        match booked {
+            Ok(choice) => self.order_send(now_us, ticket_id, choice, actions),
+            Err(reason) => {
+                let reason = if self.may_have_run(ticket_id) { RefusalReason::Broken } else { reason };
+                self.refuse(now_us, ticket_id, reason, actions);
+            }
+        }
+    }
+
+    /// Chooses the endpoint of the next send and counts its load and, for a retry, the retry.
+    ///
+    /// # Errors
+    /// Returns the reason to refuse the request if it cannot be sent.
+    pub(super) fn book(&mut self, now_us: u64, ticket_id: u64) -> Result<Choice, RefusalReason> {
+        let is_retry = self.tickets.get(&ticket_id).is_some_and(|ticket| ticket.sends > 0);
         if is_retry && !self.has_budget(now_us, ticket_id) {
-            let reason =
-                if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::BudgetSpent };
-            return self.refuse(now_us, ticket_id, reason, actions);
+            return Err(RefusalReason::BudgetSpent);
         }
-        let Some(choice) = self.choose(now_us, ticket_id) else {
-            let reason =
-                if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::NoCapacity };
-            return self.refuse(now_us, ticket_id, reason, actions);
-        };
-        let valid_until_us = self.valid_until_us(ticket_id);
-        let (version, proof_age_ms) = (self.version(), self.proof_age_ms(now_us));
-        let window_ms = self.settings.retry_window_ms;
-        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
-        if is_retry {
+        let choice = self.choose(now_us, ticket_id).ok_or(RefusalReason::NoCapacity)?;
+        if is_retry && let Some(ticket) = self.tickets.get(&ticket_id) {
+            let window_ms = self.settings.retry_window_ms;
             self.budgets.entry(ticket.service.clone()).count_retry(now_us, window_ms);
         }
-        ticket.sends += 1;
         for (address, load) in &choice.loads {
             self.health.entry(*address).own.add(load);
         }
+        Ok(choice)
+    }
+
+    /// Takes back the load and the retry of a choice that is not used.
+    pub(super) fn cancel_booking(&mut self, service: &ServiceId, choice: &Choice) {
+        for (address, load) in &choice.loads {
+            if let Some(health) = self.health.get_mut(address) {
+                health.own.remove(load);
+            }
+        }
+        self.budgets.entry(service.clone()).cancel_retry();
+    }
+
+    /// Removes a request that gets its final answer.
+    fn close_ticket(&mut self, ticket_id: u64) -> Option<Ticket> {
+        let mut ticket = self.tickets.remove(&ticket_id)?;
+        if let Some(unused) = ticket.successor.take() {
+            self.cancel_booking(&ticket.service, &unused);
+        }
+        Some(ticket)
+    }
+
+    fn order_send(&mut self, now_us: u64, ticket_id: u64, choice: Choice, actions: &mut Vec<Action>) {
+        let valid_until_us = self.valid_until_us(ticket_id);
+        let (version, proof_age_ms) = (self.version(), self.proof_age_ms(now_us));
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
+        ticket.sends += 1;
         ticket.tried.extend(choice.loads.iter().map(|(address, _)| *address));
         ticket.reservation =
             Reservation { loads: choice.loads, endpoint: Arc::clone(&choice.endpoint), sent_us: now_us };
@@ -211,18 +234,17 @@
         }));
         let settings = &self.settings;
         let stream = ticket.retry_mode.is_stream();
-        let repeatable =
-            ticket.retry_mode.is_repeatable() && ticket.possible_runs + 1 < ticket.endpoint_limit;
+        let repeatable = ticket.may_abandon(settings.send_limit);
         let first_response_limit_ms = match (stream, repeatable) {
             (true, true) => settings.first_event_limit_ms,
             (false, true) => ((remaining_ms as f64) * FIRST_RESPONSE_SHARE) as u64,
             (_, false) => remaining_ms,
         };
-        let (stall_limit_ms, silence_limit_ms) = if repeatable {
+        let stall_limit_ms = if repeatable {
             let stall_ms = (choice.event_interval_ms * settings.stall_factor) as u64;
-            (settings.stall_limit_min_ms.max(stall_ms), settings.silence_limit_ms(ticket))
+            settings.stall_limit_min_ms.max(stall_ms)
         } else {
-            (remaining_ms, remaining_ms)
+            remaining_ms
         };
         let order = SendOrder {
             address: choice.address,
@@ -238,7 +260,6 @@
             connect_limit_ms: settings.connect_limit_ms,
             first_response_limit_ms,
             stall_limit_ms,
-            silence_limit_ms,
             stream,
             idle_connections: choice.idle_connections,
         };
@@ -359,10 +380,10 @@
                     self.health.entry(*address).record_success(now_us, self.settings.failure_half_life_ms);
                 }
                 self.suspects.clear(digest);
-                self.tickets.remove(&ticket_id);
+                self.close_ticket(ticket_id);
             }
             Ending::Left | Ending::Expired => {
-                self.tickets.remove(&ticket_id);
+                self.close_ticket(ticket_id);
             }
             Ending::NotRun { fault_at, status } => {
                 self.record_rejection(now_us, &reservation, fault_at, status, actions);
@@ -388,7 +409,7 @@
                 if retry_mode == RetryMode::Idempotent && self.may_retry(now_us, ticket_id) {
                     self.send(now_us, ticket_id, actions);
                 } else {
-                    self.tickets.remove(&ticket_id);
+                    self.close_ticket(ticket_id);
                     actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Deliver });
                 }
             }
@@ -449,7 +470,7 @@
 
     fn refuse(&mut self, now_us: u64, ticket_id: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
         let refusal = self.refusal(now_us, reason);
-        if let Some(ticket) = self.tickets.remove(&ticket_id) {
+        if let Some(ticket) = self.close_ticket(ticket_id) {
             actions.push(Action::Decide(Decision::Refused {
                 id: ticket.request.id,
                 refusal,
@@ -535,7 +556,10 @@
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
             Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
-            Event::Waiting { ticket } => return self.on_late_event(ticket, actions),
+            Event::Waiting { ticket, silent_ms } => {
+                return self.on_late_answer(now_us, ticket, silent_ms, actions);
+            }
+            Event::Resumed { ticket } => return self.on_resumed_answer(ticket),
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -117,8 +117,8 @@
 }
 
 impl DispatchSettings {
-    /// Returns the time without an event after which a stream is continued on other endpoints although its path seems
-    /// sound, so that an event arrives before the caller gives up.
+    /// Returns the time without an event after which a stream is continued on another path although its own seems sound,
+    /// so that an event arrives before the caller gives up. Without another path it goes on.
     pub(super) fn silence_limit_ms(&self, ticket: &Ticket) -> u64 {
         /// Callers wait for this multiple of the objective for the first event, and of that for the gap between events.
         const OBJECTIVE_FACTOR: u64 = 4;
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -181,6 +181,19 @@
         world
     }
 
+    /// Creates a gateway before engines that each hold a whole small model.
+    pub fn with_small_model(engine_count: u8) -> Self {
+        let engines = (0..engine_count).map(|number| pipeline_engine(11 + number, "a", "fast", 0, 8));
+        let mut world = Self::with(engines.collect());
+        let mut small_model = configuration(6);
+        if let Some(service) = small_model.services.get_mut(1) {
+            service.pipeline = Some(Arc::new(Pipeline { layer_mb: 500.0, ..pipeline() }));
+        }
+        world.event(Event::Configuration(Arc::new(small_model)));
+        world.event(Event::ConfigurationProof(Proof { version: 6, at_us: world.now_us }));
+        world
+    }
+
     /// Confirms that the configuration is current now.
     pub fn confirm_configuration(&mut self) {
         self.event(Event::ConfigurationProof(Proof { version: 5, at_us: self.now_us }));
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod chains;
 pub(crate) mod fixtures;
+mod late;
 mod outcomes;
 mod paths;
 mod random;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -5,7 +5,20 @@
 use super::health::Load;
 use crate::gateway::{RequestInfo, RetryMode, Route};
 use crate::ids::{ServiceId, TeamId};
-use crate::pipeline::Address;
+use crate::pipeline::{Address, LayerRange};
+
+/// Endpoint or path that was chosen for a send.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Choice {
+    pub address: Address,
+    pub endpoint: Arc<str>,
+    pub hops: Arc<[(Address, LayerRange)]>,
+    pub loads: Vec<(Address, Load)>,
+    pub cost_ms: f64,
+    /// Expected time between two events of a stream.
+    pub event_interval_ms: f64,
+    pub idle_connections: usize,
+}
 
 /// Load that the current send of a request places on endpoints.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -40,6 +53,8 @@
     /// Number of sends in which the request may have run.
     pub possible_runs: u32,
     pub reservation: Reservation,
+    /// Endpoint or path of the next send, chosen before the current send was abandoned. Its load and the retry are counted.
+    pub successor: Option<Choice>,
     /// Whether the next event of the current send is late and its first engine was asked for a report.
     pub is_waiting: bool,
     /// Endpoints on the paths of all sends so far.
@@ -70,6 +85,7 @@
             sends: 0,
             possible_runs: 0,
             reservation: Reservation::default(),
+            successor: None,
             is_waiting: false,
             tried: Vec::new(),
         }
@@ -81,4 +97,11 @@
             || (self.retry_mode.is_repeatable() && self.possible_runs < self.endpoint_limit);
         self.sends < send_limit && runs_allow
     }
+
+    /// Returns whether another send is allowed if the endpoint of the current one may run the request.
+    pub fn may_abandon(&self, send_limit: u32) -> bool {
+        self.retry_mode.is_repeatable()
+            && self.possible_runs + 1 < self.endpoint_limit
+            && self.sends < send_limit
+    }
 }
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -15,7 +15,7 @@
 use super::exchange::{Progress, Request, exchange};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
-use crate::gateway::dispatch::{BrokenBy, Ending, Refusal, RefusalReason, Verdict};
+use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
 use crate::gateway::http1::{BodyDecoder, HttpError, Reader, RequestHead, split};
 
 /// The operating system closes a connection whose peer acknowledges no data for this long.
@@ -256,16 +256,9 @@
         let remaining_us = order.deadline_us.saturating_sub(context.clock.now_us());
         let remaining =
             Duration::from_micros(remaining_us).saturating_sub(Duration::from_millis(RESPONSE_MARGIN_MS));
-        let abandoned = context.begin_send(ticket);
-        let sending = timeout(remaining, exchange(context, &order, request, progress, writer));
-        let (ending, response) = tokio::select! {
-            biased;
-            sent = sending => match sent {
-                Ok(sent) => sent,
-                Err(_) => return ServeOutcome::Expired,
-            },
-            Ok(()) = abandoned => (Ending::Broken { by: BrokenBy::Silence }, None),
-        };
+        let abandonment = context.begin_send(ticket);
+        let sending = timeout(remaining, exchange(context, &order, request, progress, abandonment, writer));
+        let Ok((ending, response)) = sending.await else { return ServeOutcome::Expired };
         context.end_send(ticket);
         match ending {
             Ending::Completed { .. } => {
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::pool::Pool;
+use super::watch::Abandonment;
 use crate::clock::Clock;
 use crate::duty::Supervisor;
 use crate::gateway::dispatch::{self, Ending, Refusal, RefusalReason, Submission, Verdict};
@@ -29,8 +30,8 @@
     pub dispatch: RefCell<Sender<dispatch::Event>>,
     /// Requests that wait for a verdict, by number.
     pub pending_verdicts: RefCell<Table<u64, oneshot::Sender<Verdict>>>,
-    /// Sends of streams in progress, by number of the request, which dispatch may abandon.
-    pub sends: RefCell<Table<u64, oneshot::Sender<()>>>,
+    /// Sends in progress, by number of the request, which dispatch may abandon.
+    pub sends: RefCell<Table<u64, Rc<Abandonment>>>,
     pub next_ticket: Cell<u64>,
 }
 
@@ -77,9 +78,15 @@
         self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
     }
 
-    /// Reports to dispatch that the next event of a stream is late.
-    pub fn report_late_event(&self, ticket: u64) {
-        let event = dispatch::Event::Waiting { ticket };
+    /// Reports to dispatch that the answer or the next event of a stream is late.
+    pub fn report_late_answer(&self, ticket: u64, silent_ms: u64) {
+        let event = dispatch::Event::Waiting { ticket, silent_ms };
+        self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
+    }
+
+    /// Reports to dispatch that an answer that was late goes on.
+    pub fn report_resumed_answer(&self, ticket: u64) {
+        let event = dispatch::Event::Resumed { ticket };
         self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
     }
 
@@ -94,11 +101,11 @@
         self.send_ended(ticket, ending);
     }
 
-    /// Returns a receiver that is notified when dispatch abandons the send that begins now.
-    pub fn begin_send(&self, ticket: u64) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        self.sends.borrow_mut().insert(ticket, sender);
-        receiver
+    /// Returns the signal by which dispatch abandons the send that begins now.
+    pub fn begin_send(&self, ticket: u64) -> Rc<Abandonment> {
+        let abandonment = Rc::new(Abandonment::default());
+        self.sends.borrow_mut().insert(ticket, Rc::clone(&abandonment));
+        abandonment
     }
 
     /// Removes the send of a request that has ended. A later verdict to abandon it has no effect.
@@ -109,10 +116,9 @@
     /// Delivers a verdict to the connection that waits for it.
     pub fn deliver_verdict(&self, ticket: u64, verdict: Verdict) {
         if verdict == Verdict::Abandon {
-            if let Some(sender) = self.sends.borrow_mut().remove(&ticket)
-                && sender.send(()).is_err()
-            {
-                log::debug!("event=send_already_ended ticket={ticket}");
+            match self.sends.borrow().get(&ticket) {
+                Some(abandonment) => abandonment.abandon(),
+                None => log::debug!("event=send_already_ended ticket={ticket}"),
             }
             return;
         }
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -1,16 +1,18 @@
 //! Sends a request to an endpoint once and forwards the response to the caller.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout;
 
 use super::answer::{Response, ResponseKind, classify, write_response, write_stream_head};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::pool::Upstream;
+use super::watch::{Abandoned, Abandonment, Watch};
 use crate::clock::{Clock, US_PER_MS};
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{BrokenBy, Ending, SendOrder};
@@ -62,8 +64,8 @@
     Ended(Ending),
     /// The response of the endpoint could not be read.
     Upstream(HttpError),
-    /// The head or the next part of a stream did not arrive within its time limit.
-    TimedOut,
+    /// The answer or the next event was late, and dispatch abandoned the send.
+    Abandoned,
 }
 
 impl From<HttpError> for ExchangeError {
@@ -72,11 +74,17 @@
     }
 }
 
+impl From<Abandoned> for ExchangeError {
+    fn from(_: Abandoned) -> Self {
+        Self::Abandoned
+    }
+}
+
 impl ExchangeError {
     fn into_ending(self) -> Ending {
         match self {
             Self::Ended(ending) => ending,
-            Self::TimedOut => Ending::Broken { by: BrokenBy::Silence },
+            Self::Abandoned => Ending::Broken { by: BrokenBy::Silence },
             Self::Upstream(HttpError::Closed | HttpError::Truncated | HttpError::Io(_)) => {
                 Ending::Broken { by: BrokenBy::Connection }
             }
@@ -91,6 +99,7 @@
     order: &SendOrder,
     request: &Request,
     progress: &mut Progress,
+    abandonment: Rc<Abandonment>,
     caller_writer: &mut OwnedWriteHalf,
 ) -> ExchangeOutcome {
     let connect_started_us = context.clock.now_us();
@@ -110,19 +119,20 @@
     request_bytes.extend_from_slice(&request.body);
     progress.request_sent = true;
     let connect_ms = now_us.saturating_sub(connect_started_us) / US_PER_MS;
-    let response_start_timeout =
-        Duration::from_millis(order.first_response_limit_ms.saturating_sub(connect_ms).max(1));
-    let sent_at = Instant::now();
-    let mut exchange =
-        Exchange { context, order, request, upstream, sent_at, may_reuse: true, pooled_keep_alive_ms: None };
+    let first_limit = Duration::from_millis(order.first_response_limit_ms.saturating_sub(connect_ms).max(1));
+    let interval = Duration::from_millis(order.stall_limit_ms);
+    let mut watch = Watch::start(context, request.ticket, abandonment, first_limit, interval);
+    let mut exchange = Exchange {
+        context,
+        order,
+        request,
+        upstream,
+        sent_at: Instant::now(),
+        may_reuse: true,
+        pooled_keep_alive_ms: None,
+    };
     let result = exchange
-        .perform(
-            &request_bytes,
-            response_start_timeout,
-            forwarding_info.resume_after,
-            progress,
-            caller_writer,
-        )
+        .perform(&request_bytes, &mut watch, forwarding_info.resume_after, progress, caller_writer)
         .await;
     if let Some(keep_alive_ms) = exchange.pooled_keep_alive_ms
         && !exchange.upstream.reader.has_buffered()
@@ -176,26 +186,17 @@
     async fn perform(
         &mut self,
         request_bytes: &[u8],
-        response_start_timeout: Duration,
+        watch: &mut Watch<'_, D, C>,
         resume_after: Option<u64>,
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
     ) -> Result<ExchangeOutcome, ExchangeError> {
-        let head_result = self.read_head_in_time(request_bytes, response_start_timeout).await?;
-        let (head, kind, fault_at) = head_result;
+        let (head, kind, fault_at) = watch.wait_for(self.send_and_read_head(request_bytes)).await??;
         let framing = head.framing()?;
         let decoder = BodyDecoder::new(framing);
         match kind {
             ResponseKind::Success if self.order.stream => {
-                self.forward_stream(
-                    &head,
-                    decoder,
-                    response_start_timeout,
-                    resume_after,
-                    progress,
-                    caller_writer,
-                )
-                .await
+                self.forward_stream(&head, decoder, watch, resume_after, progress, caller_writer).await
             }
             ResponseKind::Success => {
                 let response = self.read_response(head, framing, decoder).await?;
@@ -230,28 +231,6 @@
         }
     }
 
-    /// Sends the request and reads the head of its response within the time limits of the order.
-    async fn read_head_in_time(
-        &mut self,
-        request_bytes: &[u8],
-        limit: Duration,
-    ) -> Result<(ResponseHead, ResponseKind, Option<crate::pipeline::Address>), ExchangeError> {
-        let (context, ticket, stream) = (self.context, self.request.ticket, self.order.stream);
-        let silence_due = self.sent_at + Duration::from_millis(self.order.silence_limit_ms);
-        let mut reading = std::pin::pin!(self.send_and_read_head(request_bytes));
-        let mut due = Instant::now() + limit;
-        loop {
-            if let Ok(head) = timeout_at(due.into(), &mut reading).await {
-                return head;
-            }
-            if !stream || Instant::now() >= silence_due {
-                return Err(ExchangeError::TimedOut);
-            }
-            context.report_late_event(ticket);
-            due = (Instant::now() + limit).min(silence_due);
-        }
-    }
-
     /// Sends the request and reads the head of its response. Interim responses and responses to other
     /// attempts are skipped.
     async fn send_and_read_head(
@@ -315,27 +294,16 @@
         &mut self,
         head: &ResponseHead,
         mut decoder: BodyDecoder,
-        response_start_timeout: Duration,
+        watch: &mut Watch<'_, D, C>,
         resume_after: Option<u64>,
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
     ) -> Result<ExchangeOutcome, ExchangeError> {
-        let stall_limit = Duration::from_millis(self.order.stall_limit_ms);
         let mut splitter = EventSplitter::new(resume_after);
-        let silence_limit = Duration::from_millis(self.order.silence_limit_ms);
-        let mut silence_due = self.sent_at + silence_limit;
-        let mut event_due = (self.sent_at + response_start_timeout).max(Instant::now());
         let mut first_ms = None;
         let (mut events, mut out) = (Vec::new(), Vec::new());
         loop {
-            let Ok(read) = timeout_at(event_due.into(), self.upstream.reader.body(&mut decoder)).await else {
-                if Instant::now() >= silence_due {
-                    return Err(ExchangeError::TimedOut);
-                }
-                self.context.report_late_event(self.request.ticket);
-                event_due = (Instant::now() + stall_limit).min(silence_due);
-                continue;
-            };
+            let read = watch.wait_for(self.upstream.reader.body(&mut decoder)).await?;
             let mut ended = false;
             match read? {
                 None => ended = true,
@@ -357,6 +325,7 @@
                 self.context.report_first_event(self.request.ticket);
             }
             if !events.is_empty() || ended {
+                watch.event_arrived();
                 self.write_head_once(head, progress, &mut out);
                 if !events.is_empty() {
                     write_chunk(&events, &mut out);
@@ -368,9 +337,7 @@
                 if caller_writer.write_all(&out).await.is_err() {
                     return Err(ExchangeError::Ended(Ending::Left));
                 }
-                // The time that the caller took to read does not count.
-                event_due = Instant::now() + stall_limit;
-                silence_due = Instant::now() + silence_limit;
+                watch.await_next_event();
                 events.clear();
                 out.clear();
             }
--- a/crates/banyannotch/src/gateway/forwarding/mod.rs
+++ b/crates/banyannotch/src/gateway/forwarding/mod.rs
@@ -16,6 +16,7 @@
 mod runtime;
 #[cfg(test)]
 mod tests;
+mod watch;
 
 pub use messages::Event;
 pub use runtime::{ForwardingSettings, Links, Listeners, spawn};
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -67,7 +67,7 @@
     (
         "banyannotch_gateway_sends_abandoned_total",
         Counter,
-        "Sends of streams that ended because their path had stalled",
+        "Sends given up for another endpoint because their answer was late",
     ),
     ("banyannotch_gateway_sends_total", Counter, "Sends of requests to endpoints"),
     ("banyannotch_gateway_shares_lost_total", Counter, "States for other gateways that found a full ring"),
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -115,6 +115,27 @@
     }
 }
 
+/// An engine that is silent for a second, also to requests for its report, goes on with its streams. Gateways ended them
+/// without an alternative and closed the connections of the callers.
+#[actix_rt::test]
+async fn a_stream_of_a_silent_engine_is_not_cut_without_an_alternative() {
+    let mut fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[("retry_allowance", "0"), ("retry_ratio", "0")]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for (number, after) in [0, 5].into_iter().enumerate() {
+        for engine in &fleet.engines {
+            engine.set_fault(Fault::SilentAfter(after), 1);
+        }
+        let id = format!("silent-{number}");
+        let got = stream(gateway.callers, &id, "secret").await;
+        assert_eq!((got.status, got.complete), (Some(200), true), "{got:?}");
+        assert_eq!(got.events(), (0..EVENTS).collect::<Vec<_>>(), "silent after {after} events");
+        let judged = gateway.lines("evidence=no_report");
+        assert!(judged.iter().any(|line| line.contains(&id)), "the engine gave a report: {judged:?}");
+    }
+}
+
 /// Requests a stream, and clears the faults of all engines as soon as one of them has run the request. Returns the
 /// stream and the number of runs.
 async fn stream_with_one_fault(gateway: &Gateway, fleet: &Fleet, id: &str) -> (RecordedResponse, usize) {
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use banyannotch::gateway::http1::{RequestHead, write_chunk};
 use serde_json::{Value, json};
@@ -63,6 +63,9 @@
     TrickleAfter(u64),
     /// Pauses for 900 ms after this many events and then continues.
     PauseAfter(u64),
+    /// After this many events of a stream, the whole endpoint is silent on all its connections for 1.2 s, and then goes
+    /// on.
+    SilentAfter(u64),
     /// Sends a head without end until the connection is closed.
     EndlessHead,
     /// Sends a body without end until the connection is closed.
@@ -103,6 +106,8 @@
     orders: u64,
     /// Addresses of the engines on which requests are reported as stalled.
     stalled: Vec<String>,
+    /// End of the time in which the endpoint is silent.
+    silent_until: Option<Instant>,
 }
 
 /// An endpoint in the test's own process.
@@ -128,6 +133,7 @@
             layers: None,
             orders: 0,
             stalled: Vec::new(),
+            silent_until: None,
         }));
         let shared = Rc::clone(&state);
         let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
@@ -186,6 +192,7 @@
 async fn serve(state: Rc<RefCell<State>>, stream: TcpStream) {
     let Ok((mut reader, mut writer)) = split_stream(stream) else { return };
     while let Some((head, body)) = read_request(&mut reader).await {
+        wait_while_silent(&state).await;
         let keep_alive = match head.target.as_str() {
             "/-/report" => {
                 let report = report(&state.borrow());
@@ -274,7 +281,7 @@
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
     }
     if head.target.starts_with("/write/") && fault != Fault::Fail {
-        return write_stream(&id, &attempt, resumed_after, events, fault, writer).await;
+        return write_stream(state, &attempt, resumed_after, events, fault, writer).await;
     }
     write_response(&id, &attempt, fault, writer).await
 }
@@ -310,13 +317,14 @@
 }
 
 async fn write_stream(
-    id: &str,
+    state: &RefCell<State>,
     attempt: &str,
     resumed_after: Option<u64>,
     events: u64,
     fault: Fault,
     writer: &mut OwnedWriteHalf,
 ) -> bool {
+    let id = state.borrow().id.clone();
     let mut out = format!(
         "HTTP/1.1 200 Any\r\nAttempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -357,12 +365,17 @@
                 actix_rt::time::sleep(LONG_PAUSE).await;
                 write_chunk(text.as_bytes(), &mut out);
             }
+            Fault::SilentAfter(count) if sent as u64 == count => {
+                state.borrow_mut().silent_until = Some(Instant::now() + SILENCE);
+                write_chunk(text.as_bytes(), &mut out);
+            }
             Fault::TrickleAfter(count) if sent as u64 == count => {
                 write_chunk(format!("id: {event}\ndata: ").as_bytes(), &mut out);
                 return write_slowly_without_end(&out, writer).await;
             }
             _ => write_chunk(text.as_bytes(), &mut out),
         }
+        wait_while_silent(state).await;
         if writer.write_all(&out).await.is_err() {
             return false;
         }
@@ -402,6 +415,17 @@
 /// Pause of a slow stream, longer than the time after which a gateway examines its path.
 const LONG_PAUSE: Duration = Duration::from_millis(900);
 
+/// Time for which a silent endpoint sends nothing. It is longer than the time after which a gateway asks for a report, and
+/// the time that it waits for one.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+async fn wait_while_silent(state: &RefCell<State>) {
+    let until = state.borrow().silent_until;
+    if let Some(until) = until {
+        actix_rt::time::sleep_until(until.into()).await;
+    }
+}
+
 /// Delay between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(2);
 
