dispatch: a request keeps the configuration under which it was admitted

Callers of a running stream lost it when its engine broke off shortly after a configuration had moved its route to another service.

Cause: the service of a retry was looked up in the newest configuration only. If that no longer has the service, no path was found, and a stream that had begun was cut, or a request that had not run was refused, although the engines of its service were still there. The class of fault is state of a request that is derived again from a newer version than the one it was accepted under.

Change: a request holds the configuration that admitted it, which describes the service if the newest one does not. New requests are routed by the newest one only.

Evidence: a_configuration_without_its_service_does_not_cut_a_running_stream recorded "1: 502 the endpoint broke off" before; now the stream continues on the second chain.

--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -88,9 +88,10 @@
         let Submission { ticket, request } = submission;
         let admitted = self.admit(now_us, &request);
         match admitted {
-            Ok((route, team)) => {
+            Ok((configuration, route, team)) => {
                 let service = self.pick_service(&route);
-                let record = Ticket::new(request, &route, service, team.map(|team| team.id), now_us);
+                let team = team.map(|team| team.id);
+                let record = Ticket::new(request, &route, service, configuration, team, now_us);
                 let window_ms = self.settings.retry_window_ms;
                 self.budgets.entry(record.service.clone()).count_request(now_us, window_ms);
                 self.tickets.insert(ticket, record);
@@ -111,15 +112,13 @@
         }
     }
 
-    /// Returns the route and the team of a request, or the reason to refuse it.
+    /// Returns the configuration in force, the route and the team of a request, or the reason to refuse it.
     fn admit(
         &self,
         now_us: u64,
         request: &crate::gateway::RequestInfo,
-    ) -> std::result::Result<(Route, Option<Team>), RefusalReason> {
-        let Some(configuration) = self.configuration.as_deref() else {
-            return Err(RefusalReason::NoConfiguration);
-        };
+    ) -> std::result::Result<(Arc<Configuration>, Route, Option<Team>), RefusalReason> {
+        let configuration = self.configuration.as_ref().ok_or(RefusalReason::NoConfiguration)?;
         let fresh = self.is_fresh(now_us);
         // An outdated configuration may lack a route or a key that was added since, so neither is reported as
         // unknown.
@@ -139,7 +138,7 @@
         if self.suspects.is_quarantined(request.digest, now_us) {
             return Err(RefusalReason::Quarantined);
         }
-        Ok((route.clone(), team))
+        Ok((Arc::clone(configuration), route.clone(), team))
     }
 
     fn pick_service(&mut self, route: &Route) -> ServiceId {
@@ -269,7 +268,11 @@
     fn choose(&mut self, now_us: u64, ticket_id: u64) -> Option<Choice> {
         let takes_cheapest = self.takes_cheapest_path(now_us);
         let ticket = self.tickets.get(&ticket_id)?;
-        let service = self.configuration.as_deref()?.service(&ticket.service)?;
+        let service = self
+            .configuration
+            .as_deref()
+            .and_then(|configuration| configuration.service(&ticket.service))
+            .or_else(|| ticket.configuration.service(&ticket.service))?;
         let endpoints: Vec<&Endpoint> =
             self.endpoints.iter().filter(|endpoint| endpoint.service == ticket.service).collect();
         match &service.pipeline {
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -84,6 +84,22 @@
     insta::assert_snapshot!(world.text());
 }
 
+/// A stream that was admitted under an earlier configuration is continued on the engines of its service, also when a newer
+/// configuration has no route to the service any more. It was cut instead.
+#[test]
+fn a_configuration_without_its_service_does_not_cut_a_running_stream() {
+    let mut world = World::new();
+    let ticket = world.submit("/write/x");
+    let mut moved = configuration(6);
+    moved.services.retain(|service| service.pipeline.is_none());
+    moved.routes.iter_mut().for_each(|route| route.targets = configuration(6).routes[0].targets.clone());
+    world.event(Event::Configuration(Arc::new(moved)));
+    world.event(Event::ConfigurationProof(Proof { version: 6, at_us: world.now_us }));
+    world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    world.submit("/write/y");
+    insta::assert_snapshot!(world.text());
+}
+
 /// A request that crashes every endpoint it reaches must not be sent to a fourth one.
 #[test]
 fn a_request_that_crashes_endpoints_is_quarantined() {
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::health::Load;
-use crate::gateway::{RequestInfo, RetryMode, Route};
+use crate::gateway::{Configuration, RequestInfo, RetryMode, Route};
 use crate::ids::{ServiceId, TeamId};
 use crate::pipeline::{Address, LayerRange};
 
@@ -38,6 +38,8 @@
     pub route: Arc<str>,
     pub retry_mode: RetryMode,
     pub service: ServiceId,
+    /// Configuration under which the request was admitted. It describes the service if a newer one no longer has it.
+    pub configuration: Arc<Configuration>,
     pub team: Option<TeamId>,
     /// Maximum number of endpoints that may run the request.
     pub endpoint_limit: u32,
@@ -67,6 +69,7 @@
         request: RequestInfo,
         route: &Route,
         service: ServiceId,
+        configuration: Arc<Configuration>,
         team: Option<TeamId>,
         now_us: u64,
     ) -> Self {
@@ -76,6 +79,7 @@
             route: Arc::clone(&route.name),
             retry_mode: route.retry_mode,
             service,
+            configuration,
             team,
             endpoint_limit: route.endpoint_limit,
             objective_ms: route.objective_ms,
