soak: a run of planned work beside silent endpoints, and a check for lost requests

Callers stay on their connections until the gateway closes them and pause for long now and then. The new run stops and restarts gateways and changes the configuration in series while endpoints are silent for about a second, hang, break off or answer without a length. Each request that was passed on, or whose connection ended later than 200 ms after it was sent, must get a complete response unless a disruption or its time limit explains the loss. SOAK_GATEWAYS sets the number of processes.

--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -46,6 +46,33 @@
     assert!(!gateway.lines("event=stopped").is_empty());
 }
 
+/// An endpoint that stays silent is no reason to close the connection without a response when the process ends.
+#[actix_rt::test]
+async fn a_graceful_shutdown_answers_requests_whose_endpoints_are_silent() {
+    let mut fleet = Fleet::start();
+    let mut gateway = Gateway::start(fleet.store.address, &[("grace_s", "2")]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for endpoint in fleet.engines.iter().chain(&fleet.replicas) {
+        endpoint.set_fault(Fault::Hang, usize::MAX);
+    }
+    let requests = [("s", "/write/x"), ("c", "/call/x")].map(|(id, path)| {
+        let callers = gateway.callers;
+        actix_rt::spawn(async move { call(callers, id, path, "secret", "body").await })
+    });
+    wait_until(LIMIT, async || fleet.runs_of("s") + fleet.runs_of("c") == 2)
+        .await
+        .expect("the endpoints run both requests");
+    terminate(&gateway);
+    for request in requests {
+        let got = request.await.expect("the task ends");
+        assert_eq!((got.status, got.complete), (Some(504), true), "{got:?}");
+    }
+    wait_until(LIMIT, async || matches!(gateway.child.try_wait(), Ok(Some(_))))
+        .await
+        .expect("the process ends");
+}
+
 /// Each malformed request gets the appropriate status, and a request sent after it on another connection succeeds.
 #[actix_rt::test]
 async fn malformed_requests_get_the_appropriate_status() {
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! Injects random faults into a deployment with several gateway processes, and checks the guarantees of the gateway by
 //! what callers received and endpoints ran. Guards against combinations of faults that no other test covers.
 //!
-//! `SOAK_SEEDS=1..51 cargo test -p banyannotch-gateway --test soak -- a_run_of_seeds` runs other seeds.
+//! `SOAK_SEEDS=1..51 cargo test -p banyannotch-gateway --test soak -- a_run_of` runs other seeds, and `SOAK_GATEWAYS=40`
+//! runs more processes.
 
 #![expect(
     clippy::expect_used,
@@ -12,6 +13,7 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 #[path = "../common/mod.rs"]
 mod common;
+mod lost;
 mod plan;
 mod world;
 
@@ -24,6 +26,7 @@
 use banyannotch_standins::fleet::{Caller, RecordedResponse};
 
 use common::{EVENTS, LIMIT};
+use plan::Step;
 use world::{REVOKE_MS, World};
 
 /// Seeds that are run by default.
@@ -31,12 +34,16 @@
 /// Seeds that have failed. Seed 25: a connection reset counted as a failure that the content of the request caused, and
 /// after three of them every gateway rejected equal requests for a minute, although no endpoint had crashed.
 const FAILED_SEEDS: [u64; 1] = [25];
-/// Number of gateways.
+/// Number of gateways by default.
 const GATEWAY_COUNT: usize = 3;
-/// Number of callers, each of which sends one request after the other.
-const CALLER_COUNT: usize = 6;
+/// Number of callers for each gateway, each of which sends one request after the other.
+const CALLERS_PER_GATEWAY: usize = 2;
 /// Pause between two requests of a caller, in milliseconds.
 const CALLER_PAUSE_MS: u64 = 15;
+/// One in this many pauses of a caller is long, up to the limit below.
+const LONG_PAUSE_SHARE: usize = 25;
+/// Upper bound of a long pause, in milliseconds: four fifths of the shortest idle timeout that a configuration sets.
+const LONG_PAUSE_LIMIT_MS: usize = 800;
 /// Time after a change of the keys in which a request that is sent may still be handled by the old keys, in
 /// milliseconds. It is the limit of the settings, plus time for the request to reach the gateway.
 const REVOCATION_LIMIT_MS: u64 = REVOKE_MS + 200;
@@ -47,40 +54,49 @@
     id: String,
     path: &'static str,
     key: String,
+    gateway: usize,
     sent_at: Instant,
+    ended_at: Instant,
     got: RecordedResponse,
 }
 
 #[test]
 fn a_run_of_seeds_breaks_no_promise() {
-    let seeds: Vec<u64> = match std::env::var("SOAK_SEEDS") {
-        Ok(range) => {
-            let (from, to) = range.split_once("..").expect("SOAK_SEEDS is a range like 1..51");
-            (from.parse().expect("a number")..to.parse().expect("a number")).collect()
-        }
-        Err(_) => SEEDS.to_vec(),
-    };
-    run_all(&seeds);
+    run_all(&seeds_to_run(), plan::plan);
+}
+
+/// Restarts and changes of the configuration overlap with endpoints that are silent for a while.
+#[test]
+fn a_run_of_planned_work_loses_no_request() {
+    run_all(&seeds_to_run(), plan::plan_of_planned_work);
 }
 
 #[test]
 fn seeds_that_failed_break_no_promise() {
-    run_all(&FAILED_SEEDS);
+    run_all(&FAILED_SEEDS, plan::plan);
+}
+
+fn seeds_to_run() -> Vec<u64> {
+    let Ok(range) = std::env::var("SOAK_SEEDS") else { return SEEDS.to_vec() };
+    let (from, to) = range.split_once("..").expect("SOAK_SEEDS is a range like 1..51");
+    (from.parse().expect("a number")..to.parse().expect("a number")).collect()
 }
 
-fn run_all(seeds: &[u64]) {
+fn run_all(seeds: &[u64], plan: fn(u64, usize, usize) -> Vec<Step>) {
+    let gateways = std::env::var("SOAK_GATEWAYS")
+        .map_or(GATEWAY_COUNT, |count| count.parse().expect("SOAK_GATEWAYS is a number"));
     for seed in seeds {
-        actix_rt::System::new().block_on(run(*seed));
+        actix_rt::System::new().block_on(run(*seed, gateways, plan));
         println!("seed {seed}: no violations");
     }
 }
 
-async fn run(seed: u64) {
-    let world = World::start(GATEWAY_COUNT).await;
-    let steps = plan::plan(seed, GATEWAY_COUNT, world.endpoints.len());
+async fn run(seed: u64, gateways: usize, plan: fn(u64, usize, usize) -> Vec<Step>) {
+    let world = World::start(gateways).await;
+    let steps = plan(seed, gateways, world.endpoints.len());
     println!("seed {seed}: {steps:?}");
     let (sent, stopped) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(false)));
-    let callers: Vec<_> = (0..CALLER_COUNT)
+    let callers: Vec<_> = (0..gateways * CALLERS_PER_GATEWAY)
         .map(|number| {
             let random = Random::seeded(seed ^ ((number as u64 + 1) << 32));
             let caller =
@@ -102,12 +118,14 @@
         caller.await.expect("the caller ends");
     }
     let mut violations = check_responses(&world, &sent.borrow());
+    violations.extend(lost::check(&world, &sent.borrow()));
+    violations.extend(world.unexpected_ends());
     violations.extend(check_recovery(&world).await);
     assert!(violations.is_empty(), "seed {seed}:\n{}\n{}", violations.join("\n"), world.log());
 }
 
-/// Sends requests until `stopped` is set. The connection is reused as long as the gateway keeps it open and requests
-/// succeed.
+/// Sends requests until `stopped` is set. Every other caller stays on its connection until the gateway closes it; the
+/// others go to another gateway after a failure.
 async fn send_requests(
     number: usize,
     mut random: Random,
@@ -116,7 +134,9 @@
     stopped: Rc<Cell<bool>>,
 ) {
     let mut caller = Caller::default();
-    let mut gateway = number % GATEWAY_COUNT;
+    let gateways = world.members.len();
+    let mut gateway = number % gateways;
+    let stays = number / gateways % 2 == 1;
     for count in 0.. {
         if stopped.get() {
             return;
@@ -128,12 +148,15 @@
         let (id, key) = (format!("{number}-{count}"), revoked.unwrap_or(keys.current));
         let sent_at = Instant::now();
         let got = caller.send(world.members[gateway].callers.address, &id, path, &key).await;
-        if got.status != Some(200) {
+        let (answered_by, ended_at) = (gateway, Instant::now());
+        if got.status != Some(200) && !(stays && got.complete) {
             caller = Caller::default();
-            gateway = random.below(GATEWAY_COUNT);
+            gateway = random.below(gateways);
         }
-        sent.borrow_mut().push(SentRequest { id, path, key, sent_at, got });
-        actix_rt::time::sleep(Duration::from_millis(CALLER_PAUSE_MS)).await;
+        sent.borrow_mut().push(SentRequest { id, path, key, gateway: answered_by, sent_at, ended_at, got });
+        let is_long = random.below(LONG_PAUSE_SHARE) == 0;
+        let pause_ms = if is_long { random.below(LONG_PAUSE_LIMIT_MS) as u64 } else { CALLER_PAUSE_MS };
+        actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- a/crates/gateway/tests/soak/plan.rs
+++ b/crates/gateway/tests/soak/plan.rs
@@ -5,6 +5,10 @@
 
 /// Number of faults in a run.
 const STEP_COUNT: usize = 12;
+/// Number of steps in a run of planned work.
+const PLANNED_STEP_COUNT: usize = 16;
+/// Shortest time limit that a change of the configuration sets for routes, in milliseconds.
+pub const SHORTEST_ROUTE_TIMEOUT_MS: u64 = 3_000;
 /// Upper bound of the pause before a fault, in milliseconds. It is shorter than most faults, so several faults overlap.
 const PAUSE_LIMIT_MS: usize = 500;
 /// Width of the range that the duration of a fault is drawn from, in milliseconds.
@@ -41,6 +45,29 @@
     ChangeKeys,
     /// Replaces the API key while a gateway cannot reach the store for longer than a revoked key may still be used.
     ChangeKeysDuringPartition(usize),
+    /// Changes the configuration once.
+    Reconfigure(Change),
+    /// Changes the configuration many times in series.
+    ReconfigureOften(Change, Change),
+    /// Holds back all data of the endpoints whose bits are set, for about a second. New connections are accepted.
+    Silence(u32),
+    /// Resets the connections to an endpoint and refuses new ones, as after a crash.
+    Crash(usize),
+    /// Writes entries of endpoints that cannot be used.
+    UnusableEntries,
+}
+
+/// A change of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    /// Sets the time after which idle connections of callers are closed, in milliseconds.
+    IdleTimeout(u64),
+    /// Sets the time limit of all routes, in milliseconds.
+    RouteTimeout(u64),
+    /// Sets the number of routes besides those that are used.
+    Routes(usize),
+    /// Replaces the API key.
+    Keys,
 }
 
 /// A fault, the pause before it, and its duration.
@@ -63,6 +90,42 @@
         .collect()
 }
 
+/// Draws planned work, endpoints that are silent for a while, and endpoints that break off. The gateways and their
+/// callers are not disrupted.
+pub fn plan_of_planned_work(seed: u64, gateways: usize, endpoints: usize) -> Vec<Step> {
+    let mut random = Random::seeded(seed);
+    let faults = [Fault::Hang, Fault::Unframed, Fault::BreakAfter(3), Fault::LoseAnswer, Fault::PauseAfter(3)];
+    (0..PLANNED_STEP_COUNT)
+        .map(|_| {
+            let (gateway, endpoint) = (random.below(gateways), random.below(endpoints));
+            let injection = match random.below(14) {
+                0..3 => Injection::Stop(gateway),
+                3 => Injection::HangUp(gateway),
+                4 | 5 => Injection::Reconfigure(draw_change(&mut random)),
+                6 => Injection::ReconfigureOften(draw_change(&mut random), draw_change(&mut random)),
+                7..10 => Injection::Silence(random.below(1 << endpoints) as u32),
+                10 => Injection::Crash(endpoint),
+                11 => Injection::UnusableEntries,
+                _ => Injection::EndpointFault(endpoint, faults[random.below(faults.len())]),
+            };
+            Step {
+                pause_ms: random.below(PAUSE_LIMIT_MS) as u64,
+                duration_ms: 1_000 + random.below(200) as u64,
+                injection,
+            }
+        })
+        .collect()
+}
+
+fn draw_change(random: &mut Random) -> Change {
+    match random.below(4) {
+        0 => Change::IdleTimeout([1_000, 2_500, 15_000][random.below(3)]),
+        1 => Change::RouteTimeout([SHORTEST_ROUTE_TIMEOUT_MS, 6_000][random.below(2)]),
+        2 => Change::Routes([0, 30, 400][random.below(3)]),
+        _ => Change::Keys,
+    }
+}
+
 fn draw_injection(random: &mut Random, gateways: usize, endpoints: usize) -> Injection {
     let gateway = random.below(gateways);
     let endpoint = random.below(endpoints);
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -8,14 +8,24 @@
 
 use banyannotch_standins::fleet::{Endpoint, Fault, Link, Proxy, StoreFault};
 use banyannotch_standins::harness::wait_until;
+use serde_json::json;
 
 use crate::common::{Fleet, Gateway, LIMIT, configuration};
-use crate::plan::{Injection, Step};
+use crate::lost::{Disruption, Part};
+use crate::plan::{Change, Injection, SHORTEST_ROUTE_TIMEOUT_MS, Step};
 
 /// Maximum time after the revocation of a key in which a request with it may still run, in milliseconds.
 pub const REVOKE_MS: u64 = 1_500;
 /// Time from SIGTERM to SIGKILL in the settings of the gateways, in seconds.
 const GRACE_S: &str = "3";
+/// Longest silence of an endpoint that is no disruption, in milliseconds.
+const SOUND_SILENCE_MS: u64 = 1_200;
+/// `Deadline-Ms` of the requests of the callers.
+const CALLER_DEADLINE: Duration = Duration::from_secs(4);
+/// Number of log lines that are kept of a process that ended without a signal.
+const LAST_LINES: usize = 20;
+/// Pause between two changes of the configuration in a series, in milliseconds.
+const CHANGE_PAUSE_MS: u64 = 60;
 
 /// A gateway, with a proxy for its callers and one for its connections to the store. It restarts at the same addresses.
 pub struct Member {
@@ -25,6 +35,8 @@
     pub store: Proxy,
     /// 1 while the process is being restarted.
     restarting: Cell<u32>,
+    /// The last log lines of processes that ended without a signal.
+    unexpected_ends: RefCell<Vec<String>>,
 }
 
 /// The valid API key and the revoked ones.
@@ -36,12 +48,23 @@
     pub revoked: Vec<(String, Instant)>,
 }
 
+/// The parts of the configuration that runs change, besides the keys.
+#[derive(Clone, Copy, Debug, Default)]
+struct Shape {
+    idle_timeout_ms: Option<u64>,
+    route_timeout_ms: Option<u64>,
+    unused_routes: usize,
+}
+
 /// The gateways with all that they work with.
 pub struct World {
     pub fleet: RefCell<Fleet>,
     pub members: Vec<Member>,
     pub endpoints: Vec<(Endpoint, Proxy)>,
     pub keys: RefCell<Keys>,
+    pub disruptions: RefCell<Vec<Disruption>>,
+    shape: RefCell<Shape>,
+    sets_short_timeouts: Cell<bool>,
 }
 
 impl World {
@@ -64,8 +87,15 @@
             members.push(Member::start(store, &seeds));
         }
         fleet.wait_placed().await;
-        let world =
-            Rc::new(Self { fleet: RefCell::new(fleet), members, endpoints, keys: RefCell::new(keys) });
+        let world = Rc::new(Self {
+            fleet: RefCell::new(fleet),
+            members,
+            endpoints,
+            keys: RefCell::new(keys),
+            disruptions: RefCell::default(),
+            shape: RefCell::default(),
+            sets_short_timeouts: Cell::new(false),
+        });
         world.wait_ready().await;
         world
     }
@@ -89,6 +119,10 @@
     /// Injects a fault, waits for its duration, and removes it.
     pub async fn inject(self: Rc<Self>, step: Step) {
         let length = Duration::from_millis(step.duration_ms);
+        if let Some(part) = disrupted_part(&step) {
+            let from = Instant::now();
+            self.disruptions.borrow_mut().push(Disruption { part, from, until: from + length });
+        }
         match step.injection {
             Injection::Callers(number, link) => hold_link(&self.members[number].callers, link, length).await,
             Injection::Store(number, link) => hold_link(&self.members[number].store, link, length).await,
@@ -123,16 +157,121 @@
                 actix_rt::time::sleep(Duration::from_millis(2 * REVOKE_MS)).await;
                 store.set(Link::Open);
             }
+            Injection::Reconfigure(change) => self.reconfigure(change),
+            Injection::ReconfigureOften(first, second) => {
+                let until = Instant::now() + length;
+                while Instant::now() < until {
+                    for change in [first, second] {
+                        self.reconfigure(change);
+                        actix_rt::time::sleep(Duration::from_millis(CHANGE_PAUSE_MS)).await;
+                    }
+                }
+            }
+            Injection::Silence(endpoints) => {
+                let silent = |number: &usize| endpoints & (1 << number) != 0;
+                let set_all = |link| {
+                    for number in (0..self.endpoints.len()).filter(silent) {
+                        self.endpoints[number].1.set(link);
+                    }
+                };
+                set_all(Link::Silent);
+                actix_rt::time::sleep(length).await;
+                set_all(Link::Open);
+            }
+            Injection::Crash(number) => {
+                self.endpoints[number].1.reset();
+                hold_link(&self.endpoints[number].1, Link::Refusing, length).await;
+            }
+            Injection::UnusableEntries => self.write_unusable_entries(),
         }
     }
 
+    fn reconfigure(&self, change: Change) {
+        let mut shape = self.shape.borrow_mut();
+        match change {
+            Change::IdleTimeout(ms) => shape.idle_timeout_ms = Some(ms),
+            Change::RouteTimeout(ms) => {
+                shape.route_timeout_ms = Some(ms);
+                let is_short = ms <= SHORTEST_ROUTE_TIMEOUT_MS;
+                self.sets_short_timeouts.set(self.sets_short_timeouts.get() || is_short);
+            }
+            Change::Routes(count) => shape.unused_routes = count,
+            Change::Keys => {
+                drop(shape);
+                return self.change_keys();
+            }
+        }
+        drop(shape);
+        let mut keys = self.keys.borrow_mut();
+        keys.version += 1;
+        self.write_configuration(&keys);
+    }
+
+    fn write_configuration(&self, keys: &Keys) {
+        let shape = self.shape.borrow();
+        let mut document = configuration(keys.version, &[&keys.current]);
+        if let Some(ms) = shape.idle_timeout_ms {
+            document["limits"]["idle_timeout_ms"] = json!(ms);
+        }
+        let routes = document["routes"].as_array_mut().expect("the configuration has routes");
+        if let Some(ms) = shape.route_timeout_ms {
+            for route in routes.iter_mut() {
+                route["timeout_ms"] = json!(ms);
+            }
+        }
+        for number in 0..shape.unused_routes {
+            let mut route = routes[0].clone();
+            route["path_prefix"] = json!(format!("/unused-{number}/"));
+            routes.push(route);
+        }
+        self.fleet.borrow().store.put_configuration(&document);
+    }
+
+    /// Writes entries that another writer may leave beside those of the endpoints.
+    fn write_unusable_entries(&self) {
+        let fleet = self.fleet.borrow();
+        let entry = self.endpoints[0].0.entry("model", Some("fast"), "ready");
+        let unusable = [
+            ("port", "address", json!("127.0.0.1:70000")),
+            ("state", "state", json!("resting")),
+            ("slots", "slots", json!(u64::MAX)),
+            ("layers", "layers", json!({"from": u64::MAX, "to": -1, "version": 1})),
+            ("born", "born", json!("yesterday")),
+        ];
+        for (id, field, value) in unusable {
+            let mut entry = entry.clone();
+            entry["address"] = json!("127.0.0.1:1");
+            entry[field] = value;
+            fleet.store.put_endpoint(id, Some(&entry));
+        }
+        fleet.store.put_bytes("deep", "[".repeat(100_000).as_bytes());
+        fleet.store.put_bytes("number", br#"{"backend":"model","slots":1e999}"#);
+    }
+
+    /// Returns the shortest time after which a request may end because its time has passed.
+    pub fn shortest_time_limit(&self) -> Duration {
+        if self.sets_short_timeouts.get() {
+            Duration::from_millis(SHORTEST_ROUTE_TIMEOUT_MS)
+        } else {
+            CALLER_DEADLINE
+        }
+    }
+
+    /// Returns the log of each process that ended without a signal.
+    pub fn unexpected_ends(&self) -> Vec<String> {
+        for member in &self.members {
+            member.note_unexpected_end();
+        }
+        self.members.iter().flat_map(|member| member.unexpected_ends.take()).collect()
+    }
+
     /// Revokes the key and adds another one, in one version of the configuration.
     fn change_keys(&self) {
         let mut keys = self.keys.borrow_mut();
         keys.version += 1;
         let next = format!("key-{}", keys.version);
-        self.fleet.borrow().store.put_configuration(&configuration(keys.version, &[&next]));
         let previous = std::mem::replace(&mut keys.current, next);
+        self.write_configuration(&keys);
         keys.revoked.push((previous, Instant::now()));
     }
 
@@ -146,6 +285,24 @@
     }
 }
 
+/// Returns the part that a fault disrupts so that requests may be lost, if any.
+fn disrupted_part(step: &Step) -> Option<Part> {
+    let is_long = step.duration_ms > SOUND_SILENCE_MS;
+    match step.injection {
+        Injection::Callers(number, _)
+        | Injection::ResetCallers(number)
+        | Injection::Kill(number)
+        | Injection::Pause(number) => Some(Part::Gateway(number)),
+        Injection::EndpointFault(_, Fault::PauseAfter(_) | Fault::Unframed) => None,
+        Injection::ResetEndpoint(number)
+        | Injection::Crash(number)
+        | Injection::Endpoint(number, Link::Refusing)
+        | Injection::EndpointFault(number, _) => Some(Part::Endpoint(number)),
+        Injection::Endpoint(number, _) if is_long => Some(Part::Endpoint(number)),
+        _ => None,
+    }
+}
+
 /// Keeps the link in the given state for the duration, and then opens it.
 async fn hold_link(proxy: &Proxy, link: Link, duration: Duration) {
     proxy.set(link);
@@ -170,7 +327,14 @@
             settings.push((key, format!("\"{address}\"")));
         }
         let callers = Proxy::start(gateway.callers).expect("the proxy starts");
-        Self { gateway: RefCell::new(Some(gateway)), settings, callers, store, restarting: Cell::new(0) }
+        Self {
+            gateway: RefCell::new(Some(gateway)),
+            settings,
+            callers,
+            store,
+            restarting: Cell::new(0),
+            unexpected_ends: RefCell::default(),
+        }
     }
 
     fn peer_address(&self) -> SocketAddr {
@@ -186,11 +350,24 @@
         }
     }
 
+    /// Keeps the log of the process if it has ended by itself.
+    fn note_unexpected_end(&self) {
+        if let Some(gateway) = &mut *self.gateway.borrow_mut()
+            && let Ok(Some(status)) = gateway.child.try_wait()
+        {
+            let lines = gateway.lines("");
+            let last = lines.get(lines.len().saturating_sub(LAST_LINES)..).unwrap_or_default();
+            let end = format!("a process ended without a signal, {status}: {}", last.join("\n"));
+            self.unexpected_ends.borrow_mut().push(end);
+        }
+    }
+
     /// Ends the process by a signal and restarts it after a pause. A second restart during the first one is skipped.
     async fn restart(&self, signal: &str, pause: Duration) {
         if self.restarting.replace(1) > 0 {
             return;
         }
+        self.note_unexpected_end();
         self.signal("-CONT");
         self.signal(signal);
         let ended = wait_until(LIMIT, async || {
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -16,7 +16,7 @@
 /// A fault of an endpoint in the next requests.
 ///
 /// The variants `BreakAfter` to `EndInsideAfter` affect streams only. `NotRun`, `Fail` and `FailResumed`
-/// affect streams too. The other faults affect single responses only.
+/// affect streams too, and so do those that say so. The other faults affect single responses only.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Fault {
     /// No fault.
@@ -55,8 +55,10 @@
     /// Closes the connection of a new run after this many events, and responds to a resumed run with status
     /// 500.
     FailResumed(u64),
-    /// Responds without `Content-Length` and closes the connection.
+    /// Responds with neither a length nor chunks and closes the connection; affects streams too.
     Unframed,
+    /// Runs the request, sends nothing and keeps the connection open; affects streams too.
+    Hang,
     /// Sends the response to another request after its own and closes the connection.
     Extra,
     /// Sends single bytes without completing another event after this many, until the connection is closed.
@@ -265,6 +267,9 @@
         saw_key: head.headers.get("Key").is_some(),
     });
     let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
+    if fault == Fault::Hang {
+        return std::future::pending().await;
+    }
     if fault == Fault::EndlessHead {
         let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
         return write_without_end(head.as_bytes(), b"xxxxxxxxxxxxxxxx", writer).await;
@@ -317,9 +322,11 @@
     fault: Fault,
     writer: &mut OwnedWriteHalf,
 ) -> bool {
+    let is_chunked = fault != Fault::Unframed;
+    let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
     let mut out = format!(
         "HTTP/1.1 200 Any\r\nAttempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+         Content-Type: text/event-stream\r\n{framing}\r\n"
     )
     .into_bytes();
     let first = resumed_after.map_or(0, |last| last + 1);
@@ -361,6 +368,7 @@
                 write_chunk(format!("id: {event}\ndata: ").as_bytes(), &mut out);
                 return write_slowly_without_end(&out, writer).await;
             }
+            Fault::Unframed => out.extend_from_slice(text.as_bytes()),
             _ => write_chunk(text.as_bytes(), &mut out),
         }
         if writer.write_all(&out).await.is_err() {
@@ -369,8 +377,10 @@
         out.clear();
         actix_rt::time::sleep(EVENT_INTERVAL).await;
     }
-    out.extend_from_slice(b"0\r\n\r\n");
-    writer.write_all(&out).await.is_ok()
+    if is_chunked {
+        out.extend_from_slice(b"0\r\n\r\n");
+    }
+    writer.write_all(&out).await.is_ok() && is_chunked
 }
 
 /// A chunk of the chunked transfer coding.
