forwarding: requests whose endpoints are silent get a response before the process ends

Callers saw: after SIGTERM, a request that had been sent to an endpoint that stayed silent ended with a closed connection, without a response.

Cause: at the time limit of the shutdown the process ended while such requests still waited. Nothing told their connections to answer.

Change: at the time limit, every request whose response has not begun gets status 504, or 503 if it was never sent, and the process waits up to 100 ms until these are written. Streams that have begun are still cut, since nothing can complete them.

a_graceful_shutdown_answers_requests_whose_endpoints_are_silent failed before (no status at all, both for a stream and for a call) and passes now.

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -141,6 +141,7 @@
             outcome = serving => Some(outcome),
             () = reader.wait_for_close() => None,
             () = tokio::time::sleep(Duration::from_millis(time_limit_ms)) => Some(ServeOutcome::Expired),
+            () = context.must_end.notified() => Some(ServeOutcome::Expired),
         }
     };
     match outcome {
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -25,6 +25,8 @@
     pub drain_stage: Cell<DrainStage>,
     /// Notified when the number of requests in flight becomes zero.
     pub became_idle: Notify,
+    /// Notified when the time limit of a shutdown has passed, and requests in flight must get their responses at once.
+    pub must_end: Notify,
     pub in_flight: Cell<usize>,
     pub dispatch: RefCell<Sender<dispatch::Event>>,
     /// Requests that wait for a verdict, by number.
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -71,6 +71,9 @@
 const NOTICE_PERIOD_MS: u64 = 3_000;
 /// The shutdown ends this long before the end of the grace period, so that the process exits before SIGKILL.
 const GRACE_MARGIN_MS: u64 = 400;
+/// Time after the time limit of a shutdown in which the requests still in flight are answered. A part of
+/// [`GRACE_MARGIN_MS`].
+const LAST_RESPONSES_PERIOD: Duration = Duration::from_millis(100);
 
 /// Starts the forwarding thread.
 ///
@@ -96,6 +99,7 @@
             ready: Cell::new(false),
             drain_stage: Cell::new(DrainStage::Accepting),
             became_idle: tokio::sync::Notify::new(),
+            must_end: tokio::sync::Notify::new(),
             in_flight: Cell::new(0),
             dispatch: RefCell::new(dispatch),
             pending_verdicts: RefCell::new(Table::default()),
@@ -174,7 +178,7 @@
 }
 
 /// Accepts requests during the notice period, then refuses new ones and waits for those in flight up to the
-/// time limit.
+/// time limit. Those that have no response by then get one before the process ends.
 async fn drain<D: Dialect, C: Clock>(context: Rc<Context<D, C>>, times: DrainTimes, drained: Doorbell) {
     let started_at = tokio::time::Instant::now();
     context.ready.set(false);
@@ -183,12 +187,18 @@
     tokio::time::sleep(times.notice_period).await;
     context.drain_stage.set(DrainStage::Closing);
     log::info!("event=stopping stage=closing in_flight={}", context.in_flight.get());
-    let until_idle = async {
-        while context.in_flight.get() > 0 {
-            context.became_idle.notified().await;
-        }
-    };
-    let in_time = tokio::time::timeout_at(started_at + times.time_limit, until_idle).await.is_ok();
+    let in_time = tokio::time::timeout_at(started_at + times.time_limit, until_idle(&context)).await.is_ok();
     log::info!("event=stopping stage=end in_flight={} in_time={in_time}", context.in_flight.get());
+    if !in_time {
+        context.must_end.notify_waiters();
+        let answered = tokio::time::timeout(LAST_RESPONSES_PERIOD, until_idle(&context)).await.is_ok();
+        log::info!("event=stopping stage=answered all={answered}");
+    }
     drained.ring();
 }
+
+async fn until_idle<D, C>(context: &Context<D, C>) {
+    while context.in_flight.get() > 0 {
+        context.became_idle.notified().await;
+    }
+}
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -37,6 +37,8 @@
     restarting: Cell<u32>,
     /// The last log lines of processes that ended without a signal.
     unexpected_ends: RefCell<Vec<String>>,
+    /// Log lines of the processes before the current one.
+    earlier_lines: RefCell<Vec<String>>,
 }
 
 /// The valid API key and the revoked ones.
@@ -275,11 +277,12 @@
         keys.revoked.push((previous, Instant::now()));
     }
 
-    /// Returns the log lines of all running gateways, for the message of a failed test.
+    /// Returns the log lines of all gateways, for the message of a failed test.
     pub fn log(&self) -> String {
         let lines = self.members.iter().enumerate().flat_map(|(number, member)| {
             let lines = member.gateway.borrow().as_ref().map(|gateway| gateway.lines("")).unwrap_or_default();
-            lines.into_iter().map(move |line| format!("gateway {number}: {line}\n"))
+            let earlier = member.earlier_lines.borrow().clone();
+            earlier.into_iter().chain(lines).map(move |line| format!("gateway {number}: {line}\n"))
         });
         lines.collect()
     }
@@ -334,6 +337,7 @@
             store,
             restarting: Cell::new(0),
             unexpected_ends: RefCell::default(),
+            earlier_lines: RefCell::default(),
         }
     }
 
@@ -377,7 +381,9 @@
                 .is_none_or(|gateway| matches!(gateway.child.try_wait(), Ok(Some(_))))
         });
         assert!(ended.await.is_ok(), "the process did not end within {LIMIT:?} after {signal}");
-        self.gateway.replace(None);
+        if let Some(gateway) = self.gateway.replace(None) {
+            self.earlier_lines.borrow_mut().extend(gateway.lines(""));
+        }
         actix_rt::time::sleep(pause).await;
         self.gateway.replace(Some(launch(self.store.address, &self.settings)));
         self.restarting.set(0);
