--- a/crates/gateway/tests/soak/plan.rs
+++ b/crates/gateway/tests/soak/plan.rs
@@ -94,7 +94,8 @@
 /// callers are not disrupted.
 pub fn plan_of_planned_work(seed: u64, gateways: usize, endpoints: usize) -> Vec<Step> {
     let mut random = Random::seeded(seed);
-    let faults = [Fault::Hang, Fault::Unframed, Fault::BreakAfter(3), Fault::LoseAnswer, Fault::PauseAfter(3)];
+    let faults =
+        [Fault::Hang, Fault::Unframed, Fault::BreakAfter(3), Fault::LoseAnswer, Fault::PauseAfter(3)];
     (0..PLANNED_STEP_COUNT)
         .map(|_| {
             let (gateway, endpoint) = (random.below(gateways), random.below(endpoints));
