dispatch: a send is not abandoned shortly before its proof expires

Cause: the expiry of the proof was checked only for the next send, after the first had been given up. It is now one of the conditions for abandoning.

Evidence: the case "proof about to expire" of a_late_stream_goes_on_while_nothing_else _can_take_it recorded "1: abandon" before.

--- a/crates/banyannotch/src/gateway/dispatch/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/late.rs
@@ -94,8 +94,11 @@
             return true;
         }
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
-        let is_allowed =
-            ticket.may_abandon(self.settings.send_limit) && remaining_ms >= self.settings.min_remaining_ms;
+        // A proof that expires while the next endpoint is connected would leave the request without any endpoint.
+        let is_certain = self.valid_until_us(ticket_id) > now_us + self.settings.connect_limit_ms * US_PER_MS;
+        let is_allowed = is_certain
+            && ticket.may_abandon(self.settings.send_limit)
+            && remaining_ms >= self.settings.min_remaining_ms;
         let current = ticket.reservation.loads.first().map(|(address, _)| *address);
         if !is_allowed {
             return false;
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -528,7 +528,7 @@
         !self.settings.strict_revocation || self.proof_age_ms(now_us) < self.settings.max_proof_age_ms
     }
 
-    fn valid_until_us(&self, ticket_id: u64) -> u64 {
+    pub(super) fn valid_until_us(&self, ticket_id: u64) -> u64 {
         let anonymous = self.tickets.get(&ticket_id).is_none_or(|ticket| ticket.team.is_none());
         match self.configuration_proof {
             Some(proof) if self.settings.strict_revocation && !anonymous => {
--- a/crates/banyannotch/src/gateway/dispatch/tests/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/late.rs
@@ -2,8 +2,8 @@
 //! before another endpoint can take the request.
 
 use super::fixtures::{World, address, endpoints, pipeline_engine};
-use crate::gateway::EngineReport;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event, PeerState};
+use crate::gateway::{Endpoint, EngineReport};
 
 /// Time without an event after which a stream is continued elsewhere although its engines report nothing wrong, in
 /// milliseconds.
@@ -17,7 +17,7 @@
 }
 
 /// One chain of two engines, which no other engine can replace.
-fn only_chain() -> Vec<crate::gateway::Endpoint> {
+fn only_chain() -> Vec<Endpoint> {
     vec![pipeline_engine(11, "a", "fast", 0, 4), pipeline_engine(12, "a", "fast", 4, 8)]
 }
 
@@ -48,6 +48,14 @@
     world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
     cases.push(("no retry budget", world));
 
+    let mut world = World::new();
+    world.wait_ms(4_200);
+    let ticket = world.submit("/write/x");
+    world.wait_ms(600);
+    wait_without_report(&mut world, ticket);
+    world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
+    cases.push(("proof about to expire", world));
+
     let mut world =
         World::with(endpoints().into_iter().filter(|known| known.address == address(1)).collect());
     let ticket = world.submit("/read/x");
