forwarding: local responses of a stopping process close their connections

A request that was accepted before SIGTERM and refused or expired during the shutdown got a response without Connection: close, and its caller sent the next request on a connection that the ending process never read.

Whether to close was decided when the request arrived. It is decided again when a local response or a failure of an endpoint is written. The assertion on `close` in a_graceful_shutdown_answers_requests_whose_endpoints_are_silent failed before.

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -159,6 +159,8 @@
             () = context.must_end.notified() => Some(ServeOutcome::Expired),
         }
     };
+    // The shutdown may have begun since the request arrived.
+    let close = close || context.must_close_connections();
     match outcome {
         None => {
             context.finish(ticket, Ending::Left);
@@ -172,16 +174,19 @@
                 record_cut(&request.id, RefusalReason::Expired);
                 return ConnectionAction::Close;
             }
-            reply_expired(writer, &request, &progress).await
+            reply_expired(writer, &progress, close).await
         }
         Some(ServeOutcome::Refused(refusal)) if !progress.head_sent => {
-            reply_refusal(writer, &refusal, request.close).await;
-            action
+            reply_refusal(writer, &refusal, close).await
         }
         Some(ServeOutcome::Deliver(response)) if !progress.head_sent => {
             let mut out = Vec::new();
-            write_response(&context.dialect, &response, request.close, &mut out);
-            if write_reply(writer, &out).await { action } else { ConnectionAction::Close }
+            write_response(&context.dialect, &response, close, &mut out);
+            if write_reply(writer, &out).await && !close {
+                ConnectionAction::Keep
+            } else {
+                ConnectionAction::Close
+            }
         }
         // The response has begun and cannot be completed. The connection is closed without the end of the
         // body, so that the caller detects the truncation.
@@ -211,13 +216,9 @@
 
 /// Responds to a request whose deadline has passed. If it was sent to an endpoint, it may have run, so the
 /// status must not tell the caller that it did not run.
-async fn reply_expired(
-    writer: &mut OwnedWriteHalf,
-    request: &Request,
-    progress: &Progress,
-) -> ConnectionAction {
+async fn reply_expired(writer: &mut OwnedWriteHalf, progress: &Progress, close: bool) -> ConnectionAction {
     let reason = if progress.request_sent { RefusalReason::Expired } else { RefusalReason::NoCapacity };
-    reply_refusal(writer, &Refusal { reason, retry_after_ms: None }, request.close).await
+    reply_refusal(writer, &Refusal { reason, retry_after_ms: None }, close).await
 }
 
 /// How the processing of a request ended.
