forwarding: a stopping process accepts requests for 2.7 s

The period for new requests lasted 3.0 s from the handling of the signal. The balancer needs two failed checks, one second apart.

a_stopping_gateway_refuses_requests_well_before_three_seconds fails with 3.0 s.

--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -66,9 +66,10 @@
     time_limit: Duration,
 }
 
-/// Time for which new requests are accepted after readiness is withdrawn. The balancer removes an instance
-/// after two failed checks, one second apart.
-const NOTICE_PERIOD_MS: u64 = 3_000;
+/// Time for which new requests are accepted after readiness is withdrawn. The balancer removes an instance after two
+/// failed checks, one second apart. A request that is accepted later than 3 s after the signal must not be cut at the time
+/// limit, so the period ends before that, with room for a process that is slow to handle the signal.
+const NOTICE_PERIOD_MS: u64 = 2_700;
 /// The shutdown ends this long before the end of the grace period, so that the process exits before SIGKILL.
 const GRACE_MARGIN_MS: u64 = 400;
 /// Time after the time limit of a shutdown in which the requests still in flight are answered. A part of
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -72,6 +72,20 @@
     assert_eq!((second.status, second.complete), (Some(200), true), "{second:?}");
 }
 
+/// A request that arrives when the time for new requests is nearly over could still run when the process ends.
+#[actix_rt::test]
+async fn a_stopping_gateway_refuses_requests_well_before_three_seconds() {
+    let fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    gateway.wait_ready().await;
+    terminate(&gateway);
+    let since_signal = Instant::now();
+    wait_until(LIMIT, async || !gateway.lines("stage=closing").is_empty())
+        .await
+        .expect("the gateway stops accepting requests");
+    assert!(since_signal.elapsed() < Duration::from_millis(2_950), "after {:?}", since_signal.elapsed());
+}
+
 /// An endpoint that stays silent is no reason to close the connection without a response when the process ends.
 #[actix_rt::test]
 async fn a_graceful_shutdown_answers_requests_whose_endpoints_are_silent() {
@@ -92,7 +106,7 @@
     terminate(&gateway);
     for request in requests {
         let got = request.await.expect("the task ends");
-        assert_eq!((got.status, got.complete), (Some(504), true), "{got:?}");
+        assert_eq!((got.status, got.complete, got.close), (Some(504), true, true), "{got:?}");
     }
     wait_until(LIMIT, async || matches!(gateway.child.try_wait(), Ok(Some(_))))
         .await
