--- a/crates/banyannotch/src/gateway/dispatch/budget.rs
+++ b/crates/banyannotch/src/gateway/dispatch/budget.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use crate::clock::US_PER_MS;
+
 /// Number of slices of the window. The oldest slice counts in full, so no retry is forgotten before the
 /// window has passed.
 const SLICES: u64 = 20;
@@ -31,10 +33,11 @@
         self.current_slice(now_us, window_ms).retries += 1;
     }
 
-    /// Takes back the latest retry, because it was not sent.
-    pub fn cancel_retry(&mut self) {
-        if let Some(slice) = self.slices.iter_mut().rev().find(|slice| slice.retries > 0) {
-            slice.retries -= 1;
+    /// Takes back a retry that was counted at the given time, because it was not sent.
+    pub fn cancel_retry(&mut self, counted_us: u64, window_ms: u64) {
+        let index = slice_index(counted_us, window_ms);
+        if let Some(slice) = self.slices.iter_mut().find(|slice| slice.index == index) {
+            slice.retries = slice.retries.saturating_sub(1);
         }
     }
 
@@ -50,7 +53,7 @@
     }
 
     fn current_slice(&mut self, now_us: u64, window_ms: u64) -> &mut Slice {
-        let index = now_us / (window_ms * 1_000 / SLICES).max(1);
+        let index = slice_index(now_us, window_ms);
         self.slices.retain(|slice| slice.index + SLICES >= index);
         if self.slices.back().is_none_or(|slice| slice.index != index) {
             self.slices.push_back(Slice { index, ..Slice::default() });
@@ -60,3 +63,7 @@
         &mut self.slices[last]
     }
 }
+
+fn slice_index(at_us: u64, window_ms: u64) -> u64 {
+    at_us / (window_ms * US_PER_MS / SLICES).max(1)
+}
--- a/crates/banyannotch/src/gateway/dispatch/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/late.rs
@@ -18,9 +18,12 @@
         &mut self,
         now_us: u64,
         ticket_id: u64,
+        report: u32,
         silent_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        ticket.late_report = report;
         let Some(ticket) = self.tickets.get(&ticket_id) else { return };
         let is_overdue =
             !ticket.retry_mode.is_stream() || silent_ms >= self.settings.silence_limit_ms(ticket);
@@ -99,22 +102,19 @@
         let is_allowed = is_certain
             && ticket.may_abandon(self.settings.send_limit)
             && remaining_ms >= self.settings.min_remaining_ms;
-        let current = ticket.reservation.loads.first().map(|(address, _)| *address);
         if !is_allowed {
             return false;
         }
-        let Ok(choice) = self.book(now_us, ticket_id) else { return false };
-        if Some(choice.address) == current {
-            if let Some(service) = self.tickets.get(&ticket_id).map(|ticket| ticket.service.clone()) {
-                self.cancel_booking(&service, &choice);
-            }
-            return false;
-        }
+        // A stalled engine is excluded already, and a path with another one in its place may begin at the same engine.
+        let silent = ticket.reservation.loads.first().map(|(address, _)| *address);
+        let avoided = silent.filter(|_| evidence != "stalled");
+        let report = ticket.late_report;
+        let Ok(choice) = self.book(now_us, ticket_id, avoided) else { return false };
         if let Some(ticket) = self.tickets.get_mut(&ticket_id) {
             ticket.successor = Some(choice);
         }
         self.log_late_answer(ticket_id, true, evidence, actions);
-        actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Abandon });
+        actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Abandon { report } });
         true
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -134,6 +134,8 @@
     Waiting {
         /// Number of the request.
         ticket: u64,
+        /// Number of the report within the send, from 1.
+        report: u32,
         /// Time since the last event, or since the send if there was none, in milliseconds.
         silent_ms: u64,
     },
@@ -196,6 +198,9 @@
     /// Time between two events of a stream after which it is reported to dispatch, and time between two such reports, in
     /// milliseconds.
     pub stall_limit_ms: u64,
+    /// Time without an event at which a further report is due, in milliseconds. Dispatch then needs no evidence against the
+    /// path to continue the request elsewhere.
+    pub silence_limit_ms: u64,
     /// Whether the answer is a stream of events.
     pub stream: bool,
     /// Maximum number of idle connections to keep to this endpoint.
@@ -209,8 +214,11 @@
     Send(Box<SendOrder>),
     /// Pass on the error that the endpoint answered.
     Deliver,
-    /// End the send if no event has arrived since it was reported as late. The next endpoint is chosen already.
-    Abandon,
+    /// Leave the current endpoint if no event has arrived since the given report. The next endpoint is booked already.
+    Abandon {
+        /// Number of the report within the send.
+        report: u32,
+    },
     /// Answer with an error of the gateway.
     Refuse(Refusal),
 }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -161,8 +161,8 @@
             return self.refuse(now_us, ticket_id, RefusalReason::Expired, actions);
         }
         let booked = match ticket.successor.take() {
-            Some(choice) => Ok(choice),
-            None => self.book(now_us, ticket_id),
+            Some(choice) => self.confirm_booking(now_us, ticket_id, choice),
+            None => self.book(now_us, ticket_id, None),
         };
         match booked {
             Ok(choice) => self.order_send(now_us, ticket_id, choice, actions),
@@ -173,16 +173,21 @@
         }
     }
 
-    /// Chooses the endpoint of the next send and counts its load and, for a retry, the retry.
+    /// Chooses the endpoint of the next send, other than the one to avoid, and counts its load and, for a retry, the retry.
     ///
     /// # Errors
     /// Returns the reason to refuse the request if it cannot be sent.
-    pub(super) fn book(&mut self, now_us: u64, ticket_id: u64) -> Result<Choice, RefusalReason> {
+    pub(super) fn book(
+        &mut self,
+        now_us: u64,
+        ticket_id: u64,
+        avoided: Option<Address>,
+    ) -> Result<Choice, RefusalReason> {
         let is_retry = self.tickets.get(&ticket_id).is_some_and(|ticket| ticket.sends > 0);
         if is_retry && !self.has_budget(now_us, ticket_id) {
             return Err(RefusalReason::BudgetSpent);
         }
-        let choice = self.choose(now_us, ticket_id).ok_or(RefusalReason::NoCapacity)?;
+        let choice = self.choose(now_us, ticket_id, avoided).ok_or(RefusalReason::NoCapacity)?;
         if is_retry && let Some(ticket) = self.tickets.get(&ticket_id) {
             let window_ms = self.settings.retry_window_ms;
             self.budgets.entry(ticket.service.clone()).count_retry(now_us, window_ms);
@@ -193,6 +198,28 @@
         Ok(choice)
     }
 
+    /// Returns a choice that was booked earlier, or another one if an endpoint of it has left or failed since.
+    fn confirm_booking(
+        &mut self,
+        now_us: u64,
+        ticket_id: u64,
+        choice: Choice,
+    ) -> Result<Choice, RefusalReason> {
+        let is_usable = |address: &Address| {
+            let excluded = self.health.get(address).is_some_and(|health| health.is_excluded(now_us));
+            !excluded && self.endpoint_at(*address).is_some_and(|endpoint| !endpoint.leaving)
+        };
+        let is_same_endpoint =
+            self.endpoint_at(choice.address).is_some_and(|endpoint| endpoint.id == choice.endpoint);
+        if is_same_endpoint && choice.loads.iter().all(|(address, _)| is_usable(address)) {
+            return Ok(choice);
+        }
+        if let Some(service) = self.tickets.get(&ticket_id).map(|ticket| ticket.service.clone()) {
+            self.cancel_booking(&service, &choice);
+        }
+        self.book(now_us, ticket_id, None)
+    }
+
     /// Takes back the load and the retry of a choice that is not used.
     pub(super) fn cancel_booking(&mut self, service: &ServiceId, choice: &Choice) {
         for (address, load) in &choice.loads {
@@ -200,7 +227,8 @@
                 health.own.remove(load);
             }
         }
-        self.budgets.entry(service.clone()).cancel_retry();
+        let window_ms = self.settings.retry_window_ms;
+        self.budgets.entry(service.clone()).cancel_retry(choice.booked_us, window_ms);
     }
 
     /// Removes a request that gets its final answer.
@@ -218,6 +246,7 @@
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
         ticket.sends += 1;
+        ticket.late_report = 0;
         ticket.tried.extend(choice.loads.iter().map(|(address, _)| *address));
         ticket.reservation =
             Reservation { loads: choice.loads, endpoint: Arc::clone(&choice.endpoint), sent_us: now_us };
@@ -239,11 +268,11 @@
             (false, true) => ((remaining_ms as f64) * FIRST_RESPONSE_SHARE) as u64,
             (_, false) => remaining_ms,
         };
-        let stall_limit_ms = if repeatable {
+        let (stall_limit_ms, silence_limit_ms) = if repeatable {
             let stall_ms = (choice.event_interval_ms * settings.stall_factor) as u64;
-            settings.stall_limit_min_ms.max(stall_ms)
+            (settings.stall_limit_min_ms.max(stall_ms), settings.silence_limit_ms(ticket))
         } else {
-            remaining_ms
+            (remaining_ms, remaining_ms)
         };
         let order = SendOrder {
             address: choice.address,
@@ -259,13 +288,14 @@
             connect_limit_ms: settings.connect_limit_ms,
             first_response_limit_ms,
             stall_limit_ms,
+            silence_limit_ms,
             stream,
             idle_connections: choice.idle_connections,
         };
         actions.push(Action::Reply { ticket: ticket_id, verdict: Verdict::Send(Box::new(order)) });
     }
 
-    fn choose(&mut self, now_us: u64, ticket_id: u64) -> Option<Choice> {
+    fn choose(&mut self, now_us: u64, ticket_id: u64, avoided: Option<Address>) -> Option<Choice> {
         let takes_cheapest = self.takes_cheapest_path(now_us);
         let ticket = self.tickets.get(&ticket_id)?;
         let service = self
@@ -273,8 +303,9 @@
             .as_deref()
             .and_then(|configuration| configuration.service(&ticket.service))
             .or_else(|| ticket.configuration.service(&ticket.service))?;
+        let endpoints = self.endpoints.iter().filter(|endpoint| endpoint.service == ticket.service);
         let endpoints: Vec<&Endpoint> =
-            self.endpoints.iter().filter(|endpoint| endpoint.service == ticket.service).collect();
+            endpoints.filter(|endpoint| Some(endpoint.address) != avoided).collect();
         match &service.pipeline {
             Some(pipeline) => {
                 let search = PathSearch {
@@ -301,6 +332,7 @@
                     cost_ms: path.cost_ms,
                     event_interval_ms: path.token_interval_ms * f64::from(pipeline.stride.max(1)),
                     idle_connections: service.connection_limit,
+                    booked_us: now_us,
                 })
             }
             None => self.choose_replica(now_us, ticket, service, &endpoints),
@@ -356,6 +388,7 @@
             event_interval_ms: 0.0,
             // The endpoint runs at most `slots` requests at once, so further idle connections are of no use.
             idle_connections: (replica.slots as usize).min(service.connection_limit),
+            booked_us: now_us,
         })
     }
 
@@ -443,7 +476,8 @@
     fn may_retry(&self, now_us: u64, ticket_id: u64) -> bool {
         self.tickets.get(&ticket_id).is_some_and(|ticket| {
             let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
-            ticket.may_retry(self.settings.send_limit) && remaining_ms >= self.settings.min_remaining_ms
+            let has_time = ticket.successor.is_some() || remaining_ms >= self.settings.min_remaining_ms;
+            ticket.may_retry(self.settings.send_limit) && has_time
         })
     }
 
@@ -559,8 +593,8 @@
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
             Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
-            Event::Waiting { ticket, silent_ms } => {
-                return self.on_late_answer(now_us, ticket, silent_ms, actions);
+            Event::Waiting { ticket, report, silent_ms } => {
+                return self.on_late_answer(now_us, ticket, report, silent_ms, actions);
             }
             Event::Resumed { ticket } => return self.on_resumed_answer(ticket),
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -111,7 +111,9 @@
     match verdict {
         Verdict::Send(_) => metrics::counter!("banyannotch_gateway_sends_total").increment(1),
         Verdict::Deliver => metrics::counter!("banyannotch_gateway_failures_delivered_total").increment(1),
-        Verdict::Abandon => metrics::counter!("banyannotch_gateway_sends_abandoned_total").increment(1),
+        Verdict::Abandon { .. } => {
+            metrics::counter!("banyannotch_gateway_sends_abandoned_total").increment(1);
+        }
         Verdict::Refuse(refusal) => {
             metrics::counter!("banyannotch_gateway_refusals_total", "reason" => reason_label(refusal.reason))
                 .increment(1);
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -251,7 +251,7 @@
                 self.last_order = Some(*order);
                 line.trim_end().to_owned()
             }
-            Action::Reply { ticket, verdict: Verdict::Abandon } => format!("{ticket}: abandon"),
+            Action::Reply { ticket, verdict: Verdict::Abandon { .. } } => format!("{ticket}: abandon"),
             Action::Reply { ticket, verdict: Verdict::Deliver } => format!("{ticket}: deliver"),
             Action::Reply { ticket, verdict: Verdict::Refuse(refusal) } => {
                 self.last_refusal = Some(refusal);
--- a/crates/banyannotch/src/gateway/dispatch/tests/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/late.rs
@@ -2,6 +2,8 @@
 //! before another endpoint can take the request.
 
 use super::fixtures::{World, address, endpoints, pipeline_engine};
+use crate::clock::US_PER_MS;
+use crate::gateway::dispatch::budget::Budget;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event, PeerState};
 use crate::gateway::{Endpoint, EngineReport};
 
@@ -12,7 +14,7 @@
 /// Lets the stream that was sent last be late, and its first engine give no report.
 fn wait_without_report(world: &mut World, ticket: u64) {
     let order = world.last_order.clone().expect("the request was sent");
-    world.event(Event::Waiting { ticket, silent_ms: 600 });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 600 });
     world.event(Event::Report { address: order.address, report: None });
 }
 
@@ -30,14 +32,14 @@
     let mut world = World::with(only_chain());
     let ticket = world.submit("/write/x");
     wait_without_report(&mut world, ticket);
-    world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: SILENCE_LIMIT_MS });
     cases.push(("no other path", world));
 
     let mut world = World::new();
     let ticket = world.submit("/write/x");
     world.end(ticket, Ending::Broken { by: BrokenBy::Garbled });
     wait_without_report(&mut world, ticket);
-    world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: SILENCE_LIMIT_MS });
     cases.push(("no attempt left", world));
 
     let mut world = World::new();
@@ -45,7 +47,7 @@
     world.dispatch.settings.retry_ratio = 0.0;
     let ticket = world.submit("/write/x");
     wait_without_report(&mut world, ticket);
-    world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: SILENCE_LIMIT_MS });
     cases.push(("no retry budget", world));
 
     let mut world = World::new();
@@ -53,13 +55,13 @@
     let ticket = world.submit("/write/x");
     world.wait_ms(600);
     wait_without_report(&mut world, ticket);
-    world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: SILENCE_LIMIT_MS });
     cases.push(("proof about to expire", world));
 
     let mut world =
         World::with(endpoints().into_iter().filter(|known| known.address == address(1)).collect());
     let ticket = world.submit("/read/x");
-    world.event(Event::Waiting { ticket, silent_ms: 450 });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 450 });
     cases.push(("a single replica", world));
 
     let lines: Vec<_> = cases.iter().map(|(name, world)| format!("{name}\n{}", world.text())).collect();
@@ -75,7 +77,7 @@
     (settings.retry_allowance, settings.retry_ratio, settings.retry_budget_share) = (2.0, 0.0, 1.0);
     let tickets: Vec<u64> = (0..5).map(|_| world.submit("/write/x")).collect();
     for ticket in &tickets {
-        world.event(Event::Waiting { ticket: *ticket, silent_ms: 600 });
+        world.event(Event::Waiting { ticket: *ticket, report: 1, silent_ms: 600 });
     }
     world.event(Event::Report { address: address(11), report: None });
     let abandoned: Vec<u64> =
@@ -96,7 +98,7 @@
     for round in 0..3 {
         let ticket = world.submit("/write/x");
         let first = world.last_order.as_ref().map(|order| order.address);
-        world.event(Event::Waiting { ticket, silent_ms: SILENCE_LIMIT_MS });
+        world.event(Event::Waiting { ticket, report: 1, silent_ms: SILENCE_LIMIT_MS });
         assert!(world.lines.contains(&format!("{ticket}: abandon")), "round {round}: {}", world.text());
         world.event(Event::Resumed { ticket });
         world.end(ticket, Ending::Completed { first_ms: 700 });
@@ -111,9 +113,9 @@
 fn a_late_answer_of_a_replica_is_abandoned_for_another_one() {
     let mut world = World::new();
     let ticket = world.submit("/read/x");
-    world.event(Event::Waiting { ticket, silent_ms: 450 });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 450 });
     world.end(ticket, Ending::Broken { by: BrokenBy::Silence });
-    world.event(Event::Waiting { ticket, silent_ms: 450 });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 450 });
     insta::assert_snapshot!(world.text());
 }
 
@@ -126,9 +128,53 @@
         let mut world = World::with_small_model(engine_count);
         let ticket = world.submit("/write/x");
         let order = world.last_order.clone().expect("an engine has room for the request");
-        world.event(Event::Waiting { ticket, silent_ms: 600 });
+        world.event(Event::Waiting { ticket, report: 1, silent_ms: 600 });
         let before = world.text().contains("abandon");
         world.event(Event::Report { address: order.address, report });
         assert_eq!((before, world.text().contains("abandon")), (false, abandoned), "{}", world.text());
     }
 }
+
+/// The engine that a report names as stalled is replaced in the path, which may begin at the same engine as before. Such a
+/// path was rejected because of its first engine, and the stream waited for the stalled one.
+#[test]
+fn a_stalled_engine_is_replaced_behind_the_same_first_engine() {
+    let mut engines = only_chain();
+    engines.push(pipeline_engine(13, "a", "fast", 4, 8));
+    let mut world = World::with(engines);
+    let ticket = world.submit("/write/x");
+    let stalled = world.last_order.as_ref().and_then(|order| order.forwarding_info.path.last().copied());
+    let stalled = stalled.map(|(engine, _)| engine).into_iter().collect();
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 600 });
+    let report = EngineReport { pace: 1.0, stalled, ..EngineReport::default() };
+    world.event(Event::Report { address: address(11), report: Some(report) });
+    world.end(ticket, Ending::Broken { by: BrokenBy::Silence });
+    insta::assert_snapshot!(world.text());
+}
+
+/// An endpoint that has begun to leave since it was booked must not get the request.
+#[test]
+fn a_booked_endpoint_that_leaves_is_not_used() {
+    let mut world = World::new();
+    let ticket = world.submit("/read/x");
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 450 });
+    let mut remaining = endpoints();
+    remaining.iter_mut().filter(|known| known.address == address(2)).for_each(|known| known.leaving = true);
+    world.event(Event::Endpoints(remaining.into()));
+    world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    insta::assert_snapshot!(world.text());
+}
+
+/// A retry that is taken back must not be taken from a later slice of the window, or the budget is exceeded when the earlier
+/// slice has left the window.
+#[test]
+fn a_cancelled_retry_is_taken_from_the_slice_that_counted_it() {
+    const WINDOW_MS: u64 = 10_000;
+    let mut budget = Budget::default();
+    let (booked_us, retried_us) = (0, 1_000 * US_PER_MS);
+    budget.count_retry(booked_us, WINDOW_MS);
+    budget.count_retry(retried_us, WINDOW_MS);
+    budget.cancel_retry(booked_us, WINDOW_MS);
+    let remaining = budget.remaining(10_600 * US_PER_MS, WINDOW_MS, 0.0, 2.0);
+    assert!((remaining - 1.0).abs() < f64::EPSILON, "{remaining}");
+}
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -230,10 +230,10 @@
         let mut world = World::new();
         let first = world.submit("/write/x");
         let second = world.submit("/write/x");
-        world.event(Event::Waiting { ticket: first, silent_ms: 600 });
-        world.event(Event::Waiting { ticket: second, silent_ms: 600 });
+        world.event(Event::Waiting { ticket: first, report: 1, silent_ms: 600 });
+        world.event(Event::Waiting { ticket: second, report: 1, silent_ms: 600 });
         world.event(Event::Report { address: address(11), report: report.clone() });
-        world.event(Event::Waiting { ticket: first, silent_ms: 600 });
+        world.event(Event::Waiting { ticket: first, report: 1, silent_ms: 600 });
         text.push_str(&format!("{name}\n  {}\n", world.lines.join("\n  ")));
     }
     insta::assert_snapshot!(text);
@@ -244,7 +244,7 @@
 fn a_late_report_does_not_end_the_next_send() {
     let mut world = World::new();
     let ticket = world.submit("/write/x");
-    world.event(Event::Waiting { ticket, silent_ms: 600 });
+    world.event(Event::Waiting { ticket, report: 1, silent_ms: 600 });
     world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
     world.event(Event::Report { address: address(11), report: None });
     assert!(!world.text().contains("abandon"), "{}", world.text());
--- a/crates/banyannotch/src/gateway/dispatch/tests/random.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/random.rs
@@ -68,6 +68,14 @@
                     );
                 }
             }
+            9 if !open.is_empty() && random.below(2) == 0 => {
+                let ticket = open[random.below(open.len())].ticket;
+                let event = match random.below(3) {
+                    0 => Event::Resumed { ticket },
+                    _ => Event::Waiting { ticket, report: 1, silent_ms: random.below(2_000) as u64 },
+                };
+                world.event(event);
+            }
             _ => send_random_event(&mut random, &mut world),
         }
         // Removes a request that was refused when it was submitted.
@@ -75,10 +83,21 @@
             !world.lines[before..].iter().any(|line| line.starts_with(&format!("{}: 5", open.ticket)))
         });
     }
+    for request in open {
+        world.end(request.ticket, Ending::Left);
+    }
+    let state = world.publish_state();
+    assert_eq!(
+        (state.zone_loads, state.other_loads),
+        (vec![], vec![]),
+        "seed {seed}: load without a request"
+    );
 }
 
 fn random_ending(random: &mut Random) -> Ending {
-    match random.below(8) {
+    match random.below(10) {
+        8 => Ending::Left,
+        9 => Ending::Expired,
         0 | 1 => Ending::Completed { first_ms: 1 },
         2 => Ending::NotRun { status: 503, fault_at: Some(address(11 + random.below(6) as u8)) },
         3 => Ending::Unsent,
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -18,6 +18,8 @@
     /// Expected time between two events of a stream.
     pub event_interval_ms: f64,
     pub idle_connections: usize,
+    /// Time of the choice, in microseconds.
+    pub booked_us: u64,
 }
 
 /// Load that the current send of a request places on endpoints.
@@ -59,6 +61,8 @@
     pub successor: Option<Choice>,
     /// Whether the next event of the current send is late and its first engine was asked for a report.
     pub is_waiting: bool,
+    /// Number of the last report that the current send is late.
+    pub late_report: u32,
     /// Endpoints on the paths of all sends so far.
     pub tried: Vec<Address>,
 }
@@ -91,6 +95,7 @@
             reservation: Reservation::default(),
             successor: None,
             is_waiting: false,
+            late_report: 0,
             tried: Vec::new(),
         }
     }
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{Response, write_local_reply, write_refusal, write_response};
 use super::context::{Context, DrainStage, InFlightGuard};
-use super::exchange::{Progress, Request, exchange};
+use super::exchange::{ExchangeOutcome, OpenExchange, Progress, Request, exchange};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
@@ -240,49 +240,69 @@
     progress: &mut Progress,
     writer: &mut OwnedWriteHalf,
 ) -> ServeOutcome {
-    let mut held_response = None;
+    let broken = Refusal { reason: RefusalReason::Broken, retry_after_ms: None };
+    let (mut held_response, mut open) = (None, None);
     loop {
-        let order = match verdict.await {
-            Ok(Verdict::Send(order)) => order,
-            Ok(Verdict::Refuse(refusal)) => return ServeOutcome::Refused(refusal),
-            Ok(Verdict::Deliver) => match held_response {
-                Some(response) => return ServeOutcome::Deliver(response),
-                None => {
-                    return ServeOutcome::Refused(Refusal {
-                        reason: RefusalReason::Broken,
-                        retry_after_ms: None,
-                    });
+        let unserved = match verdict.await {
+            Ok(Verdict::Send(order)) => {
+                let remaining = remaining_time(context, order.deadline_us);
+                let sending = exchange(context, order, request, progress, open, writer);
+                let Ok(outcome) = timeout(remaining, sending).await else { return ServeOutcome::Expired };
+                context.end_send(ticket);
+                open = outcome.open;
+                match outcome.ending {
+                    ending @ Ending::Completed { .. } => {
+                        context.finish(ticket, ending);
+                        return ServeOutcome::Completed;
+                    }
+                    Ending::Left => {
+                        context.finish(ticket, Ending::Left);
+                        return ServeOutcome::CallerLeft;
+                    }
+                    ending => {
+                        held_response = outcome.response;
+                        verdict = context.report_end(ticket, ending);
+                    }
                 }
-            },
+                continue;
+            }
+            Ok(Verdict::Refuse(refusal)) => ServeOutcome::Refused(refusal),
+            Ok(Verdict::Deliver) => {
+                held_response.map_or(ServeOutcome::Refused(broken), ServeOutcome::Deliver)
+            }
             // Dispatch never drops a request, so its thread has ended, and the process will exit. A verdict to abandon
             // a send is delivered to the send.
-            Ok(Verdict::Abandon) | Err(_) => {
-                return ServeOutcome::Refused(Refusal {
-                    reason: RefusalReason::Broken,
-                    retry_after_ms: None,
-                });
-            }
+            Ok(Verdict::Abandon { .. }) | Err(_) => ServeOutcome::Refused(broken),
+        };
+        return match open {
+            Some(open) => go_on(context, open, unserved, request, progress, writer).await,
+            None => unserved,
         };
-        let remaining_us = order.deadline_us.saturating_sub(context.clock.now_us());
-        let remaining =
-            Duration::from_micros(remaining_us).saturating_sub(Duration::from_millis(RESPONSE_MARGIN_MS));
-        let abandonment = context.begin_send(ticket);
-        let sending = timeout(remaining, exchange(context, &order, request, progress, abandonment, writer));
-        let Ok((ending, response)) = sending.await else { return ServeOutcome::Expired };
-        context.end_send(ticket);
-        match ending {
-            Ending::Completed { .. } => {
-                context.finish(ticket, ending);
-                return ServeOutcome::Completed;
-            }
-            Ending::Left => {
-                context.finish(ticket, ending);
-                return ServeOutcome::CallerLeft;
-            }
-            ending => {
-                held_response = response;
-                verdict = context.report_end(ticket, ending);
-            }
-        }
     }
 }
+
+/// Goes on with an exchange that was abandoned for an endpoint that did not answer either. `unserved` is the outcome if it
+/// does not complete.
+async fn go_on<'a, D: Dialect, C: Clock>(
+    context: &'a Context<D, C>,
+    open: Box<OpenExchange<'a, D, C>>,
+    unserved: ServeOutcome,
+    request: &'a Request,
+    progress: &mut Progress,
+    writer: &mut OwnedWriteHalf,
+) -> ServeOutcome {
+    log::info!("event=send_resumed request={} endpoint={}", request.id, open.endpoint());
+    let remaining = remaining_time(context, open.deadline_us());
+    match timeout(remaining, open.go_on(progress, writer)).await {
+        Ok(ExchangeOutcome { ending: Ending::Completed { .. }, .. }) => ServeOutcome::Completed,
+        Ok(ExchangeOutcome { ending: Ending::Left, .. }) => ServeOutcome::CallerLeft,
+        Ok(_) => unserved,
+        Err(_) => ServeOutcome::Expired,
+    }
+}
+
+/// Returns the time in which a send must end, so that the final response arrives before the deadline.
+fn remaining_time<D, C: Clock>(context: &Context<D, C>, deadline_us: u64) -> Duration {
+    let remaining_us = deadline_us.saturating_sub(context.clock.now_us());
+    Duration::from_micros(remaining_us).saturating_sub(Duration::from_millis(RESPONSE_MARGIN_MS))
+}
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -81,8 +81,8 @@
     }
 
     /// Reports to dispatch that the answer or the next event of a stream is late.
-    pub fn report_late_answer(&self, ticket: u64, silent_ms: u64) {
-        let event = dispatch::Event::Waiting { ticket, silent_ms };
+    pub fn report_late_answer(&self, ticket: u64, report: u32, silent_ms: u64) {
+        let event = dispatch::Event::Waiting { ticket, report, silent_ms };
         self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
     }
 
@@ -117,9 +117,9 @@
 
     /// Delivers a verdict to the connection that waits for it.
     pub fn deliver_verdict(&self, ticket: u64, verdict: Verdict) {
-        if verdict == Verdict::Abandon {
+        if let Verdict::Abandon { report } = verdict {
             match self.sends.borrow().get(&ticket) {
-                Some(abandonment) => abandonment.abandon(),
+                Some(abandonment) => abandonment.abandon(report),
                 None => log::debug!("event=send_already_ended ticket={ticket}"),
             }
             return;
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -1,6 +1,5 @@
 //! Sends a request to an endpoint once and forwards the response to the caller.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,7 +11,7 @@
 use super::context::Context;
 use super::events::EventSplitter;
 use super::pool::Upstream;
-use super::watch::{Abandoned, Abandonment, Watch};
+use super::watch::{Abandoned, Watch, WatchLimits};
 use crate::clock::{Clock, US_PER_MS};
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{BrokenBy, Ending, SendOrder};
@@ -56,7 +55,22 @@
 }
 
 /// How a send ended, and the failure response that dispatch may decide to deliver.
-pub(super) type ExchangeOutcome = (Ending, Option<Response>);
+type SendResult = (Ending, Option<Response>);
+
+/// What a send leaves behind.
+pub(super) struct ExchangeOutcome<'a, D, C> {
+    pub ending: Ending,
+    /// Failure response that dispatch may decide to deliver.
+    pub response: Option<Response>,
+    /// Exchange that was abandoned while no other endpoint has answered. It may still go on.
+    pub open: Option<Box<OpenExchange<'a, D, C>>>,
+}
+
+/// An exchange whose connection is kept while the request is offered to another endpoint.
+pub(super) struct OpenExchange<'a, D, C> {
+    exchange: Exchange<'a, D, C>,
+    watch: Watch<'a, D, C>,
+}
 
 /// Why an exchange ended early.
 enum ExchangeError {
@@ -93,20 +107,23 @@
     }
 }
 
-/// Sends a request as ordered by dispatch and forwards a successful response to the caller.
-pub(super) async fn exchange<D: Dialect, C: Clock>(
-    context: &Context<D, C>,
-    order: &SendOrder,
-    request: &Request,
+/// Sends a request as ordered by dispatch and forwards a successful response to the caller. `open` is an abandoned exchange
+/// of the same request; it is closed as soon as this endpoint's answer begins.
+pub(super) async fn exchange<'a, D: Dialect, C: Clock>(
+    context: &'a Context<D, C>,
+    order: Box<SendOrder>,
+    request: &'a Request,
     progress: &mut Progress,
-    abandonment: Rc<Abandonment>,
+    open: Option<Box<OpenExchange<'a, D, C>>>,
     caller_writer: &mut OwnedWriteHalf,
-) -> ExchangeOutcome {
+) -> ExchangeOutcome<'a, D, C> {
     let connect_started_us = context.clock.now_us();
-    let Some(upstream) = acquire_connection(context, order).await else { return (Ending::Unsent, None) };
+    let Some(upstream) = acquire_connection(context, &order).await else {
+        return ExchangeOutcome { ending: Ending::Unsent, response: None, open };
+    };
     let now_us = context.clock.now_us();
     if now_us >= order.valid_until_us {
-        return (Ending::Outdated, None);
+        return ExchangeOutcome { ending: Ending::Outdated, response: None, open };
     }
     let mut forwarding_info = order.forwarding_info.clone();
     forwarding_info.deadline_ms =
@@ -119,34 +136,73 @@
     request_bytes.extend_from_slice(&request.body);
     progress.request_sent = true;
     let connect_ms = now_us.saturating_sub(connect_started_us) / US_PER_MS;
-    let first_limit = Duration::from_millis(order.first_response_limit_ms.saturating_sub(connect_ms).max(1));
-    let interval = Duration::from_millis(order.stall_limit_ms);
-    let mut watch = Watch::start(context, request.ticket, abandonment, first_limit, interval);
-    let mut exchange = Exchange {
+    let limits = WatchLimits {
+        first: Duration::from_millis(order.first_response_limit_ms.saturating_sub(connect_ms).max(1)),
+        interval: Duration::from_millis(order.stall_limit_ms),
+        silence: Duration::from_millis(order.silence_limit_ms),
+    };
+    let watch = Watch::start(context, request.ticket, context.begin_send(request.ticket), limits);
+    let exchange = Exchange {
         context,
         order,
         request,
         upstream,
         sent_at: Instant::now(),
+        resume_after: forwarding_info.resume_after,
+        stage: Stage::Unsettled,
+        open,
         may_reuse: true,
         pooled_keep_alive_ms: None,
     };
-    let result = exchange
-        .perform(&request_bytes, &mut watch, forwarding_info.resume_after, progress, caller_writer)
-        .await;
-    if let Some(keep_alive_ms) = exchange.pooled_keep_alive_ms
-        && !exchange.upstream.reader.has_buffered()
-    {
-        context.pool.borrow_mut().put(
-            order.address,
-            exchange.upstream,
-            keep_alive_ms,
-            order.idle_connections,
-        );
+    Box::new(OpenExchange { exchange, watch }).run(&request_bytes, progress, caller_writer).await
+}
+
+impl<'a, D: Dialect, C: Clock> OpenExchange<'a, D, C> {
+    /// Returns the name of the endpoint.
+    pub fn endpoint(&self) -> &str {
+        &self.exchange.order.forwarding_info.endpoint
+    }
+
+    /// Returns the time by which the request must have its final answer, in microseconds.
+    pub fn deadline_us(&self) -> u64 {
+        self.exchange.order.deadline_us
+    }
+
+    /// Goes on with an abandoned exchange, because no other endpoint has answered.
+    pub async fn go_on(
+        mut self: Box<Self>,
+        progress: &mut Progress,
+        caller_writer: &mut OwnedWriteHalf,
+    ) -> ExchangeOutcome<'a, D, C> {
+        self.watch.resume();
+        self.run(&[], progress, caller_writer).await
     }
-    match result {
-        Ok(outcome) => outcome,
-        Err(error) => (error.into_ending(), None),
+
+    async fn run(
+        mut self: Box<Self>,
+        request_bytes: &[u8],
+        progress: &mut Progress,
+        caller_writer: &mut OwnedWriteHalf,
+    ) -> ExchangeOutcome<'a, D, C> {
+        let Self { exchange, watch } = &mut *self;
+        let (ending, response) = match exchange.perform(request_bytes, watch, progress, caller_writer).await {
+            Ok(sent) => sent,
+            Err(ExchangeError::Abandoned) => {
+                let earlier = exchange.open.take();
+                let may_go_on = !matches!(exchange.stage, Stage::Unsettled);
+                let open = if may_go_on { Some(self) } else { earlier };
+                let ending = ExchangeError::Abandoned.into_ending();
+                return ExchangeOutcome { ending, response: None, open };
+            }
+            Err(error) => (error.into_ending(), None),
+        };
+        let Exchange { context, order, upstream, open, pooled_keep_alive_ms, .. } = self.exchange;
+        if let Some(keep_alive_ms) = pooled_keep_alive_ms
+            && !upstream.reader.has_buffered()
+        {
+            context.pool.borrow_mut().put(order.address, upstream, keep_alive_ms, order.idle_connections);
+        }
+        ExchangeOutcome { ending, response, open }
     }
 }
 
@@ -169,12 +225,38 @@
     }
 }
 
+/// What an exchange waits for.
+enum Stage {
+    /// The exchange cannot go on after it was abandoned: the request is not written completely, or a body is only partly
+    /// read.
+    Unsettled,
+    /// The request is written, and the head of the response is awaited.
+    AwaitingHead,
+    /// The events of a stream are forwarded.
+    Streaming(Box<StreamState>),
+}
+
+/// A stream that is being forwarded.
+struct StreamState {
+    head: ResponseHead,
+    decoder: BodyDecoder,
+    splitter: EventSplitter,
+    /// Time from the send to the first event, in milliseconds.
+    first_ms: Option<u64>,
+}
+
+/// One send of a request to an endpoint.
 struct Exchange<'a, D, C> {
     context: &'a Context<D, C>,
-    order: &'a SendOrder,
+    order: Box<SendOrder>,
     request: &'a Request,
     upstream: Upstream,
     sent_at: Instant,
+    /// Id of the last event that the caller had received when the request was sent.
+    resume_after: Option<u64>,
+    stage: Stage,
+    /// Abandoned exchange of the same request, until this one has an answer.
+    open: Option<Box<OpenExchange<'a, D, C>>>,
     /// Whether the connection can carry another request after this one.
     may_reuse: bool,
     /// Set when the response is complete and the connection can be pooled. The inner value is the idle
@@ -182,24 +264,36 @@
     pooled_keep_alive_ms: Option<Option<u64>>,
 }
 
-impl<D: Dialect, C: Clock> Exchange<'_, D, C> {
+impl<'a, D: Dialect, C: Clock> Exchange<'a, D, C> {
     async fn perform(
         &mut self,
         request_bytes: &[u8],
-        watch: &mut Watch<'_, D, C>,
-        resume_after: Option<u64>,
+        watch: &mut Watch<'a, D, C>,
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
-    ) -> Result<ExchangeOutcome, ExchangeError> {
+    ) -> Result<SendResult, ExchangeError> {
+        let is_written = match std::mem::replace(&mut self.stage, Stage::Unsettled) {
+            Stage::Streaming(stream) => {
+                return self.forward_stream(*stream, watch, progress, caller_writer).await;
+            }
+            Stage::AwaitingHead => true,
+            Stage::Unsettled => false,
+        };
+        let request_bytes = if is_written { &[] } else { request_bytes };
         let (head, kind, fault_at) = watch.wait_for(self.send_and_read_head(request_bytes)).await??;
+        self.stage = Stage::Unsettled;
         let framing = head.framing()?;
         let decoder = BodyDecoder::new(framing);
         match kind {
             ResponseKind::Success if self.order.stream => {
-                self.forward_stream(&head, decoder, watch, resume_after, progress, caller_writer).await
+                let splitter = EventSplitter::new(self.resume_after);
+                let stream = StreamState { head, decoder, splitter, first_ms: None };
+                self.forward_stream(stream, watch, progress, caller_writer).await
             }
             ResponseKind::Success => {
+                watch.answer_arrived();
                 let response = self.read_response(head, framing, decoder).await?;
+                self.open = None;
                 let mut out = Vec::new();
                 write_response(&self.context.dialect, &response, self.request.close, &mut out);
                 progress.head_sent = true;
@@ -253,6 +347,7 @@
             self.may_reuse = false;
         }
         loop {
+            self.stage = Stage::AwaitingHead;
             let head = match early_head.take() {
                 Some(head) => head,
                 None => self.upstream.reader.response_head(HEAD_LIMIT_BYTES).await?,
@@ -268,6 +363,7 @@
                         response_info.id
                     );
                     self.may_reuse = false;
+                    self.stage = Stage::Unsettled;
                     let decoder = BodyDecoder::new(head.framing()?);
                     self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES).await?;
                 }
@@ -292,48 +388,51 @@
     /// single bytes has stalled.
     async fn forward_stream(
         &mut self,
-        head: &ResponseHead,
-        mut decoder: BodyDecoder,
-        watch: &mut Watch<'_, D, C>,
-        resume_after: Option<u64>,
+        mut stream: StreamState,
+        watch: &mut Watch<'a, D, C>,
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
-    ) -> Result<ExchangeOutcome, ExchangeError> {
-        let mut splitter = EventSplitter::new(resume_after);
-        let mut first_ms = None;
+    ) -> Result<SendResult, ExchangeError> {
         let (mut events, mut out) = (Vec::new(), Vec::new());
         loop {
-            let read = watch.wait_for(self.upstream.reader.body(&mut decoder)).await?;
+            let read = match watch.wait_for(self.upstream.reader.body(&mut stream.decoder)).await {
+                Ok(read) => read,
+                Err(abandoned) => {
+                    self.stage = Stage::Streaming(Box::new(stream));
+                    return Err(abandoned.into());
+                }
+            };
             let mut ended = false;
             match read? {
                 None => ended = true,
-                Some(data) => self.split_events(&mut splitter, &data, &mut events)?,
+                Some(data) => self.split_events(&mut stream.splitter, &data, &mut events)?,
             }
             while !ended {
-                match self.upstream.reader.buffered_body(&mut decoder)? {
-                    Decoded::Data(data) => self.split_events(&mut splitter, &data, &mut events)?,
+                match self.upstream.reader.buffered_body(&mut stream.decoder)? {
+                    Decoded::Data(data) => self.split_events(&mut stream.splitter, &data, &mut events)?,
                     Decoded::NeedMore => break,
                     Decoded::End => ended = true,
                 }
             }
-            let has_no_event = splitter.last_id().is_none();
-            if ended && (splitter.is_inside_event() || has_no_event) {
+            let has_no_event = stream.splitter.last_id().is_none();
+            if ended && (stream.splitter.is_inside_event() || has_no_event) {
                 return Err(ExchangeError::Upstream(HttpError::Truncated));
             }
-            if !events.is_empty() && first_ms.is_none() {
-                first_ms = Some(self.elapsed_ms());
+            if !events.is_empty() && stream.first_ms.is_none() {
+                stream.first_ms = Some(self.elapsed_ms());
                 self.context.report_first_event(self.request.ticket);
             }
             if !events.is_empty() || ended {
-                watch.event_arrived();
-                self.write_head_once(head, progress, &mut out);
+                watch.answer_arrived();
+                self.open = None;
+                self.write_head_once(&stream.head, progress, &mut out);
                 if !events.is_empty() {
                     write_chunk(&events, &mut out);
                 }
                 if ended {
                     out.extend_from_slice(b"0\r\n\r\n");
                 }
-                progress.last_event_id = splitter.last_id();
+                progress.last_event_id = stream.splitter.last_id();
                 if caller_writer.write_all(&out).await.is_err() {
                     return Err(ExchangeError::Ended(Ending::Left));
                 }
@@ -342,9 +441,9 @@
                 out.clear();
             }
             if ended {
-                self.may_reuse &= head.framing()? != Framing::UntilClose && head.keeps_alive();
-                self.allow_pooling(head);
-                let first_ms = first_ms.unwrap_or_else(|| self.elapsed_ms());
+                self.may_reuse &= stream.head.framing()? != Framing::UntilClose && stream.head.keeps_alive();
+                self.allow_pooling(&stream.head);
+                let first_ms = stream.first_ms.unwrap_or_else(|| self.elapsed_ms());
                 return Ok((Ending::Completed { first_ms }, None));
             }
         }
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -1,8 +1,11 @@
 //! Tests that lost, duplicate, incomplete or reordered events are not forwarded, and that a response is not
 //! taken for the response to another attempt.
 
+use std::time::{Duration, Instant};
+
 use super::answer::classify;
 use super::events::EventSplitter;
+use super::watch::WatchLimits;
 use crate::gateway::ResponseInfo;
 use crate::gateway::http1::ResponseHead;
 
@@ -73,3 +76,30 @@
         .collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// A report at the limit of silence must not wait for the end of an interval: with intervals of 0.9 s a stream was continued
+/// elsewhere only after 1.8 s, when its caller had nearly given up.
+#[test]
+fn a_late_answer_is_reported_at_the_limit_of_silence() {
+    let sent_at = Instant::now();
+    let lines: Vec<_> = [400, 900, 1_400, 3_000]
+        .into_iter()
+        .map(|interval_ms| {
+            let limits = WatchLimits {
+                first: Duration::from_millis(600),
+                interval: Duration::from_millis(interval_ms),
+                silence: Duration::from_millis(1_400),
+            };
+            let mut report_at = sent_at + limits.first;
+            let times: Vec<_> = std::iter::from_fn(|| {
+                let reported_at = report_at;
+                report_at = limits.next_report(reported_at, sent_at);
+                Some((reported_at - sent_at).as_millis())
+            })
+            .take(4)
+            .collect();
+            format!("interval {interval_ms} ms: reports after {times:?} ms")
+        })
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/banyannotch/src/gateway/forwarding/watch.rs
+++ b/crates/banyannotch/src/gateway/forwarding/watch.rs
@@ -1,4 +1,4 @@
-//! Watches a send: reports a late answer to dispatch, and ends the send if dispatch abandons it.
+//! Watches a send: reports a late answer to dispatch, and ends the wait if dispatch abandons the send.
 
 use std::cell::Cell;
 use std::future::Future;
@@ -15,69 +15,88 @@
 /// Signal of dispatch that a send is abandoned.
 #[derive(Debug, Default)]
 pub(super) struct Abandonment {
-    is_abandoned: Cell<bool>,
+    /// Number of the report that the signal refers to; 0 without a signal.
+    report: Cell<u32>,
     changed: Notify,
 }
 
 impl Abandonment {
-    /// Abandons the send.
-    pub fn abandon(&self) {
-        self.is_abandoned.set(true);
+    /// Abandons the send, unless an event has arrived since the given report of a late answer.
+    pub fn abandon(&self, report: u32) {
+        self.report.set(report);
         self.changed.notify_one();
     }
 
-    /// Discards a signal that refers to an earlier report of a late answer.
-    fn reset(&self) {
-        self.is_abandoned.set(false);
-    }
-
-    async fn abandoned(&self) {
-        while !self.is_abandoned.get() {
+    /// Waits for a signal that refers to the given report or a later one.
+    async fn abandoned_since(&self, report: u32) {
+        while self.report.get() < report {
             self.changed.notified().await;
         }
     }
 }
 
+/// Times after which an answer is reported as late.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WatchLimits {
+    /// Until the head of the answer or the first event.
+    pub first: Duration,
+    /// Between two events, and between two reports.
+    pub interval: Duration,
+    /// Without an event, for one further report.
+    pub silence: Duration,
+}
+
+impl WatchLimits {
+    /// Returns when the next report is due after one at `now`: after the interval, or at the limit of silence if that is
+    /// earlier and still ahead.
+    pub fn next_report(&self, now: Instant, last_event: Instant) -> Instant {
+        let next = now + self.interval;
+        let silence_due = last_event + self.silence;
+        if silence_due > now { next.min(silence_due) } else { next }
+    }
+}
+
 /// A send was abandoned by dispatch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Abandoned;
 
 /// Watch over the answer to one send.
 ///
-/// A send ends only between two events: data that is being written to the caller is never cut off, because the bytes of
-/// the next endpoint would follow in the middle of it.
+/// A send is abandoned only between two events: data that is being written to the caller is never cut off, because the
+/// bytes of the next endpoint would follow in the middle of it.
 pub(super) struct Watch<'a, D, C> {
     context: &'a Context<D, C>,
     ticket: u64,
     abandonment: Rc<Abandonment>,
-    /// When the answer or the next event is late.
+    limits: WatchLimits,
+    /// When the answer or the next event is reported as late.
     due: Instant,
-    /// Time between two events after which the next one is late, and between two reports.
-    interval: Duration,
     /// When the last event arrived, or when the request was sent.
     last_event: Instant,
-    /// Whether the answer was reported as late and has not gone on since.
-    is_late: bool,
+    /// Number of reports so far.
+    reports: u32,
+    /// Number of the first report since the last event; none if the answer is not late.
+    late_since: Option<u32>,
 }
 
 impl<'a, D: Dialect, C: Clock> Watch<'a, D, C> {
-    /// Starts the watch over a request that is being sent. The answer is late after `first_limit`.
+    /// Starts the watch over a request that is being sent.
     pub fn start(
         context: &'a Context<D, C>,
         ticket: u64,
         abandonment: Rc<Abandonment>,
-        first_limit: Duration,
-        interval: Duration,
+        limits: WatchLimits,
     ) -> Self {
         let now = Instant::now();
         Self {
             context,
             ticket,
             abandonment,
-            due: now + first_limit,
-            interval,
+            limits,
+            due: now + limits.first,
             last_event: now,
-            is_late: false,
+            reports: 0,
+            late_since: None,
         }
     }
 
@@ -88,19 +107,25 @@
     pub async fn wait_for<T>(&mut self, data: impl Future<Output = T>) -> Result<T, Abandoned> {
         let mut data = std::pin::pin!(data);
         loop {
+            let abandoned = async {
+                match self.late_since {
+                    Some(report) => self.abandonment.abandoned_since(report).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 biased;
                 data = &mut data => return Ok(data),
-                () = self.abandonment.abandoned(), if self.is_late => return Err(Abandoned),
-                () = sleep_until(self.due.into()) => self.report_late(),
+                () = abandoned => return Err(Abandoned),
+                () = sleep_until(self.due.into()) => {}
             }
+            self.report_late();
         }
     }
 
-    /// Notes that an event arrived.
-    pub fn event_arrived(&mut self) {
-        if self.is_late {
-            self.is_late = false;
+    /// Notes that the answer goes on.
+    pub fn answer_arrived(&mut self) {
+        if self.late_since.take().is_some() {
             self.context.report_resumed_answer(self.ticket);
         }
     }
@@ -108,16 +133,20 @@
     /// Starts to wait for the next event. The time that the caller took to read the last one does not count.
     pub fn await_next_event(&mut self) {
         self.last_event = Instant::now();
-        self.due = self.last_event + self.interval;
+        self.due = self.last_event + self.limits.interval;
+    }
+
+    /// Starts to wait again for the answer of an abandoned send.
+    pub fn resume(&mut self) {
+        self.late_since = None;
+        self.due = Instant::now() + self.limits.interval;
     }
 
     fn report_late(&mut self) {
-        if !self.is_late {
-            self.abandonment.reset();
-            self.is_late = true;
-        }
+        self.reports += 1;
+        self.late_since.get_or_insert(self.reports);
         let silent_ms = u64::try_from(self.last_event.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.context.report_late_answer(self.ticket, silent_ms);
-        self.due = Instant::now() + self.interval;
+        self.context.report_late_answer(self.ticket, self.reports, silent_ms);
+        self.due = self.limits.next_report(Instant::now(), self.last_event);
     }
 }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -136,17 +136,50 @@
     }
 }
 
+/// When a silent engine's stream is offered to other engines and they reject it, it goes on where it was. It was cut, because
+/// its connection had been closed before another engine had accepted it.
+#[actix_rt::test]
+async fn a_stream_of_a_silent_engine_goes_on_if_all_others_reject_it() {
+    let mut fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for (number, after) in [0, 5].into_iter().enumerate() {
+        for engine in &fleet.engines {
+            engine.set_fault(Fault::SilentAfter(after), 1);
+        }
+        let id = format!("rejected-{number}");
+        let (got, runs) = stream_with_faults(&gateway, &fleet, &id, Fault::NotRun).await;
+        assert_eq!((got.status, got.complete), (Some(200), true), "{got:?} {:#?}", gateway.lines(&id));
+        assert_eq!(got.events(), (0..EVENTS).collect::<Vec<_>>(), "silent after {after} events");
+        assert_eq!(runs, 1, "only the silent engine has run the stream");
+        let resumed = gateway.lines("event=send_resumed");
+        assert!(resumed.iter().any(|line| line.contains(&id)), "{:?}", gateway.lines(&id));
+    }
+}
+
 /// Requests a stream, and clears the faults of all engines as soon as one of them has run the request. Returns the
 /// stream and the number of runs.
 async fn stream_with_one_fault(gateway: &Gateway, fleet: &Fleet, id: &str) -> (RecordedResponse, usize) {
+    stream_with_faults(gateway, fleet, id, Fault::None).await
+}
+
+/// Requests a stream, and sets the fault of all engines for later requests as soon as one of them has run the request.
+/// Returns the stream and the number of runs.
+async fn stream_with_faults(
+    gateway: &Gateway,
+    fleet: &Fleet,
+    id: &str,
+    later: Fault,
+) -> (RecordedResponse, usize) {
     let engines = fleet.engines.clone();
-    let clear_faults = actix_rt::spawn({
+    let change_faults = actix_rt::spawn({
         let id = id.to_owned();
         async move {
             loop {
                 if engines.iter().any(|engine| engine.runs().iter().any(|run| run.id == id)) {
                     for engine in &engines {
-                        engine.set_fault(Fault::None, 0);
+                        engine.set_fault(later, usize::MAX);
                     }
                     return;
                 }
@@ -155,7 +188,7 @@
         }
     });
     let got = stream(gateway.callers, id, "secret").await;
-    clear_faults.abort();
+    change_faults.abort();
     for engine in &fleet.engines {
         engine.set_fault(Fault::None, 0);
     }
