dispatch: send nothing to endpoints that announce their departure

Endpoints now say in all their answers that they are leaving, while their entry may say for long that they are ready, or the store may be away. The gateway ignored the header and went on sending to them; callers then met the end of the process.

Forwarding reports it to dispatch with the head of the answer, so that it is known while a stream runs. Dispatch stops choosing that start of the endpoint, for plain services and as any part of a path, also for retries and as a last resort; a check before each send counts and refuses what would still reach it. Foreign answers are not used, because they may be copies of another endpoint's answer. Other gateways are not told: their own first answer tells them, at no cost to callers.

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -73,6 +73,8 @@
     pub fault_at: Option<Address>,
     /// Numbers of requests that are running and queued at the endpoint.
     pub load: Option<(u32, u32)>,
+    /// Whether the endpoint announces that it is leaving, so that it must get no further requests.
+    pub leaving: bool,
 }
 
 /// Interprets request and response heads of the platform.
--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -92,6 +92,17 @@
         true
     }
 
+    /// Records the departure of an endpoint that announced it itself. Returns whether the endpoint changed.
+    pub fn mark_leaving(&mut self, id: Arc<str>, born_ms: u64) -> bool {
+        let known = self.known.get_mut(&id).filter(|known| known.born_ms == born_ms && !known.leaving);
+        let changed = known.is_some();
+        if let Some(known) = known {
+            known.leaving = true;
+        }
+        self.record_departure((id, born_ms));
+        changed
+    }
+
     /// Records a departure, in place of the oldest one if too many are kept.
     fn record_departure(&mut self, start: (Arc<str>, u64)) {
         if self.departures.contains(&start) {
--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -118,6 +118,13 @@
         /// Why not.
         fault: String,
     },
+    /// An endpoint announced in an answer that it is leaving.
+    Leaving {
+        /// Name of the endpoint.
+        id: Arc<str>,
+        /// Unix time of its start, in milliseconds.
+        born_ms: u64,
+    },
     /// A read of the store failed.
     Failed {
         /// Feed that was read.
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -534,6 +534,11 @@
             Event::Fetched(snapshot) => self.handle_fetched(now_us, *snapshot, actions),
             Event::NotFetched { from, fault } => self.handle_failed_fetch(now_us, from, fault, actions),
             Event::Failed { feed, error } => self.handle_failure(now_us, feed, error, actions),
+            Event::Leaving { id, born_ms } => {
+                if self.entries.mark_leaving(id, born_ms) {
+                    self.entries.publish(actions);
+                }
+            }
             Event::PeerUpdate(update) => self.handle_peer_update(now_us, &update, actions),
         }
         self.start_reads(now_us, actions);
--- a/crates/banyannotch/src/gateway/catalog/runtime.rs
+++ b/crates/banyannotch/src/gateway/catalog/runtime.rs
@@ -19,7 +19,7 @@
 pub struct Links {
     /// Wakes the thread of the catalog.
     pub bell: Doorbell,
-    /// Updates of peers from gossip.
+    /// Updates of peers from gossip, and departures of endpoints from dispatch.
     pub inbound: Vec<Receiver<Event>>,
     /// Configuration, endpoints and proofs for dispatch.
     pub dispatch: Sender<dispatch::Event>,
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -132,6 +132,21 @@
     insta::assert_snapshot!(world.endpoints_text());
 }
 
+/// An endpoint may announce its departure in an answer only, while its entry says that it is ready.
+#[test]
+fn an_announced_departure_lasts_until_the_endpoint_has_started_anew() {
+    let mut world = World::new();
+    world.answer_endpoints(vec![present(1), present(2)], true);
+    world.event(Event::Leaving { id: "desk-1".into(), born_ms: 1 });
+    world.answer_endpoints(vec![present(1)], false);
+    world.answer_endpoints(vec![removed(1)], false);
+    world.answer_endpoints(vec![present(1)], false);
+    world.event(Event::Leaving { id: "desk-2".into(), born_ms: 0 });
+    let restarted = Endpoint { born_ms: 2, ..plain_endpoint(1, "a") };
+    world.answer_endpoints(vec![Record::Endpoint(restarted)], false);
+    insta::assert_snapshot!(world.endpoints_text());
+}
+
 /// Entries that expire while the store is not available are renewed within two seconds of its return.
 /// Endpoints whose entry is not renewed within the grace period are removed.
 #[test]
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -256,6 +256,7 @@
         }
         self.health
             .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
+        self.announcements.retain_known(&endpoints);
         self.endpoints = endpoints.into();
     }
 
@@ -294,7 +295,7 @@
 }
 
 /// Returns the endpoint at an address; the endpoints are sorted by address.
-fn find_endpoint(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
+pub(super) fn find_endpoint(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
     let index = endpoints.binary_search_by_key(&address, |endpoint| endpoint.address).ok()?;
     endpoints.get(index)
 }
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -120,6 +120,18 @@
     }
 }
 
+/// One start of an endpoint, to which its answers belong. Another endpoint, or the same one after a restart, may have its
+/// address.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndpointStart {
+    /// Address of the endpoint.
+    pub address: Address,
+    /// Name of the endpoint.
+    pub id: Arc<str>,
+    /// Unix time of the start, in milliseconds.
+    pub born_ms: u64,
+}
+
 /// Input of dispatch.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -135,6 +147,8 @@
         /// Number of the request.
         ticket: u64,
     },
+    /// An endpoint announced in an answer that it is leaving.
+    Leaving(EndpointStart),
     /// A send ended.
     Ended {
         /// Number of the request.
@@ -175,6 +189,8 @@
 pub struct SendOrder {
     /// Address of the endpoint.
     pub address: Address,
+    /// Unix time of the endpoint's start, in milliseconds.
+    pub born_ms: u64,
     /// Fields that are added to the request head; the deadline among them counts from the decision.
     pub forwarding_info: ForwardingInfo,
     /// Time by which the request must have its final answer, in microseconds.
@@ -196,6 +212,14 @@
     pub idle_connections: usize,
 }
 
+impl SendOrder {
+    /// Returns the start of the endpoint that the request is sent to.
+    pub fn endpoint_start(&self) -> EndpointStart {
+        let id = Arc::clone(&self.forwarding_info.endpoint);
+        EndpointStart { address: self.address, id, born_ms: self.born_ms }
+    }
+}
+
 /// Decision on a request that dispatch returns to forwarding.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -290,6 +314,8 @@
     Ready(bool),
     /// Request a report from an engine.
     Inspect(Address),
+    /// Tell the catalog that an endpoint announced its departure.
+    Leaving(EndpointStart),
     /// Publish the state to the other gateways.
     PublishState(Box<PeerState>),
     /// Log a decision.
@@ -353,6 +379,13 @@
         /// What the report showed.
         evidence: &'static str,
     },
+    /// An endpoint announced its departure in an answer and gets no further requests.
+    Leaving(EndpointStart),
+    /// An endpoint was chosen although it takes no requests. The request is not sent.
+    DecliningChosen {
+        /// Address of the endpoint.
+        address: Address,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -388,6 +421,15 @@
                 "event=late_stream_judged request={id} endpoint_address={address} abandoned={abandoned} \
                  evidence={evidence}"
             ),
+            Self::Leaving(EndpointStart { address, id, born_ms }) => write!(
+                formatter,
+                "event=endpoint_leaving endpoint={id} endpoint_address={address} born_ms={born_ms}"
+            ),
+            Self::DecliningChosen { address } => write!(
+                formatter,
+                "event=invariant_violated invariant=no_request_to_declining_endpoint \
+                 endpoint_address={address} action=refuse"
+            ),
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! A request that must not run twice is retried only when it is certain that it did not run: the endpoint
 //! said so, or no connection to the endpoint was made. See `docs/platform.md`.
 
+mod announcements;
 mod budget;
 mod chains;
 mod evidence;
@@ -21,8 +22,8 @@
 
 pub use health::Load;
 pub use messages::{
-    Action, BrokenBy, Decision, Ending, Event, PeerState, Proof, Refusal, RefusalReason, SendOrder,
-    Submission, Verdict,
+    Action, BrokenBy, Decision, Ending, EndpointStart, Event, PeerState, Proof, Refusal, RefusalReason,
+    SendOrder, Submission, Verdict,
 };
 pub use policy::Dispatch;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::DispatchSettings;
+use super::announcements::Announcements;
 use super::budget::Budget;
 use super::evidence::Peer;
 use super::health::{HealthTable, Load};
@@ -41,6 +42,7 @@
     pub(super) endpoints: Arc<[Endpoint]>,
     pub(super) configuration_proof: Option<Proof>,
     pub(super) health: HealthTable,
+    pub(super) announcements: Announcements,
     pub(super) tickets: Table<u64, Ticket>,
     /// Engines that were asked for a report because of late events and have not answered so far.
     pub(super) inspections: Table<Address, ()>,
@@ -62,6 +64,7 @@
 /// Endpoint or path that was chosen for a send.
 struct Choice {
     address: Address,
+    born_ms: u64,
     endpoint: Arc<str>,
     hops: Arc<[(Address, LayerRange)]>,
     loads: Vec<(Address, Load)>,
@@ -81,6 +84,7 @@
             endpoints: Arc::new([]),
             configuration_proof: None,
             health: Table::default(),
+            announcements: Announcements::default(),
             tickets: Table::default(),
             inspections: Table::default(),
             budgets: Table::default(),
@@ -180,7 +184,8 @@
                 if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::BudgetSpent };
             return self.refuse(now_us, ticket_id, reason, actions);
         }
-        let Some(choice) = self.choose(now_us, ticket_id) else {
+        let choice = self.choose(now_us, ticket_id);
+        let Some(choice) = choice.filter(|choice| self.takes_requests(choice, actions)) else {
             let reason =
                 if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::NoCapacity };
             return self.refuse(now_us, ticket_id, reason, actions);
@@ -226,6 +231,7 @@
         };
         let order = SendOrder {
             address: choice.address,
+            born_ms: choice.born_ms,
             forwarding_info: ForwardingInfo {
                 endpoint: choice.endpoint,
                 team: ticket.team.clone(),
@@ -249,8 +255,10 @@
         let takes_cheapest = self.takes_cheapest_path(now_us);
         let ticket = self.tickets.get(&ticket_id)?;
         let service = self.configuration.as_deref()?.service(&ticket.service)?;
-        let endpoints: Vec<&Endpoint> =
-            self.endpoints.iter().filter(|endpoint| endpoint.service == ticket.service).collect();
+        let takes_requests = |endpoint: &&Endpoint| {
+            endpoint.service == ticket.service && !self.announcements.declines(&endpoint.address)
+        };
+        let endpoints: Vec<&Endpoint> = self.endpoints.iter().filter(takes_requests).collect();
         match &service.pipeline {
             Some(pipeline) => {
                 let search = PathSearch {
@@ -271,6 +279,7 @@
                 let first = endpoints.iter().find(|endpoint| endpoint.address == address)?;
                 Some(Choice {
                     address,
+                    born_ms: first.born_ms,
                     endpoint: Arc::clone(&first.id),
                     hops: path.hops,
                     loads: path.loads,
@@ -283,6 +292,15 @@
         }
     }
 
+    /// Checks that no endpoint of a choice announced that it takes no requests.
+    fn takes_requests(&self, choice: &Choice, actions: &mut Vec<Action>) -> bool {
+        let declining = choice.loads.iter().find(|(address, _)| self.announcements.declines(address));
+        if let Some((address, _)) = declining {
+            actions.push(Action::Decide(Decision::DecliningChosen { address: *address }));
+        }
+        declining.is_none()
+    }
+
     /// Returns whether there are so few gateways that this one hears of most choices of the others in time. In the first second after its start a gateway that has heard of no other may be one of many.
     fn takes_cheapest_path(&self, now_us: u64) -> bool {
         let discovery_us = self.settings.discovery_ms * US_PER_MS;
@@ -325,6 +343,7 @@
         let (cost_ms, replica) = chosen?;
         Some(Choice {
             address: replica.address,
+            born_ms: replica.born_ms,
             endpoint: Arc::clone(&replica.id),
             hops: Arc::new([]),
             loads: vec![(replica.address, Load { requests: 1, ..Load::default() })],
@@ -536,6 +555,7 @@
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
             Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
             Event::Waiting { ticket } => return self.on_late_event(ticket, actions),
+            Event::Leaving(start) => return self.on_leaving(start, actions),
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
@@ -571,6 +591,7 @@
     fn measure(&self, mut gauge: impl FnMut(&'static str, f64)) {
         gauge("banyannotch_gateway_requests_in_flight", self.tickets.len() as f64);
         gauge("banyannotch_gateway_endpoints", self.endpoints.len() as f64);
+        gauge("banyannotch_gateway_endpoints_leaving", self.announcements.leaving() as f64);
         gauge("banyannotch_gateway_configuration_version", self.version() as f64);
         gauge("banyannotch_gateway_peers", self.peers.len() as f64);
     }
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -3,11 +3,11 @@
 
 use std::time::Instant;
 
-use super::{Action, Dispatch, DispatchSettings, Event, PeerState, RefusalReason, Verdict};
+use super::{Action, Decision, Dispatch, DispatchSettings, Event, PeerState, RefusalReason, Verdict};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::gateway::adapter::EngineControl;
-use crate::gateway::forwarding;
+use crate::gateway::{catalog, forwarding};
 use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 
 /// Timeout of the report of an engine, in milliseconds. A live engine answers within a few milliseconds.
@@ -22,6 +22,8 @@
     pub inbound: Vec<Receiver<Event>>,
     /// Verdicts and readiness for forwarding.
     pub forwarding: Sender<forwarding::Event>,
+    /// Departures of endpoints for the catalog.
+    pub catalog: Sender<catalog::Event>,
     /// State of this gateway for gossip.
     pub gossip: Sender<Box<PeerState>>,
 }
@@ -85,18 +87,31 @@
                     reports.put(Event::Report { address, report });
                 });
             }
+            Action::Leaving(start) => {
+                let event = catalog::Event::Leaving { id: start.id, born_ms: start.born_ms };
+                self.links.catalog.send_or_fail(event, "dispatch_catalog", &self.supervisor);
+            }
             Action::PublishState(state) => {
                 if self.links.gossip.send(state).is_err() {
                     // The state is published again at the next interval.
                     metrics::counter!("banyannotch_gateway_shares_lost_total").increment(1);
                 }
             }
+            Action::Decide(decision @ Decision::DecliningChosen { .. }) => {
+                log::error!("{decision}");
+                metrics::counter!(
+                    "banyannotch_invariant_violations_total",
+                    "invariant" => "no_request_to_declining_endpoint"
+                )
+                .increment(1);
+            }
             Action::Decide(decision) => log::info!("{decision}"),
         }
     }
 
     fn flush(&mut self) {
         self.links.forwarding.flush();
+        self.links.catalog.flush();
         self.links.gossip.flush();
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/tests/chains.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/chains.rs
@@ -13,7 +13,7 @@
 use crate::random::Random;
 
 /// Makes the gateway one of many, which draw their paths.
-fn one_of_many(mut world: World) -> World {
+pub fn one_of_many(mut world: World) -> World {
     let state =
         PeerState { instance: "other".to_owned(), zone: Zone::from("a"), version: 5, ..PeerState::default() };
     world.event(Event::Peer { state: Box::new(state), known: 300, zone_known: 59 });
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -5,8 +5,8 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::{
-    Action, Dispatch, DispatchSettings, Ending, Event, PeerState, Proof, Refusal, SendOrder, Submission,
-    Verdict,
+    Action, Decision, Dispatch, DispatchSettings, Ending, EndpointStart, Event, PeerState, Proof, Refusal,
+    SendOrder, Submission, Verdict,
 };
 use crate::gateway::{
     Accelerator, CallerLimits, Configuration, Credential, Endpoint, Pipeline, RequestInfo, RetryMode, Route,
@@ -138,6 +138,12 @@
     }
 }
 
+/// Returns the endpoints that an order uses.
+pub fn used_by(order: &SendOrder) -> Vec<Address> {
+    let path = order.forwarding_info.path.iter().map(|(address, _)| *address);
+    std::iter::once(order.address).chain(path).collect()
+}
+
 /// Drives dispatch with a manual clock and records its actions as lines of text.
 pub struct World {
     pub dispatch: Dispatch,
@@ -193,6 +199,17 @@
         self.event(Event::Endpoints(restarted.into()));
     }
 
+    /// Returns the known start of the endpoint at an address.
+    pub fn start_at(&self, address: Address) -> EndpointStart {
+        let endpoint = self.dispatch.endpoint_at(address).expect("an endpoint has the address");
+        EndpointStart { address, id: Arc::clone(&endpoint.id), born_ms: endpoint.born_ms }
+    }
+
+    /// Returns the endpoints that the last order uses.
+    pub fn used(&self) -> Vec<Address> {
+        self.last_order.as_ref().map(used_by).unwrap_or_default()
+    }
+
     pub fn wait_ms(&mut self, ms: u64) {
         self.now_us += ms * US_PER_MS;
     }
@@ -245,7 +262,9 @@
                 format!("{ticket}: {} {}", refusal.reason.status(), refusal.reason)
             }
             Action::Ready(ready) => format!("ready {ready}"),
+            Action::Leaving(start) => format!("{} leaves", start.id),
             Action::Inspect(address) => format!("inspect {}", address.ip()),
+            Action::Decide(decision @ Decision::DecliningChosen { .. }) => panic!("{decision}"),
             Action::PublishState(_) | Action::Decide(_) => return,
         };
         self.lines.push(line);
--- a/crates/banyannotch/src/gateway/dispatch/tests/random.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/random.rs
@@ -1,8 +1,9 @@
 //! Random sequences of events, with invariants that are checked after each step.
 
-use super::fixtures::{World, address, request};
+use super::fixtures::{World, address, request, used_by};
 use crate::gateway::EngineReport;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event, PeerState};
+use crate::pipeline::Address;
 use crate::random::Random;
 
 /// A request that has no final answer yet.
@@ -26,6 +27,7 @@
     let mut random = Random::seeded(seed);
     let mut world = World::new();
     let mut open: Vec<OpenRequest> = Vec::new();
+    let mut leaving: Vec<Address> = Vec::new();
     for step in 0..400 {
         world.wait_ms(random.below(40) as u64);
         if random.below(10) == 0 {
@@ -68,8 +70,24 @@
                     );
                 }
             }
+            _ if random.below(40) == 0 => {
+                // At times an endpoint of each kind announces its departure, and later all start anew.
+                if leaving.len() == 4 {
+                    leaving.clear();
+                    world.restart_endpoints(2 + step);
+                } else {
+                    let address = [address(1), address(12), address(2), address(21)][leaving.len()];
+                    leaving.push(address);
+                    let start = world.start_at(address);
+                    world.event(Event::Leaving(start));
+                }
+            }
             _ => send_random_event(&mut random, &mut world),
         }
+        if let Some(used) = world.last_order.take().map(|order| used_by(&order)) {
+            let declining = used.iter().find(|address| leaving.contains(address));
+            assert_eq!(declining, None, "seed {seed} step {step}: a leaving endpoint was used");
+        }
         // Removes a request that was refused when it was submitted.
         open.retain(|open| {
             !world.lines[before..].iter().any(|line| line.starts_with(&format!("{}: 5", open.ticket)))
--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -56,6 +56,18 @@
     }
 }
 
+/// Returns whether what a response head says about the endpoint itself is used. A head that names another attempt, or none
+/// although only rejections may do so, is not passed on and may be a copy of another endpoint's answer.
+pub(super) fn describes_endpoint(kind: ResponseKind, response_info: &ResponseInfo) -> bool {
+    match kind {
+        ResponseKind::Foreign | ResponseKind::Interim => false,
+        ResponseKind::Invalid => response_info.id.is_some(),
+        ResponseKind::Success | ResponseKind::NotRun | ResponseKind::Failure | ResponseKind::Ambiguous => {
+            true
+        }
+    }
+}
+
 /// A complete response of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Response {
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -9,7 +9,7 @@
 use super::pool::Pool;
 use crate::clock::Clock;
 use crate::duty::Supervisor;
-use crate::gateway::dispatch::{self, Ending, Refusal, RefusalReason, Submission, Verdict};
+use crate::gateway::dispatch::{self, Ending, Refusal, RefusalReason, SendOrder, Submission, Verdict};
 use crate::gateway::{CallerLimits, Dialect, RequestInfo};
 use crate::ring::Sender;
 use crate::table::Table;
@@ -83,6 +83,12 @@
         self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
     }
 
+    /// Reports to dispatch that the endpoint of a send announced its departure.
+    pub fn report_leaving(&self, order: &SendOrder) {
+        let event = dispatch::Event::Leaving(order.endpoint_start());
+        self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
+    }
+
     /// Reports the final outcome of a request to dispatch. No further verdict is expected.
     pub fn finish(&self, ticket: u64, ending: Ending) {
         if let Ending::Completed { first_ms } = ending {
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -7,7 +7,9 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{timeout, timeout_at};
 
-use super::answer::{Response, ResponseKind, classify, write_response, write_stream_head};
+use super::answer::{
+    Response, ResponseKind, classify, describes_endpoint, write_response, write_stream_head,
+};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::pool::Upstream;
@@ -279,7 +281,12 @@
                 None => self.upstream.reader.response_head(HEAD_LIMIT_BYTES).await?,
             };
             let response_info = self.context.dialect.response_info(&head);
-            match classify(&head, &response_info, &self.request.id) {
+            let kind = classify(&head, &response_info, &self.request.id);
+            if response_info.leaving && describes_endpoint(kind, &response_info) {
+                // Dispatch must know before the rest of the response arrives, which takes long for a stream.
+                self.context.report_leaving(self.order);
+            }
+            match kind {
                 ResponseKind::Interim => {}
                 ResponseKind::Foreign => {
                     log::info!(
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -1,7 +1,7 @@
 //! Tests that lost, duplicate, incomplete or reordered events are not forwarded, and that a response is not
 //! taken for the response to another attempt.
 
-use super::answer::classify;
+use super::answer::{ResponseKind, classify, describes_endpoint};
 use super::events::EventSplitter;
 use crate::gateway::ResponseInfo;
 use crate::gateway::http1::ResponseHead;
@@ -36,6 +36,18 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// A response that is not certain to come from the endpoint must not take the endpoint out of use.
+#[test]
+fn announcements_of_foreign_responses_are_not_used() {
+    let named = ResponseInfo { id: Some("a".into()), ..ResponseInfo::default() };
+    let unnamed = ResponseInfo::default();
+    let used = |kind| (describes_endpoint(kind, &named), describes_endpoint(kind, &unnamed));
+    assert_eq!(used(ResponseKind::Foreign), (false, false));
+    assert_eq!(used(ResponseKind::Invalid), (true, false));
+    assert_eq!(used(ResponseKind::Ambiguous), (true, true));
+    assert_eq!(used(ResponseKind::NotRun), (true, true));
+}
+
 #[test]
 fn response_is_classified_by_status_id_signature_and_not_run_mark() {
     let own =
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -104,6 +104,7 @@
         let (daemon_to_layout, layout_from_daemon) = link(RING_CAPACITY, HELD_LIMIT, &drained, layout_bell);
         let (gossip_to_layout, layout_from_gossip) =
             link(RING_CAPACITY, HELD_LIMIT, gossip_bell, layout_bell);
+        let (dispatch_to_catalog, departures) = link(RING_CAPACITY, HELD_LIMIT, dispatch_bell, catalog_bell);
         let (gossip_to_catalog, peer_updates) = link(RING_CAPACITY, HELD_LIMIT, gossip_bell, catalog_bell);
         let (catalog_to_gossip, changes) = link(RING_CAPACITY, HELD_LIMIT, catalog_bell, gossip_bell);
         let (dispatch_to_gossip, states) =
@@ -135,6 +136,7 @@
                 bell: dispatch_bell.clone(),
                 inbound: vec![from_forwarding, from_catalog, from_gossip, from_daemon],
                 forwarding: dispatch_to_forwarding,
+                catalog: dispatch_to_catalog,
                 gossip: dispatch_to_gossip,
             },
             dispatch_settings(settings),
@@ -158,7 +160,7 @@
             clock,
             catalog::Links {
                 bell: catalog_bell.clone(),
-                inbound: vec![peer_updates],
+                inbound: vec![peer_updates, departures],
                 dispatch: catalog_to_dispatch,
                 layout: catalog_to_layout,
                 forwarding: catalog_to_forwarding,
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -43,6 +43,7 @@
         "Datagrams to other gateways that could not be sent",
     ),
     ("banyannotch_gateway_endpoints", Gauge, "Endpoints that a gateway knows"),
+    ("banyannotch_gateway_endpoints_leaving", Gauge, "Endpoints that announced their departure in an answer"),
     ("banyannotch_gateway_failures_delivered_total", Counter, "Failures of endpoints passed on to callers"),
     (
         "banyannotch_gateway_first_answer_seconds",
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -103,6 +103,10 @@
     orders: u64,
     /// Addresses of the engines on which requests are reported as stalled.
     stalled: Vec<String>,
+    /// Whether all answers to requests announce that the endpoint is leaving.
+    leaving: bool,
+    /// Number of requests that arrived, those that were rejected included.
+    arrivals: usize,
 }
 
 /// An endpoint in the test's own process.
@@ -128,6 +132,8 @@
             layers: None,
             orders: 0,
             stalled: Vec::new(),
+            leaving: false,
+            arrivals: 0,
         }));
         let shared = Rc::clone(&state);
         let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
@@ -172,6 +178,16 @@
         self.state.borrow_mut().stalled = vec![address.to_string()];
     }
 
+    /// Sets whether all answers to requests announce that the endpoint is leaving, whatever its entry says.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.borrow_mut().leaving = leaving;
+    }
+
+    /// Returns the number of requests that arrived, those that were rejected included.
+    pub fn arrivals(&self) -> usize {
+        self.state.borrow().arrivals
+    }
+
     /// Returns the requests that the endpoint has run.
     pub fn runs(&self) -> Vec<Run> {
         self.state.borrow().runs.clone()
@@ -229,24 +245,25 @@
     writer: &mut OwnedWriteHalf,
 ) -> bool {
     let header = |name: &str| head.headers.get(name).map(str::to_owned);
-    let (id, events, fault) = {
-        let state = state.borrow();
+    let (id, events, fault, leaving) = {
+        let mut state = state.borrow_mut();
+        state.arrivals += 1;
         let fault = if state.fault_count.get() > 0 { state.fault } else { Fault::None };
         state.fault_count.set(state.fault_count.get().saturating_sub(1));
-        (state.id.clone(), state.events, fault)
+        (state.id.clone(), state.events, fault, if state.leaving { "Server-Leaving: 1\r\n" } else { "" })
     };
     if header("Expect-Instance").as_deref() != Some(id.as_str()) {
         return writer.write_all(&encode_response(421, "Instance-Id: other\r\n", b"")).await.is_ok();
     }
     let attempt = header("Attempt-Id").unwrap_or_default();
+    let unsigned = format!("Attempt-Id: {attempt}\r\n{leaving}");
     if fault == Fault::NotRun {
-        let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
+        let headers = format!("{unsigned}Not-Executed: 1\r\n");
         return writer.write_all(&encode_response(503, &headers, b"")).await.is_ok();
     }
     if fault == Fault::EndlessNotRun {
-        let head = format!(
-            "HTTP/1.1 503 Any\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-        );
+        let head =
+            format!("HTTP/1.1 503 Any\r\n{unsigned}Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
     }
     let resumed_after: Option<u64> = header("Last-Event-Id").and_then(|id| id.parse().ok());
@@ -264,7 +281,7 @@
         path: header("Hop-Count"),
         saw_key: head.headers.get("Key").is_some(),
     });
-    let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
+    let signed = format!("{unsigned}Server-Signature: {id}.{attempt}\r\n");
     if fault == Fault::EndlessHead {
         let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
         return write_without_end(head.as_bytes(), b"xxxxxxxxxxxxxxxx", writer).await;
@@ -274,13 +291,18 @@
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
     }
     if head.target.starts_with("/write/") && fault != Fault::Fail {
-        return write_stream(&id, &attempt, resumed_after, events, fault, writer).await;
+        return write_stream(&signed, resumed_after, events, fault, writer).await;
     }
-    write_response(&id, &attempt, fault, writer).await
+    write_response(&attempt, &unsigned, &signed, fault, writer).await
 }
 
-async fn write_response(id: &str, attempt: &str, fault: Fault, writer: &mut OwnedWriteHalf) -> bool {
-    let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
+async fn write_response(
+    attempt: &str,
+    unsigned: &str,
+    signed: &str,
+    fault: Fault,
+    writer: &mut OwnedWriteHalf,
+) -> bool {
     let build_response =
         |status, headers: &str| encode_response(status, headers, format!("answer of {attempt}").as_bytes());
     let foreign_response = || build_response(200, "Attempt-Id: another\r\nServer-Signature: x\r\n");
@@ -288,19 +310,19 @@
         Fault::LoseAnswer => return false,
         Fault::Garble => b"\x00\x01 no answer\r\n\r\n".to_vec(),
         Fault::Truncate => {
-            let mut out = build_response(200, &signed);
+            let mut out = build_response(200, signed);
             out.truncate(out.len() - 3);
             out
         }
-        Fault::ForeignFirst => [foreign_response(), build_response(200, &signed)].concat(),
+        Fault::ForeignFirst => [foreign_response(), build_response(200, signed)].concat(),
         Fault::ForeignOnly => foreign_response(),
-        Fault::Unsigned => build_response(200, &format!("Attempt-Id: {attempt}\r\n")),
+        Fault::Unsigned => build_response(200, unsigned),
         Fault::Encoded => build_response(200, &format!("{signed}Content-Encoding: gzip\r\n")),
-        Fault::Ambiguous => build_response(503, &signed),
-        Fault::Fail => build_response(500, &signed),
+        Fault::Ambiguous => build_response(503, signed),
+        Fault::Fail => build_response(500, signed),
         Fault::Unframed => format!("HTTP/1.1 200 Any\r\n{signed}\r\nanswer of {attempt}").into_bytes(),
-        Fault::Extra => [build_response(200, &signed), foreign_response()].concat(),
-        _ => build_response(200, &signed),
+        Fault::Extra => [build_response(200, signed), foreign_response()].concat(),
+        _ => build_response(200, signed),
     };
     let closes = matches!(
         fault,
@@ -310,15 +332,14 @@
 }
 
 async fn write_stream(
-    id: &str,
-    attempt: &str,
+    signed: &str,
     resumed_after: Option<u64>,
     events: u64,
     fault: Fault,
     writer: &mut OwnedWriteHalf,
 ) -> bool {
     let mut out = format!(
-        "HTTP/1.1 200 Any\r\nAttempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n\
+        "HTTP/1.1 200 Any\r\n{signed}\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     )
     .into_bytes();
