dispatch: send nothing to endpoints that ask for a pause

Endpoints that turn a request away with 503 may add Retry-After and then want nothing from this gateway for that time. The gateway lowered their rank at most and went on sending; callers used up their retries on rejections and were told to return after a fixed 500 ms.

Forwarding reports the time with the head of the answer, with or without the mark that the request did not run, and for 429 as well. Dispatch does not choose the endpoint until the time has passed on its own clock or the endpoint has started anew, not as a last resort either, and neither the engine that the rejection names, because the answer does not show which of them wants nothing. A held-off engine is not asked for reports. An order that waits for a connection expires after 0.4 s, so that nothing is sent later than half a second after the rejection; the new decision is no retry, because no endpoint saw the request. While the endpoints of a service that take requests cannot serve any, callers are refused at once and told the time until that changes, at most a third of what they have left. Reports and orders of the layout are not requests of callers and go on.

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -75,6 +75,8 @@
     pub load: Option<(u32, u32)>,
     /// Whether the endpoint announces that it is leaving, so that it must get no further requests.
     pub leaving: bool,
+    /// Time for which the endpoint wants no requests, in milliseconds, if it rejects this one.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// Interprets request and response heads of the platform.
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -38,12 +38,12 @@
     }
 
     /// Requests a report of the first engine on the path of a stream whose next event is late. Replicas of plain services
-    /// give no reports, so their streams go on until the limit of silence.
-    pub(super) fn on_late_event(&mut self, ticket_id: u64, actions: &mut Vec<Action>) {
+    /// give no reports, and engines that want no requests are not asked, so their streams go on until the limit of silence.
+    pub(super) fn on_late_event(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         let Some((first, load)) = ticket.reservation.loads.first().copied() else { return };
         let is_engine = load.sequences > 0;
-        if !is_engine {
+        if !is_engine || self.announcements.hold_off_end_us(&first, now_us).is_some() {
             return;
         }
         ticket.is_waiting = true;
@@ -130,7 +130,7 @@
                 self.suspects.record_break(digest, *first, now_us);
                 self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0);
                 if reservation.loads.len() > 1 {
-                    actions.push(Action::Inspect(*first));
+                    self.inspect(now_us, *first, actions);
                 }
             }
             BrokenBy::Garbled => self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0),
@@ -139,7 +139,7 @@
                     self.health.entry(*address).record_failure(now_us, half_life_ms, TIMEOUT_FAILURE_WEIGHT);
                 }
                 if reservation.loads.len() > 1 {
-                    actions.push(Action::Inspect(*first));
+                    self.inspect(now_us, *first, actions);
                 }
             }
         }
@@ -256,7 +256,7 @@
         }
         self.health
             .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
-        self.announcements.retain_known(&endpoints);
+        self.announcements.retain_known(&endpoints, now_us);
         self.endpoints = endpoints.into();
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -41,6 +41,9 @@
     /// The request was not sent, because [`SendOrder::valid_until_us`] had passed and the configuration may
     /// have changed.
     Outdated,
+    /// The request was not sent, because [`SendOrder::send_by_us`] had passed and the endpoint may have asked for
+    /// no requests.
+    Delayed,
     /// The endpoint answered with an error; forwarding keeps the answer for [`Verdict::Deliver`].
     Failed {
         /// HTTP status of the answer.
@@ -132,6 +135,13 @@
     pub born_ms: u64,
 }
 
+impl EndpointStart {
+    /// Returns the start that an entry describes.
+    pub fn of(endpoint: &Endpoint) -> Self {
+        Self { address: endpoint.address, id: Arc::clone(&endpoint.id), born_ms: endpoint.born_ms }
+    }
+}
+
 /// Input of dispatch.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -149,6 +159,15 @@
     },
     /// An endpoint announced in an answer that it is leaving.
     Leaving(EndpointStart),
+    /// An endpoint rejected a request and wants no others for a time.
+    HoldOff {
+        /// The endpoint that answered.
+        start: EndpointStart,
+        /// Engine of the path that the answer names as the cause, if any.
+        fault_at: Option<Address>,
+        /// Time for which it wants no requests, in milliseconds.
+        for_ms: u64,
+    },
     /// A send ended.
     Ended {
         /// Number of the request.
@@ -197,6 +216,8 @@
     pub deadline_us: u64,
     /// Time from which on the request must no longer be sent, in microseconds.
     pub valid_until_us: u64,
+    /// Time from which on the request must not be sent without another decision, in microseconds.
+    pub send_by_us: u64,
     /// Time limit for making a connection, in milliseconds.
     pub connect_limit_ms: u64,
     /// Time limit for the head of the answer and the first event of a stream, in milliseconds. The time taken
@@ -213,6 +234,14 @@
 }
 
 impl SendOrder {
+    /// Returns how the send ends if it is too late to send the request.
+    pub fn late_ending(&self, now_us: u64) -> Option<Ending> {
+        if now_us >= self.valid_until_us {
+            return Some(Ending::Outdated);
+        }
+        (now_us >= self.send_by_us).then_some(Ending::Delayed)
+    }
+
     /// Returns the start of the endpoint that the request is sent to.
     pub fn endpoint_start(&self) -> EndpointStart {
         let id = Arc::clone(&self.forwarding_info.endpoint);
@@ -381,6 +410,13 @@
     },
     /// An endpoint announced its departure in an answer and gets no further requests.
     Leaving(EndpointStart),
+    /// An endpoint asked for no requests for a time.
+    HeldOff {
+        /// Address of the endpoint.
+        address: Address,
+        /// Time for which it gets no requests, in milliseconds.
+        for_ms: u64,
+    },
     /// An endpoint was chosen although it takes no requests. The request is not sent.
     DecliningChosen {
         /// Address of the endpoint.
@@ -425,6 +461,9 @@
                 formatter,
                 "event=endpoint_leaving endpoint={id} endpoint_address={address} born_ms={born_ms}"
             ),
+            Self::HeldOff { address, for_ms } => {
+                write!(formatter, "event=endpoint_held_off endpoint_address={address} for_ms={for_ms}")
+            }
             Self::DecliningChosen { address } => write!(
                 formatter,
                 "event=invariant_violated invariant=no_request_to_declining_endpoint \
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -185,7 +185,7 @@
             return self.refuse(now_us, ticket_id, reason, actions);
         }
         let choice = self.choose(now_us, ticket_id);
-        let Some(choice) = choice.filter(|choice| self.takes_requests(choice, actions)) else {
+        let Some(choice) = choice.filter(|choice| self.takes_requests(now_us, choice, actions)) else {
             let reason =
                 if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::NoCapacity };
             return self.refuse(now_us, ticket_id, reason, actions);
@@ -241,6 +241,7 @@
             },
             deadline_us: ticket.deadline_us,
             valid_until_us,
+            send_by_us: now_us + settings.send_delay_limit_ms * US_PER_MS,
             connect_limit_ms: settings.connect_limit_ms,
             first_response_limit_ms,
             stall_limit_ms,
@@ -256,7 +257,7 @@
         let ticket = self.tickets.get(&ticket_id)?;
         let service = self.configuration.as_deref()?.service(&ticket.service)?;
         let takes_requests = |endpoint: &&Endpoint| {
-            endpoint.service == ticket.service && !self.announcements.declines(&endpoint.address)
+            endpoint.service == ticket.service && !self.announcements.declines(&endpoint.address, now_us)
         };
         let endpoints: Vec<&Endpoint> = self.endpoints.iter().filter(takes_requests).collect();
         match &service.pipeline {
@@ -293,8 +294,8 @@
     }
 
     /// Checks that no endpoint of a choice announced that it takes no requests.
-    fn takes_requests(&self, choice: &Choice, actions: &mut Vec<Action>) -> bool {
-        let declining = choice.loads.iter().find(|(address, _)| self.announcements.declines(address));
+    fn takes_requests(&self, now_us: u64, choice: &Choice, actions: &mut Vec<Action>) -> bool {
+        let declining = choice.loads.iter().find(|(address, _)| self.announcements.declines(address, now_us));
         if let Some((address, _)) = declining {
             actions.push(Action::Decide(Decision::DecliningChosen { address: *address }));
         }
@@ -394,6 +395,13 @@
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
             }
+            Ending::Delayed => {
+                // The endpoint has not seen the request, so another decision is no retry.
+                if let Some(ticket) = self.tickets.get_mut(&ticket_id) {
+                    ticket.sends = ticket.sends.saturating_sub(1);
+                }
+                self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
+            }
             Ending::Outdated => {
                 let reason = if self.may_have_run(ticket_id) {
                     RefusalReason::Broken
@@ -467,8 +475,11 @@
     }
 
     fn refuse(&mut self, now_us: u64, ticket_id: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
-        let refusal = self.refusal(now_us, reason);
+        let mut refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.tickets.remove(&ticket_id) {
+            if let Some(wait_ms) = self.retry_after_hold_off_ms(now_us, reason, &ticket) {
+                refusal.retry_after_ms = Some(wait_ms);
+            }
             actions.push(Action::Decide(Decision::Refused {
                 id: ticket.request.id,
                 refusal,
@@ -554,8 +565,11 @@
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
             Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
-            Event::Waiting { ticket } => return self.on_late_event(ticket, actions),
+            Event::Waiting { ticket } => return self.on_late_event(now_us, ticket, actions),
             Event::Leaving(start) => return self.on_leaving(start, actions),
+            Event::HoldOff { start, fault_at, for_ms } => {
+                return self.on_hold_off(now_us, start, fault_at, for_ms, actions);
+            }
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -53,6 +53,9 @@
     pub hop_cost_ms: f64,
     /// Time limit for connecting to an endpoint.
     pub connect_limit_ms: u64,
+    /// Time after the decision within which a request is sent. An endpoint that has asked for no requests may still get
+    /// those that were sent within half a second.
+    pub send_delay_limit_ms: u64,
     /// Minimum time without an event after which the path of a stream that can be continued on other endpoints is
     /// examined.
     pub stall_limit_min_ms: u64,
@@ -102,6 +105,7 @@
             tried_cost_ms: 1_000.0,
             hop_cost_ms: 40.0,
             connect_limit_ms: 250,
+            send_delay_limit_ms: 400,
             stall_limit_min_ms: 400,
             first_event_limit_ms: 600,
             stall_factor: 3.0,
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -202,7 +202,7 @@
     /// Returns the known start of the endpoint at an address.
     pub fn start_at(&self, address: Address) -> EndpointStart {
         let endpoint = self.dispatch.endpoint_at(address).expect("an endpoint has the address");
-        EndpointStart { address, id: Arc::clone(&endpoint.id), born_ms: endpoint.born_ms }
+        EndpointStart::of(endpoint)
     }
 
     /// Returns the endpoints that the last order uses.
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -16,6 +16,7 @@
         Ending::NotRun { status: 421, fault_at: None },
         Ending::Unsent,
         Ending::Outdated,
+        Ending::Delayed,
         Ending::Failed { status: 500 },
         Ending::Broken { by: BrokenBy::Connection },
         Ending::Broken { by: BrokenBy::Garbled },
--- a/crates/banyannotch/src/gateway/dispatch/tests/random.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/random.rs
@@ -1,6 +1,7 @@
 //! Random sequences of events, with invariants that are checked after each step.
 
 use super::fixtures::{World, address, request, used_by};
+use crate::clock::US_PER_MS;
 use crate::gateway::EngineReport;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event, PeerState};
 use crate::pipeline::Address;
@@ -28,6 +29,7 @@
     let mut world = World::new();
     let mut open: Vec<OpenRequest> = Vec::new();
     let mut leaving: Vec<Address> = Vec::new();
+    let mut held_off: Vec<(Address, u64)> = Vec::new();
     for step in 0..400 {
         world.wait_ms(random.below(40) as u64);
         if random.below(10) == 0 {
@@ -74,6 +76,7 @@
                 // At times an endpoint of each kind announces its departure, and later all start anew.
                 if leaving.len() == 4 {
                     leaving.clear();
+                    held_off.clear();
                     world.restart_endpoints(2 + step);
                 } else {
                     let address = [address(1), address(12), address(2), address(21)][leaving.len()];
@@ -82,11 +85,22 @@
                     world.event(Event::Leaving(start));
                 }
             }
+            _ if random.below(10) == 0 => {
+                let address = address(1 + random.below(16) as u8);
+                if world.dispatch.endpoint_at(address).is_some() {
+                    let for_ms = 100 * random.below(10) as u64;
+                    held_off.push((address, world.now_us + for_ms * US_PER_MS));
+                    let start = world.start_at(address);
+                    world.event(Event::HoldOff { start, fault_at: None, for_ms });
+                }
+            }
             _ => send_random_event(&mut random, &mut world),
         }
+        held_off.retain(|(_, until_us)| world.now_us < *until_us);
         if let Some(used) = world.last_order.take().map(|order| used_by(&order)) {
-            let declining = used.iter().find(|address| leaving.contains(address));
-            assert_eq!(declining, None, "seed {seed} step {step}: a leaving endpoint was used");
+            let mut declining = leaving.iter().chain(held_off.iter().map(|(address, _)| address));
+            let chosen = declining.find(|address| used.contains(address));
+            assert_eq!(chosen, None, "seed {seed} step {step}: an endpoint that takes no requests was used");
         }
         // Removes a request that was refused when it was submitted.
         open.retain(|open| {
@@ -96,13 +110,14 @@
 }
 
 fn random_ending(random: &mut Random) -> Ending {
-    match random.below(8) {
+    match random.below(9) {
         0 | 1 => Ending::Completed { first_ms: 1 },
         2 => Ending::NotRun { status: 503, fault_at: Some(address(11 + random.below(6) as u8)) },
         3 => Ending::Unsent,
         4 => Ending::Failed { status: 500 },
         5 => Ending::Broken { by: BrokenBy::Connection },
         6 => Ending::Broken { by: BrokenBy::Silence },
+        7 => Ending::Delayed,
         _ => Ending::NotRun { status: 421, fault_at: None },
     }
 }
--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -68,6 +68,14 @@
     }
 }
 
+/// Returns the time for which an endpoint wants no requests, if its response rejects this one. Whether the request ran does
+/// not matter.
+pub(super) fn requested_hold_off_ms(status: u16, response_info: &ResponseInfo) -> Option<u64> {
+    /// Statuses "Too Many Requests" and "Service Unavailable", with which `Retry-After` asks the sender to wait.
+    const HOLD_OFF_STATUSES: [u16; 2] = [429, 503];
+    response_info.retry_after_ms.filter(|_| HOLD_OFF_STATUSES.contains(&status))
+}
+
 /// A complete response of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Response {
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -11,6 +11,7 @@
 use crate::duty::Supervisor;
 use crate::gateway::dispatch::{self, Ending, Refusal, RefusalReason, SendOrder, Submission, Verdict};
 use crate::gateway::{CallerLimits, Dialect, RequestInfo};
+use crate::pipeline::Address;
 use crate::ring::Sender;
 use crate::table::Table;
 
@@ -89,6 +90,13 @@
         self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
     }
 
+    /// Reports to dispatch that the endpoint of a send wants no requests for a time, and the engine that its rejection
+    /// names as the cause.
+    pub fn report_hold_off(&self, order: &SendOrder, fault_at: Option<Address>, for_ms: u64) {
+        let event = dispatch::Event::HoldOff { start: order.endpoint_start(), fault_at, for_ms };
+        self.dispatch.borrow_mut().send_or_fail(event, "forwarding_dispatch", &self.supervisor);
+    }
+
     /// Reports the final outcome of a request to dispatch. No further verdict is expected.
     pub fn finish(&self, ticket: u64, ending: Ending) {
         if let Ending::Completed { first_ms } = ending {
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -8,7 +8,8 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::answer::{
-    Response, ResponseKind, classify, describes_endpoint, write_response, write_stream_head,
+    Response, ResponseKind, classify, describes_endpoint, requested_hold_off_ms, write_response,
+    write_stream_head,
 };
 use super::context::Context;
 use super::events::EventSplitter;
@@ -98,8 +99,8 @@
     let connect_started_us = context.clock.now_us();
     let Some(upstream) = acquire_connection(context, order).await else { return (Ending::Unsent, None) };
     let now_us = context.clock.now_us();
-    if now_us >= order.valid_until_us {
-        return (Ending::Outdated, None);
+    if let Some(ending) = order.late_ending(now_us) {
+        return (ending, None);
     }
     let mut forwarding_info = order.forwarding_info.clone();
     forwarding_info.deadline_ms =
@@ -282,9 +283,14 @@
             };
             let response_info = self.context.dialect.response_info(&head);
             let kind = classify(&head, &response_info, &self.request.id);
-            if response_info.leaving && describes_endpoint(kind, &response_info) {
+            if describes_endpoint(kind, &response_info) {
                 // Dispatch must know before the rest of the response arrives, which takes long for a stream.
-                self.context.report_leaving(self.order);
+                if response_info.leaving {
+                    self.context.report_leaving(self.order);
+                }
+                if let Some(for_ms) = requested_hold_off_ms(head.status, &response_info) {
+                    self.context.report_hold_off(self.order, response_info.fault_at, for_ms);
+                }
             }
             match kind {
                 ResponseKind::Interim => {}
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -227,6 +227,8 @@
         retry_allowance: settings.retry_allowance,
         // The gateway must detect a stall well before the engine itself aborts the work.
         stall_limit_min_ms: defaults.stall_limit_min_ms.min(settings.stall_ms / 2),
+        // A request that waits for a connection is sent well before an endpoint that leaves may refuse it.
+        send_delay_limit_ms: defaults.send_delay_limit_ms.min(settings.drain_ms / 2),
         ..defaults
     }
 }
--- a/crates/gateway/tests/announcements.rs
+++ b/crates/gateway/tests/announcements.rs
@@ -3,6 +3,8 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
+use std::time::{Duration, Instant};
+
 use banyannotch_standins::fleet::{Endpoint, Fault, stream};
 use banyannotch_standins::harness::wait_until;
 use common::{EVENTS, Fleet, Gateway, LIMIT};
@@ -16,8 +18,9 @@
 fn write_entries(fleet: &Fleet, born_ms: u64, heartbeat: u64) {
     for (index, replica) in fleet.replicas.iter().enumerate() {
         let mut entry = replica.entry("desk", None, "ready");
-        entry["born"] = json!(born_ms);
-        entry["sequence"] = json!(heartbeat);
+        if let Some(fields) = entry.as_object_mut() {
+            fields.extend([("born".to_owned(), json!(born_ms)), ("sequence".to_owned(), json!(heartbeat))]);
+        }
         fleet.store.put_endpoint(&format!("desk-{}", index + 1), Some(&entry));
     }
 }
@@ -87,3 +90,53 @@
     let after: usize = arrivals(&fleet.engines).iter().sum();
     assert_eq!((after - before, fleet.runs_of("running")), (2, 1), "requests to engines, runs of the first");
 }
+
+/// An endpoint that answers 503 with `Retry-After` gets nothing until that time is over, whether or not its answer states
+/// that the request was not executed. Callers are refused at once and told when to return.
+#[actix_rt::test]
+async fn an_endpoint_that_asks_for_a_pause_gets_no_request_before_its_end() {
+    /// Pause that the endpoints ask for, in milliseconds. The deadline of the requests is 3 s, a third of which is shorter.
+    const PAUSE_MS: u64 = 1_500;
+    let fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    gateway.wait_ready().await;
+    for marked in [true, false] {
+        wait_until(LIMIT, async || {
+            gateway.call(&format!("warm-{marked}"), "/call/x").await.status == Some(200)
+        })
+        .await
+        .expect("the endpoints are used");
+        let before: usize = arrivals(&fleet.replicas).iter().sum();
+        for replica in &fleet.replicas {
+            replica.set_fault(Fault::RetryAfter { ms: PAUSE_MS, marked }, usize::MAX);
+        }
+        let mut number = 0;
+        let mut call = async || {
+            number += 1;
+            gateway.call(&format!("{marked}-{number}"), "/call/x").await
+        };
+        let started = Instant::now();
+        // The first request reaches both replicas if the first one states that it was not executed.
+        while arrivals(&fleet.replicas).iter().sum::<usize>() < before + 2 {
+            call().await;
+        }
+        let refused = call().await;
+        let retry_after_s: f64 =
+            refused.retry_after.as_deref().unwrap_or_default().parse().expect("a number");
+        assert!((0.5..=1.0).contains(&retry_after_s), "{refused:?}");
+        for replica in &fleet.replicas {
+            replica.set_fault(Fault::None, 0);
+        }
+        wait_until(LIMIT, async || {
+            let got = call().await;
+            assert!(matches!(got.status, Some(200 | 503)), "{got:?}");
+            got.status == Some(200)
+        })
+        .await
+        .expect("the endpoints are used again");
+        let after: usize = arrivals(&fleet.replicas).iter().sum();
+        assert_eq!(after - before, 3, "marked {marked}: requests to the replicas");
+        let waited = started.elapsed();
+        assert!(waited >= Duration::from_millis(PAUSE_MS), "marked {marked}: used again after {waited:?}");
+    }
+}
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -67,6 +67,13 @@
     EndlessHead,
     /// Sends a body without end until the connection is closed.
     EndlessBody,
+    /// Responds with status 503 and a `Retry-After`, and does not run the request.
+    RetryAfter {
+        /// Time for which the endpoint wants no requests, in milliseconds.
+        ms: u64,
+        /// Whether the response states that the request was not executed.
+        marked: bool,
+    },
     /// Responds that the request was not executed, with a body without end, and does not run it.
     EndlessNotRun,
 }
@@ -261,6 +268,11 @@
         let headers = format!("{unsigned}Not-Executed: 1\r\n");
         return writer.write_all(&encode_response(503, &headers, b"")).await.is_ok();
     }
+    if let Fault::RetryAfter { ms, marked } = fault {
+        let mark = if marked { "Not-Executed: 1\r\n" } else { "" };
+        let headers = format!("{unsigned}{mark}Retry-After: {}.{:03}\r\n", ms / 1_000, ms % 1_000);
+        return writer.write_all(&encode_response(503, &headers, b"")).await.is_ok();
+    }
     if fault == Fault::EndlessNotRun {
         let head =
             format!("HTTP/1.1 503 Any\r\n{unsigned}Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
