--- a/crates/banyannotch/src/gateway/dispatch/announcements.rs
+++ b/crates/banyannotch/src/gateway/dispatch/announcements.rs
@@ -131,12 +131,11 @@
         reason: RefusalReason,
         ticket: &Ticket,
     ) -> Option<u64> {
-        let is_about_endpoints = matches!(
-            reason,
-            RefusalReason::NoCapacity | RefusalReason::Rejected | RefusalReason::BudgetSpent
-        );
-        let served_us =
-            if is_about_endpoints { self.next_served_us(now_us, &ticket.service)? } else { return None };
+        let (RefusalReason::NoCapacity | RefusalReason::Rejected | RefusalReason::BudgetSpent) = reason
+        else {
+            return None;
+        };
+        let served_us = self.next_served_us(now_us, &ticket.service)?;
         let caller_deadline_us = ticket
             .request
             .deadline_ms
