--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -84,7 +84,7 @@
                 self.suspects.record_break(digest, *first, now_us);
                 self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0);
                 if reservation.loads.len() > 1 {
-                    actions.push(Action::Inspect(*first));
+                    self.inspect(now_us, *first, actions);
                 }
             }
             BrokenBy::Garbled => self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0),
@@ -93,7 +93,7 @@
                     self.health.entry(*address).record_failure(now_us, half_life_ms, TIMEOUT_FAILURE_WEIGHT);
                 }
                 if reservation.loads.len() > 1 {
-                    actions.push(Action::Inspect(*first));
+                    self.inspect(now_us, *first, actions);
                 }
             }
         }
@@ -210,6 +210,7 @@
         }
         self.health
             .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
+        self.announcements.retain_known(&endpoints, now_us);
         self.endpoints = endpoints.into();
     }
 
@@ -248,7 +249,7 @@
 }
 
 /// Returns the endpoint at an address; the endpoints are sorted by address.
-fn find_endpoint(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
+pub(super) fn find_endpoint(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
     let index = endpoints.binary_search_by_key(&address, |endpoint| endpoint.address).ok()?;
     endpoints.get(index)
 }
--- a/crates/banyannotch/src/gateway/dispatch/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/late.rs
@@ -30,12 +30,14 @@
         if is_overdue && self.abandon(now_us, ticket_id, "silent", actions) {
             return;
         }
-        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        let Some(ticket) = self.tickets.get(&ticket_id) else { return };
         let Some((first, load)) = ticket.reservation.loads.first().copied() else { return };
         let is_engine = load.sequences > 0;
-        if !is_engine {
+        // An engine that wants no requests for a time is not asked for reports either.
+        if !is_engine || self.announcements.hold_off_end_us(&first, now_us).is_some() {
             return;
         }
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         ticket.is_waiting = true;
         if !self.inspections.contains(&first) {
             self.inspections.insert(first, ());
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -41,6 +41,9 @@
     /// The request was not sent, because [`SendOrder::valid_until_us`] had passed and the configuration may
     /// have changed.
     Outdated,
+    /// The request was not sent, because [`SendOrder::send_by_us`] had passed and the endpoint may have asked for
+    /// no requests.
+    Delayed,
     /// The endpoint answered with an error; forwarding keeps the answer for [`Verdict::Deliver`].
     Failed {
         /// HTTP status of the answer.
@@ -120,6 +123,25 @@
     }
 }
 
+/// One start of an endpoint, to which its answers belong. Another endpoint, or the same one after a restart, may have its
+/// address.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndpointStart {
+    /// Address of the endpoint.
+    pub address: Address,
+    /// Name of the endpoint.
+    pub id: Arc<str>,
+    /// Unix time of the start, in milliseconds.
+    pub born_ms: u64,
+}
+
+impl EndpointStart {
+    /// Returns the start that an entry describes.
+    pub fn of(endpoint: &Endpoint) -> Self {
+        Self { address: endpoint.address, id: Arc::clone(&endpoint.id), born_ms: endpoint.born_ms }
+    }
+}
+
 /// Input of dispatch.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -144,6 +166,17 @@
         /// Number of the request.
         ticket: u64,
     },
+    /// An endpoint announced in an answer that it is leaving.
+    Leaving(EndpointStart),
+    /// An endpoint rejected a request and wants no others for a time.
+    HoldOff {
+        /// The endpoint that answered.
+        start: EndpointStart,
+        /// Engine of the path that the answer names as the cause, if any.
+        fault_at: Option<Address>,
+        /// Time for which it wants no requests, in milliseconds.
+        for_ms: u64,
+    },
     /// A send ended.
     Ended {
         /// Number of the request.
@@ -184,12 +217,16 @@
 pub struct SendOrder {
     /// Address of the endpoint.
     pub address: Address,
+    /// Unix time of the endpoint's start, in milliseconds.
+    pub born_ms: u64,
     /// Fields that are added to the request head; the deadline among them counts from the decision.
     pub forwarding_info: ForwardingInfo,
     /// Time by which the request must have its final answer, in microseconds.
     pub deadline_us: u64,
     /// Time from which on the request must no longer be sent, in microseconds.
     pub valid_until_us: u64,
+    /// Time from which on the request must not be sent without another decision, in microseconds.
+    pub send_by_us: u64,
     /// Time limit for making a connection, in milliseconds.
     pub connect_limit_ms: u64,
     /// Time limit for the head of the answer and the first event of a stream, in milliseconds. The time taken
@@ -207,6 +244,22 @@
     pub idle_connections: usize,
 }
 
+impl SendOrder {
+    /// Returns how the send ends if it is too late to send the request.
+    pub fn late_ending(&self, now_us: u64) -> Option<Ending> {
+        if now_us >= self.valid_until_us {
+            return Some(Ending::Outdated);
+        }
+        (now_us >= self.send_by_us).then_some(Ending::Delayed)
+    }
+
+    /// Returns the start of the endpoint that the request is sent to.
+    pub fn endpoint_start(&self) -> EndpointStart {
+        let id = Arc::clone(&self.forwarding_info.endpoint);
+        EndpointStart { address: self.address, id, born_ms: self.born_ms }
+    }
+}
+
 /// Decision on a request that dispatch returns to forwarding.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -304,6 +357,8 @@
     Ready(bool),
     /// Request a report from an engine.
     Inspect(Address),
+    /// Tell the catalog that an endpoint announced its departure.
+    Leaving(EndpointStart),
     /// Publish the state to the other gateways.
     PublishState(Box<PeerState>),
     /// Log a decision.
@@ -367,6 +422,20 @@
         /// What is known of the endpoint or its path.
         evidence: &'static str,
     },
+    /// An endpoint announced its departure in an answer and gets no further requests.
+    Leaving(EndpointStart),
+    /// An endpoint asked for no requests for a time.
+    HeldOff {
+        /// Address of the endpoint.
+        address: Address,
+        /// Time for which it gets no requests, in milliseconds.
+        for_ms: u64,
+    },
+    /// An endpoint was chosen although it takes no requests. The request is not sent.
+    DecliningChosen {
+        /// Address of the endpoint.
+        address: Address,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -402,6 +471,18 @@
                 "event=late_stream_judged request={id} endpoint_address={address} abandoned={abandoned} \
                  evidence={evidence}"
             ),
+            Self::Leaving(EndpointStart { address, id, born_ms }) => write!(
+                formatter,
+                "event=endpoint_leaving endpoint={id} endpoint_address={address} born_ms={born_ms}"
+            ),
+            Self::HeldOff { address, for_ms } => {
+                write!(formatter, "event=endpoint_held_off endpoint_address={address} for_ms={for_ms}")
+            }
+            Self::DecliningChosen { address } => write!(
+                formatter,
+                "event=invariant_violated invariant=no_request_to_declining_endpoint \
+                 endpoint_address={address} action=refuse"
+            ),
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::DispatchSettings;
+use super::announcements::Announcements;
 use super::budget::Budget;
 use super::evidence::Peer;
 use super::health::{HealthTable, Load};
@@ -41,6 +42,7 @@
     pub(super) endpoints: Arc<[Endpoint]>,
     pub(super) configuration_proof: Option<Proof>,
     pub(super) health: HealthTable,
+    pub(super) announcements: Announcements,
     pub(super) tickets: Table<u64, Ticket>,
     /// Engines that were asked for a report because of late events and have not answered so far.
     pub(super) inspections: Table<Address, ()>,
@@ -69,6 +71,7 @@
             endpoints: Arc::new([]),
             configuration_proof: None,
             health: Table::default(),
+            announcements: Announcements::default(),
             tickets: Table::default(),
             inspections: Table::default(),
             budgets: Table::default(),
@@ -165,6 +168,17 @@
             None => self.book(now_us, ticket_id, None),
         };
         match booked {
+            Ok(choice) if !self.takes_requests(now_us, &choice, actions) => {
+                if let Some(service) = self.tickets.get(&ticket_id).map(|ticket| ticket.service.clone()) {
+                    self.cancel_booking(&service, &choice);
+                }
+                let reason = if self.may_have_run(ticket_id) {
+                    RefusalReason::Broken
+                } else {
+                    RefusalReason::NoCapacity
+                };
+                self.refuse(now_us, ticket_id, reason, actions);
+            }
             Ok(choice) => self.order_send(now_us, ticket_id, choice, actions),
             Err(reason) => {
                 let reason = if self.may_have_run(ticket_id) { RefusalReason::Broken } else { reason };
@@ -187,7 +201,8 @@
         if is_retry && !self.has_budget(now_us, ticket_id) {
             return Err(RefusalReason::BudgetSpent);
         }
-        let choice = self.choose(now_us, ticket_id, avoided).ok_or(RefusalReason::NoCapacity)?;
+        let mut choice = self.choose(now_us, ticket_id, avoided).ok_or(RefusalReason::NoCapacity)?;
+        choice.is_retry = is_retry;
         if is_retry && let Some(ticket) = self.tickets.get(&ticket_id) {
             let window_ms = self.settings.retry_window_ms;
             self.budgets.entry(ticket.service.clone()).count_retry(now_us, window_ms);
@@ -207,10 +222,13 @@
     ) -> Result<Choice, RefusalReason> {
         let is_usable = |address: &Address| {
             let excluded = self.health.get(address).is_some_and(|health| health.is_excluded(now_us));
-            !excluded && self.endpoint_at(*address).is_some_and(|endpoint| !endpoint.leaving)
+            !excluded
+                && !self.announcements.declines(address, now_us)
+                && self.endpoint_at(*address).is_some_and(|endpoint| !endpoint.leaving)
         };
-        let is_same_endpoint =
-            self.endpoint_at(choice.address).is_some_and(|endpoint| endpoint.id == choice.endpoint);
+        let is_same_endpoint = self
+            .endpoint_at(choice.address)
+            .is_some_and(|known| known.id == choice.endpoint && known.born_ms == choice.born_ms);
         if is_same_endpoint && choice.loads.iter().all(|(address, _)| is_usable(address)) {
             return Ok(choice);
         }
@@ -227,8 +245,10 @@
                 health.own.remove(load);
             }
         }
-        let window_ms = self.settings.retry_window_ms;
-        self.budgets.entry(service.clone()).cancel_retry(choice.booked_us, window_ms);
+        if choice.is_retry {
+            let window_ms = self.settings.retry_window_ms;
+            self.budgets.entry(service.clone()).cancel_retry(choice.booked_us, window_ms);
+        }
     }
 
     /// Removes a request that gets its final answer.
@@ -276,6 +296,7 @@
         };
         let order = SendOrder {
             address: choice.address,
+            born_ms: choice.born_ms,
             forwarding_info: ForwardingInfo {
                 endpoint: choice.endpoint,
                 team: ticket.team.clone(),
@@ -285,6 +306,7 @@
             },
             deadline_us: ticket.deadline_us,
             valid_until_us,
+            send_by_us: now_us + settings.send_delay_limit_ms * US_PER_MS,
             connect_limit_ms: settings.connect_limit_ms,
             first_response_limit_ms,
             stall_limit_ms,
@@ -303,9 +325,12 @@
             .as_deref()
             .and_then(|configuration| configuration.service(&ticket.service))
             .or_else(|| ticket.configuration.service(&ticket.service))?;
-        let endpoints = self.endpoints.iter().filter(|endpoint| endpoint.service == ticket.service);
-        let endpoints: Vec<&Endpoint> =
-            endpoints.filter(|endpoint| Some(endpoint.address) != avoided).collect();
+        let takes_requests = |endpoint: &&Endpoint| {
+            endpoint.service == ticket.service
+                && Some(endpoint.address) != avoided
+                && !self.announcements.declines(&endpoint.address, now_us)
+        };
+        let endpoints: Vec<&Endpoint> = self.endpoints.iter().filter(takes_requests).collect();
         match &service.pipeline {
             Some(pipeline) => {
                 let search = PathSearch {
@@ -326,6 +351,7 @@
                 let first = endpoints.iter().find(|endpoint| endpoint.address == address)?;
                 Some(Choice {
                     address,
+                    born_ms: first.born_ms,
                     endpoint: Arc::clone(&first.id),
                     hops: path.hops,
                     loads: path.loads,
@@ -333,12 +359,22 @@
                     event_interval_ms: path.token_interval_ms * f64::from(pipeline.stride.max(1)),
                     idle_connections: service.connection_limit,
                     booked_us: now_us,
+                    is_retry: false,
                 })
             }
             None => self.choose_replica(now_us, ticket, service, &endpoints),
         }
     }
 
+    /// Checks that no endpoint of a choice announced that it takes no requests.
+    fn takes_requests(&self, now_us: u64, choice: &Choice, actions: &mut Vec<Action>) -> bool {
+        let declining = choice.loads.iter().find(|(address, _)| self.announcements.declines(address, now_us));
+        if let Some((address, _)) = declining {
+            actions.push(Action::Decide(Decision::DecliningChosen { address: *address }));
+        }
+        declining.is_none()
+    }
+
     /// Returns whether there are so few gateways that this one hears of most choices of the others in time. In the first second after its start a gateway that has heard of no other may be one of many.
     fn takes_cheapest_path(&self, now_us: u64) -> bool {
         let discovery_us = self.settings.discovery_ms * US_PER_MS;
@@ -381,6 +417,7 @@
         let (cost_ms, replica) = chosen?;
         Some(Choice {
             address: replica.address,
+            born_ms: replica.born_ms,
             endpoint: Arc::clone(&replica.id),
             hops: Arc::new([]),
             loads: vec![(replica.address, Load { requests: 1, ..Load::default() })],
@@ -389,6 +426,7 @@
             // The endpoint runs at most `slots` requests at once, so further idle connections are of no use.
             idle_connections: (replica.slots as usize).min(service.connection_limit),
             booked_us: now_us,
+            is_retry: false,
         })
     }
 
@@ -432,6 +470,13 @@
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
             }
+            Ending::Delayed => {
+                // The endpoint has not seen the request, so another decision is no retry.
+                if let Some(ticket) = self.tickets.get_mut(&ticket_id) {
+                    ticket.sends = ticket.sends.saturating_sub(1);
+                }
+                self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
+            }
             Ending::Outdated => {
                 let reason = if self.may_have_run(ticket_id) {
                     RefusalReason::Broken
@@ -506,8 +551,11 @@
     }
 
     fn refuse(&mut self, now_us: u64, ticket_id: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
-        let refusal = self.refusal(now_us, reason);
+        let mut refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.close_ticket(ticket_id) {
+            if let Some(wait_ms) = self.retry_after_hold_off_ms(now_us, reason, &ticket) {
+                refusal.retry_after_ms = Some(wait_ms);
+            }
             actions.push(Action::Decide(Decision::Refused {
                 id: ticket.request.id,
                 refusal,
@@ -597,6 +645,10 @@
                 return self.on_late_answer(now_us, ticket, report, silent_ms, actions);
             }
             Event::Resumed { ticket } => return self.on_resumed_answer(ticket),
+            Event::Leaving(start) => return self.on_leaving(start, actions),
+            Event::HoldOff { start, fault_at, for_ms } => {
+                return self.on_hold_off(now_us, start, fault_at, for_ms, actions);
+            }
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
@@ -632,6 +684,7 @@
     fn measure(&self, mut gauge: impl FnMut(&'static str, f64)) {
         gauge("banyannotch_gateway_requests_in_flight", self.tickets.len() as f64);
         gauge("banyannotch_gateway_endpoints", self.endpoints.len() as f64);
+        gauge("banyannotch_gateway_endpoints_leaving", self.announcements.leaving() as f64);
         gauge("banyannotch_gateway_configuration_version", self.version() as f64);
         gauge("banyannotch_gateway_peers", self.peers.len() as f64);
     }
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Choice {
     pub address: Address,
+    pub born_ms: u64,
     pub endpoint: Arc<str>,
     pub hops: Arc<[(Address, LayerRange)]>,
     pub loads: Vec<(Address, Load)>,
@@ -20,6 +21,8 @@
     pub idle_connections: usize,
     /// Time of the choice, in microseconds.
     pub booked_us: u64,
+    /// Whether a retry was counted for the choice.
+    pub is_retry: bool,
 }
 
 /// Load that the current send of a request places on endpoints.
--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -56,6 +56,26 @@
     }
 }
 
+/// Returns whether what a response head says about the endpoint itself is used. A head that names another attempt, or none
+/// although only rejections may do so, is not passed on and may be a copy of another endpoint's answer.
+pub(super) fn describes_endpoint(kind: ResponseKind, response_info: &ResponseInfo) -> bool {
+    match kind {
+        ResponseKind::Foreign | ResponseKind::Interim => false,
+        ResponseKind::Invalid => response_info.id.is_some(),
+        ResponseKind::Success | ResponseKind::NotRun | ResponseKind::Failure | ResponseKind::Ambiguous => {
+            true
+        }
+    }
+}
+
+/// Returns the time for which an endpoint wants no requests, if its response rejects this one. Whether the request ran does
+/// not matter.
+pub(super) fn requested_hold_off_ms(status: u16, response_info: &ResponseInfo) -> Option<u64> {
+    /// Statuses "Too Many Requests" and "Service Unavailable", with which `Retry-After` asks the sender to wait.
+    const HOLD_OFF_STATUSES: [u16; 2] = [429, 503];
+    response_info.retry_after_ms.filter(|_| HOLD_OFF_STATUSES.contains(&status))
+}
+
 /// A complete response of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Response {
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -7,7 +7,10 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::timeout;
 
-use super::answer::{Response, ResponseKind, classify, write_response, write_stream_head};
+use super::answer::{
+    Response, ResponseKind, classify, describes_endpoint, requested_hold_off_ms, write_response,
+    write_stream_head,
+};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::pool::Upstream;
@@ -122,8 +125,8 @@
         return ExchangeOutcome { ending: Ending::Unsent, response: None, open };
     };
     let now_us = context.clock.now_us();
-    if now_us >= order.valid_until_us {
-        return ExchangeOutcome { ending: Ending::Outdated, response: None, open };
+    if let Some(ending) = order.late_ending(now_us) {
+        return ExchangeOutcome { ending, response: None, open };
     }
     let mut forwarding_info = order.forwarding_info.clone();
     forwarding_info.deadline_ms =
@@ -353,7 +356,17 @@
                 None => self.upstream.reader.response_head(HEAD_LIMIT_BYTES).await?,
             };
             let response_info = self.context.dialect.response_info(&head);
-            match classify(&head, &response_info, &self.request.id) {
+            let kind = classify(&head, &response_info, &self.request.id);
+            if describes_endpoint(kind, &response_info) {
+                // Dispatch must know before the rest of the response arrives, which takes long for a stream.
+                if response_info.leaving {
+                    self.context.report_leaving(&self.order);
+                }
+                if let Some(for_ms) = requested_hold_off_ms(head.status, &response_info) {
+                    self.context.report_hold_off(&self.order, response_info.fault_at, for_ms);
+                }
+            }
+            match kind {
                 ResponseKind::Interim => {}
                 ResponseKind::Foreign => {
                     log::info!(
