gateway: entries of endpoints whose names or address cannot be used are refused

What callers and operators saw: an entry of another writer with a line break in its name, at the address of a replica, put headers of its own into every request to that replica, before those of the gateway: the replica ran them for the team that the entry named. A line break in a zone began a forged line of the log, and a name of 100 kB filled a line and would not fit into a datagram, so gateways that lack the change would get no replies and no proofs while it is retained.

Cause: only the types of the fields were checked. Names went unchecked into request heads, log lines and datagrams, and port 0 and the unspecified address counted as addresses of engines, which the layout then plans layers for.

Change: Endpoint::check refuses empty names, names above 200 bytes and those with spaces or control characters, port 0 and unspecified addresses. Excerpt shortens and escapes texts of other processes in log lines. Numbers out of range, deep nesting and ports out of range were refused before; the test now has a case of each.

--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -6,6 +6,7 @@
 use super::exchange::Snapshot;
 use crate::gateway::dispatch::Proof;
 use crate::gateway::gossip::Changes;
+use crate::gateway::journal::Excerpt;
 use crate::gateway::{Batch, Configuration, Endpoint, Feed, StoreError};
 use crate::pipeline::Address;
 
@@ -229,6 +230,7 @@
                 write!(formatter, "event=snapshot_not_fetched peer={from} fault=\"{fault}\"")
             }
             Self::Unusable { key, fault } => {
+                let (key, fault) = (Excerpt(key), Excerpt(fault));
                 write!(formatter, "event=record_unusable key={key} fault=\"{fault}\"")
             }
             Self::Known { id, state } => write!(formatter, "event=endpoint_known endpoint={id} {state}"),
--- a/crates/banyannotch/src/gateway/gossip/changes.rs
+++ b/crates/banyannotch/src/gateway/gossip/changes.rs
@@ -10,7 +10,7 @@
 /// Maximum number of retained changes. A gateway that lacks more than these reads the store.
 const RETAINED_CHANGE_LIMIT: usize = 1_024;
 /// Maximum number of changes in one datagram, about 4 KB. The others follow in later rounds.
-const DATAGRAM_CHANGE_LIMIT: usize = 64;
+pub(super) const DATAGRAM_CHANGE_LIMIT: usize = 64;
 
 /// A change of the set of endpoints.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/banyannotch/src/gateway/gossip/runtime.rs
+++ b/crates/banyannotch/src/gateway/gossip/runtime.rs
@@ -14,7 +14,7 @@
 use crate::ring::{Doorbell, Receiver, Sender};
 
 /// Maximum payload of a UDP datagram over IPv4, in bytes.
-const DATAGRAM_LIMIT_BYTES: usize = 65_507;
+pub(super) const DATAGRAM_LIMIT_BYTES: usize = 65_507;
 
 /// Ends of the rings that connect gossip to other duties.
 #[derive(Debug)]
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -1,13 +1,15 @@
 //! Guards against proof ages that are too low, gateways that never discover each other, and exchanges that never end.
 
-use super::changes::ChangeLog;
+use super::changes::{ChangeLog, DATAGRAM_CHANGE_LIMIT};
 use super::relays::relays_of;
+use super::runtime::DATAGRAM_LIMIT_BYTES;
 use super::{Action, Change, Changes, Event, Gossip, GossipSettings, Mention, Message, READER_COUNT};
 use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine};
 use crate::gateway::dispatch::{Load, PeerState};
 use crate::gateway::mutation::mutate;
-use crate::ids::Zone;
+use crate::gateway::{Endpoint, NAME_LIMIT_BYTES};
+use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
 use crate::random::Random;
 
@@ -373,3 +375,30 @@
     world.submit("/write/x");
     assert!(world.last_order.is_some(), "no endpoint was chosen: {}", world.text());
 }
+
+/// A reply with the largest changes that entries may lead to fits into a datagram. With a larger one, a gateway would get
+/// no reply at all, and so no proofs, while the changes are retained.
+#[test]
+fn a_reply_with_the_longest_names_fits_into_a_datagram() {
+    let name = "n".repeat(NAME_LIMIT_BYTES);
+    let endpoint = |number| Endpoint {
+        id: name.as_str().into(),
+        born_ms: u64::MAX,
+        service: ServiceId::new(name.as_str()),
+        zone: Zone::new(name.as_str()),
+        slots: u32::MAX,
+        accelerator: Some(name.as_str().into()),
+        ..pipeline_engine(number, "a", "fast", 0, u16::MAX)
+    };
+    assert_eq!(endpoint(1).check(), Ok(()));
+    let list = (0..DATAGRAM_CHANGE_LIMIT).map(|number| Change::Known(endpoint(number as u8))).collect();
+    let known = Mention { address: address(1), zone: Zone::new(name.as_str()), contact_age_ms: u32::MAX };
+    let tell = Message::Tell {
+        asked_us: u64::MAX,
+        state: state(2, 0),
+        changes: Some(Changes { from: 0, through: u64::MAX, list }),
+        known: vec![known; GossipSettings::default().mention_limit],
+    };
+    let bytes = postcard::to_allocvec(&tell).unwrap().len();
+    assert!(bytes <= DATAGRAM_LIMIT_BYTES, "{bytes}");
+}
--- a/crates/banyannotch/src/gateway/model.rs
+++ b/crates/banyannotch/src/gateway/model.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::ids::{ServiceId, TeamId, Zone};
 use crate::pipeline::{Address, LayerRange};
@@ -268,3 +269,48 @@
     /// Layers that the engine holds.
     pub layers: Option<LayerRange>,
 }
+
+/// Maximum length of each name in an endpoint's entry, in bytes. With longer ones the changes of endpoints would not fit
+/// into a datagram between gateways.
+pub const NAME_LIMIT_BYTES: usize = 200;
+
+/// Why no request can be sent to an endpoint as it describes itself.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum EndpointError {
+    /// A name is empty, too long, or cannot be part of a header or of a log line.
+    #[error(
+        "the name of the {0} is empty, longer than {NAME_LIMIT_BYTES} bytes, or has spaces or control characters"
+    )]
+    Name(&'static str),
+    /// No process listens on such an address.
+    #[error("no process listens on {0}")]
+    Address(Address),
+}
+
+impl Endpoint {
+    /// Checks that the endpoint can be used. The names go into the heads of requests, where a line break in one would
+    /// begin another header.
+    ///
+    /// # Errors
+    /// Returns the first [`EndpointError`] that is found.
+    pub fn check(&self) -> std::result::Result<(), EndpointError> {
+        let names = [
+            ("endpoint", Some(&*self.id)),
+            ("service", Some(self.service.as_str())),
+            ("zone", Some(self.zone.as_str())),
+            ("accelerator", self.accelerator.as_deref()),
+        ];
+        let is_unusable = |name: &str| {
+            let has_separator =
+                name.chars().any(|character| character.is_whitespace() || character.is_control());
+            name.is_empty() || name.len() > NAME_LIMIT_BYTES || has_separator
+        };
+        if let Some((owner, _)) = names.iter().find(|(_, name)| name.is_some_and(is_unusable)) {
+            return Err(EndpointError::Name(owner));
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Err(EndpointError::Address(self.address));
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -81,33 +81,116 @@
     );
 }
 
-/// Entries of other writers that describe no usable endpoint are logged and do not affect requests.
+/// Entries of other writers that describe no usable endpoint are logged. They neither end the gateway nor affect requests
+/// and later changes, also after a restart.
 #[actix_rt::test]
 async fn unusable_entries_do_not_affect_requests() {
-    let fleet = Fleet::start();
+    let mut fleet = Fleet::start();
     let gateway = Gateway::start(fleet.store.address, &[]);
-    gateway.wait_ready().await;
-    let mut entry = fleet.replicas[0].entry("desk", None, "ready");
-    for (number, bytes) in [
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    let replica = fleet.replicas[0].entry("desk", None, "ready").to_string();
+    let first = fleet.engines.iter().find(|engine| engine.layers().is_some_and(|(from, _)| from == 0));
+    let first = first.expect("an engine holds the first layer");
+    let engine = first.entry("model", Some("fast"), "ready").to_string();
+    let address = fleet.replicas[0].address.to_string();
+    let with = |name: &str, value: &str| {
+        let mut fields: Vec<String> =
+            ["\"backend\":\"desk\"", "\"slots\":8", "\"born\":1", "\"zone\":\"a\"", "\"state\":\"ready\""]
+                .into_iter()
+                .filter(|field| !field.starts_with(&format!("\"{name}\"")))
+                .map(str::to_owned)
+                .collect();
+        fields.push(format!("\"{name}\":{value}"));
+        if name != "address" {
+            fields.push(format!("\"address\":\"{address}\""));
+        }
+        format!("{{{}}}", fields.join(",")).into_bytes()
+    };
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let unusable = [
         b"\xff\xfe".to_vec(),
         b"{}".to_vec(),
         b"[]".to_vec(),
-        entry.to_string().replace("\"ready\"", "\"asleep\"").into_bytes(),
-        entry.to_string().replace("\"slots\":8", "\"slots\":\"8\"").into_bytes(),
-        entry.to_string().replace("\"born\":1", "\"born\":1.5").into_bytes(),
-        entry.to_string().replace("127.0.0.1:", "nowhere:").into_bytes(),
+        nested.clone().into_bytes(),
+        with("backend", &nested),
+        with("state", "\"asleep\""),
+        with("state", "1"),
+        with("slots", "\"8\""),
+        with("slots", "-1"),
+        with("slots", "1.5"),
+        with("slots", "4294967296"),
+        with("slots", "1e999"),
+        with("born", "1.5"),
+        with("born", "-1"),
+        with("born", "1e30"),
+        with("layers", r#"{"from":0,"to":70000}"#),
+        with("layers", r#"{"from":-1,"to":8}"#),
+        with("address", "\"nowhere:80\""),
+        with("address", "\"127.0.0.1:99999\""),
+        with("address", "\"127.0.0.1:0\""),
+        with("address", "\"0.0.0.0:80\""),
+        with("zone", &format!("\"{}\"", "z".repeat(100_000))),
+        with("zone", "\"a\\nevent=forged\""),
+        with("route_type", "\"fast\\u0000\""),
+        with("backend", "\"\""),
+    ];
+    for (number, bytes) in unusable.iter().enumerate() {
+        fleet.store.put_bytes(&format!("forged-{number:02}"), bytes);
+    }
+    // These entries claim the address of a replica, as later starts of it. All names but the first cannot be forwarded.
+    let names = ["q&r=%2", "", " ", "name with spaces", "desk-1\nevent=forged", "desk-1\r\nTenant: forged"];
+    for (name, born) in names.into_iter().zip(2..) {
+        let later = replica.replace("\"born\":1", &format!("\"born\":{born}"));
+        fleet.store.put_bytes(name, later.as_bytes());
+    }
+    // These entries can be read, but nothing that they claim exists.
+    for (number, (from, to)) in [
+        ("\"model\"", "\"unknown\""),
+        ("\"fast\"", "\"unknown\""),
+        ("\"zone\":\"a\"", "\"zone\":\"unknown\""),
+        ("\"slots\":8", "\"slots\":4294967295"),
+        ("\"from\":0", "\"from\":65535"),
+        ("\"to\":", "\"to\":6553"),
+        ("\"born\":1", "\"born\":18446744073709551615"),
     ]
     .into_iter()
     .enumerate()
     {
-        fleet.store.put_bytes(&format!("forged-{number}"), &bytes);
+        assert!(engine.contains(from), "{from} in {engine}");
+        let nothing_listens =
+            engine.replace(&first.address.to_string(), &format!("127.0.0.1:{}", 2 + number));
+        fleet.store.put_bytes(&format!("absurd-{number}"), nothing_listens.replace(from, to).as_bytes());
     }
-    entry["backend"] = "unknown".into();
-    fleet.store.put_endpoint("forged-service", Some(&entry));
-    wait_until(LIMIT, async || gateway.lines("event=record_unusable").len() >= 7)
+    let mut gateways = vec![gateway];
+    for round in 0..2 {
+        let newest = gateways.last_mut().expect("a gateway runs");
+        wait_until(LIMIT, async || {
+            newest.lines("event=record_unusable").len() >= unusable.len() + names.len() - 1
+        })
         .await
-        .expect("each unusable entry is logged");
-    for number in 0..4 {
-        assert_eq!(gateway.call(&format!("n{number}"), "/call/x").await.status, Some(200));
+        .unwrap_or_else(|error| panic!("{error}: {:#?}", newest.lines("event=record_unusable")));
+        newest.wait_ready().await;
+        newest.first_stream().await;
+        for number in 0..6 {
+            assert_eq!(newest.call(&format!("n{round}-{number}"), "/call/x").await.status, Some(200));
+        }
+        // A later change is followed.
+        fleet
+            .store
+            .put_endpoint(&format!("late-{round}"), Some(&fleet.replicas[1].entry("desk", None, "draining")));
+        wait_until(LIMIT, async || {
+            !newest.lines(&format!("event=endpoint_known endpoint=late-{round}")).is_empty()
+        })
+        .await
+        .expect("a later change is followed");
+        assert!(newest.child.try_wait().expect("the state of the process is known").is_none());
+        assert!(newest.lines("").iter().all(|line| line.len() < 1_000 && !line.starts_with("event=forged")));
+        if round == 0 {
+            gateways.push(Gateway::start(fleet.store.address, &[]));
+        }
     }
+    let runs = fleet.engines.iter().chain(&fleet.replicas).flat_map(|endpoint| endpoint.runs());
+    let teams: Vec<_> = runs.map(|run| run.team).filter(|team| team.as_deref() != Some("shop")).collect();
+    assert!(teams.is_empty(), "requests ran for other teams: {teams:?}");
 }
