--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -82,7 +82,7 @@
 }
 
 /// Entries of other writers that describe no usable endpoint are logged. They neither end the gateway nor affect requests
-/// and later changes, also after a restart.
+/// and later changes, also after a restart, when the newest records are read.
 #[actix_rt::test]
 async fn unusable_entries_do_not_affect_requests() {
     let mut fleet = Fleet::start();
@@ -163,7 +163,7 @@
         fleet.store.put_bytes(&format!("absurd-{number}"), nothing_listens.replace(from, to).as_bytes());
     }
     let mut gateways = vec![gateway];
-    for round in 0..2 {
+    for round in 0..2_u64 {
         let newest = gateways.last_mut().expect("a gateway runs");
         wait_until(LIMIT, async || {
             newest.lines("event=record_unusable").len() >= unusable.len() + names.len() - 1
@@ -175,6 +175,13 @@
         for number in 0..6 {
             assert_eq!(newest.call(&format!("n{round}-{number}"), "/call/x").await.status, Some(200));
         }
+        // A configuration that cannot be read is logged and does not replace the one in force.
+        fleet.store.put_configuration(&serde_json::json!({"version": 2, "limits": "none"}));
+        wait_until(LIMIT, async || !newest.lines("event=record_unusable key=config").is_empty())
+            .await
+            .expect("the configuration is refused");
+        assert_eq!(newest.call("refused", "/call/x").await.status, Some(200));
+        fleet.store.put_configuration(&configuration(3 + round, &["secret"]));
         // A later change is followed.
         fleet
             .store
@@ -187,6 +194,7 @@
         assert!(newest.child.try_wait().expect("the state of the process is known").is_none());
         assert!(newest.lines("").iter().all(|line| line.len() < 1_000 && !line.starts_with("event=forged")));
         if round == 0 {
+            fleet.store.spoil_newest("forged-00");
             gateways.push(Gateway::start(fleet.store.address, &[]));
         }
     }
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -47,6 +47,10 @@
     owner: Option<String>,
     /// Number of executed `log-read` requests.
     reads: usize,
+    /// Maximum number of records in a page of `log-newest`; none for all records in one page.
+    page_limit: Option<usize>,
+    /// Key whose record `log-newest` returns with `data` that is no Base64.
+    spoiled_key: Option<String>,
 }
 
 /// A store in the test's own process.
@@ -99,6 +103,16 @@
         }
     }
 
+    /// Limits the number of records in a page of `log-newest`.
+    pub fn set_page_limit(&self, records: usize) {
+        self.state.borrow_mut().page_limit = Some(records);
+    }
+
+    /// Makes `log-newest` return the record of this key with `data` that is no Base64.
+    pub fn spoil_newest(&self, key: &str) {
+        self.state.borrow_mut().spoiled_key = Some(key.to_owned());
+    }
+
     /// Returns the number of `log-read` requests that were executed.
     pub fn reads(&self) -> usize {
         self.state.borrow().reads
@@ -152,7 +166,10 @@
     };
     let topic = parameter("topic");
     match path {
-        "/-/log-newest" => encode_response(200, "", newest(&state.borrow(), &topic).to_string().as_bytes()),
+        "/-/log-newest" => {
+            let page = newest(&state.borrow(), &topic, &percent_decoded(&parameter("after")));
+            encode_response(200, "", page.to_string().as_bytes())
+        }
         "/-/log-read" => {
             let from = parameter("from").parse().unwrap_or_default();
             let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap_or_default());
@@ -172,7 +189,7 @@
     }
 }
 
-fn newest(state: &State, topic: &str) -> Value {
+fn newest(state: &State, topic: &str, after: &str) -> Value {
     let mut newest: BTreeMap<&str, (usize, &[u8])> = BTreeMap::new();
     let records = state.topics.get(topic).map(|topic| topic.records.as_slice()).unwrap_or_default();
     for (offset, (key, value)) in records.iter().enumerate() {
@@ -181,11 +198,29 @@
             None => newest.remove(key.as_str()),
         };
     }
+    newest.retain(|key, _| after.is_empty() || **key > *after);
+    let page_limit = state.page_limit.unwrap_or(usize::MAX);
     let entries: Vec<Value> = newest
         .iter()
-        .map(|(key, (offset, value))| json!({"key": key, "data": base64(value), "offset": offset}))
+        .take(page_limit)
+        .map(|(key, (offset, value))| {
+            let is_spoiled = state.spoiled_key.as_deref() == Some(*key);
+            let data = if is_spoiled { "no*base64".to_owned() } else { base64(value) };
+            json!({"key": key, "data": data, "offset": offset})
+        })
         .collect();
-    json!({"entries": entries, "has_more": false, "end_offset": records.len()})
+    json!({"entries": entries, "has_more": newest.len() > page_limit, "end_offset": records.len()})
+}
+
+/// Decodes the percent-encoding of a query parameter.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        let digits: Option<String> = (byte == b'%').then(|| rest.by_ref().take(2).map(char::from).collect());
+        bytes.push(digits.and_then(|digits| u8::from_str_radix(&digits, 16).ok()).unwrap_or(byte));
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
 fn read(state: &State, topic: &str, from: usize) -> Vec<u8> {
