--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -82,7 +82,7 @@
 }
 
 /// Entries of other writers that describe no usable endpoint are logged. They neither end the gateway nor affect requests
-/// and later changes, also after a restart, when the newest records are read.
+/// and later changes, also after a restart, when the newest records are read in pages.
 #[actix_rt::test]
 async fn unusable_entries_do_not_affect_requests() {
     let mut fleet = Fleet::start();
@@ -195,6 +195,7 @@
         assert!(newest.lines("").iter().all(|line| line.len() < 1_000 && !line.starts_with("event=forged")));
         if round == 0 {
             fleet.store.spoil_newest("forged-00");
+            fleet.store.set_page_limit(2);
             gateways.push(Gateway::start(fleet.store.address, &[]));
         }
     }
