forwarding: a request is sent over each connection to an endpoint once at most

What callers saw: an endpoint that wrote the rejection of an attempt once more, when the same attempt came back on the kept connection, was taken to have rejected it again. A request that must not repeat ran at both replicas and was answered with 503, "not run".

Cause: responses are told apart by the id of the attempt, and both sends of the attempt have the same one. A request that all replicas reject is sent to each of them more than once, over the connections that the pool keeps.

Change: the pool does not hand out a connection on which the request was sent before. The connection stays open for other requests, whose ids differ, and a new one is opened only if no other is idle.

Failed before (a_repeated_rejection_is_not_taken_for_that_of_a_later_send): it ran: /call/x RepeatNotRun first: 503 unsigned whole "endpoints rejected the request" after 2 runs

--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -51,6 +51,9 @@
     pub last_event_id: Option<u64>,
     /// Sending to an endpoint has begun, so the request may have run.
     pub request_sent: bool,
+    /// Numbers of the connections on which the request was sent. None of them carries it again: a second copy of the
+    /// earlier response would have the same id as the response that is expected.
+    connections: Vec<u64>,
 }
 
 /// How a send ended, and the failure response that dispatch may decide to deliver.
@@ -94,7 +97,10 @@
     caller_writer: &mut OwnedWriteHalf,
 ) -> ExchangeOutcome {
     let connect_started_us = context.clock.now_us();
-    let Some(upstream) = acquire_connection(context, order).await else { return (Ending::Unsent, None) };
+    let Some(upstream) = acquire_connection(context, order, &progress.connections).await else {
+        return (Ending::Unsent, None);
+    };
+    progress.connections.push(upstream.number);
     let now_us = context.clock.now_us();
     if now_us >= order.valid_until_us {
         return (Ending::Outdated, None);
@@ -143,14 +149,16 @@
 async fn acquire_connection<D: Dialect, C: Clock>(
     context: &Context<D, C>,
     order: &SendOrder,
+    excluded: &[u64],
 ) -> Option<Upstream> {
-    if let Some(upstream) = context.pool.borrow_mut().take(order.address) {
+    if let Some(upstream) = context.pool.borrow_mut().take(order.address, excluded) {
         return Some(upstream);
     }
     match connect(order.address, order.connect_limit_ms, TCP_USER_TIMEOUT_MS).await {
         Ok((reader, writer)) => {
             metrics::counter!("banyannotch_gateway_connections_total").increment(1);
-            Some(Upstream { reader, writer, reused: false })
+            let number = context.pool.borrow_mut().number_connection();
+            Some(Upstream { reader, writer, number })
         }
         Err(error) => {
             log::info!("event=connect_failed endpoint_address={} error=\"{error}\"", order.address);
--- a/crates/banyannotch/src/gateway/forwarding/pool.rs
+++ b/crates/banyannotch/src/gateway/forwarding/pool.rs
@@ -19,7 +19,8 @@
 pub(super) struct Upstream {
     pub reader: Reader,
     pub writer: OwnedWriteHalf,
-    pub reused: bool,
+    /// Number of the connection, which no other one has.
+    pub number: u64,
 }
 
 #[derive(Debug)]
@@ -34,22 +35,30 @@
     limit: usize,
     idle: Table<Address, Vec<Idle>>,
     count: usize,
+    /// Number of connections opened so far.
+    opened: u64,
 }
 
 impl Pool {
     /// Creates a pool of at most `limit` connections over all addresses.
     pub fn new(limit: usize) -> Self {
-        Self { limit, idle: Table::default(), count: 0 }
+        Self { limit, idle: Table::default(), count: 0, opened: 0 }
     }
 
-    /// Takes an idle connection that is neither expired nor stale.
-    pub fn take(&mut self, address: Address) -> Option<Upstream> {
+    /// Returns the number of a connection that was just opened.
+    pub fn number_connection(&mut self) -> u64 {
+        self.opened += 1;
+        self.opened
+    }
+
+    /// Takes an idle connection that is neither expired nor stale, and whose number is not among those that are excluded.
+    pub fn take(&mut self, address: Address, excluded: &[u64]) -> Option<Upstream> {
         let stack = self.idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(mut idle) = stack.pop() {
+        while let Some(index) = stack.iter().rposition(|idle| !excluded.contains(&idle.upstream.number)) {
+            let mut idle = stack.remove(index);
             self.count -= 1;
             if idle.expires_at > now && !idle.upstream.reader.is_stale() {
-                idle.upstream.reused = true;
                 return Some(idle.upstream);
             }
         }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -55,6 +55,31 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// A replica that writes an earlier rejection once more, while it runs the next request on the connection, neither makes a
+/// request run twice nor makes the gateway tell that it did not run. The first request of a pair is sent to each replica
+/// more than once; the second one is sent on the connections that the first one left.
+#[actix_rt::test]
+async fn a_repeated_rejection_is_not_taken_for_that_of_a_later_send() {
+    let mut lines = Vec::new();
+    for fault in [Fault::RepeatNotRun] {
+        for path in ["/call/x", "/read/x"] {
+            let fleet = Fleet::start();
+            let gateway = Gateway::start(fleet.store.address, &[]);
+            gateway.wait_ready().await;
+            Endpoint::set_shared_fault(&fleet.replicas, fault, usize::MAX);
+            for name in ["first", "second"] {
+                let id = format!("{name}{}", path.replace('/', "-"));
+                let got = gateway.call(&id, path).await;
+                let runs = fleet.runs_of(&id);
+                lines.push(format!("{path} {fault:?} {name}: {}", describe(&got, runs)));
+                assert!(got.status != Some(503) || runs == 0, "it ran: {lines:#?}");
+                assert!(path == "/read/x" || runs <= 1, "it ran twice: {lines:#?}");
+            }
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// A stream that fails on one chain is resumed on another one within the same response.
 #[actix_rt::test]
 async fn a_broken_stream_resumes_without_lost_or_repeated_events() {
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -69,6 +69,11 @@
     EndlessBody,
     /// Responds that the request was not executed, with a body without end, and does not run it.
     EndlessNotRun,
+    /// Responds to the first request on each connection that it was not executed, and does not run it. When a later
+    /// request arrives on the connection, writes this response once more and then runs that request.
+    RepeatNotRun,
+    /// As `RepeatNotRun`, without `Attempt-Id` in the response that is repeated.
+    RepeatNotRunWithoutId,
 }
 
 /// One request that an endpoint has run.
@@ -185,6 +190,8 @@
 
 async fn serve(state: Rc<RefCell<State>>, stream: TcpStream) {
     let Ok((mut reader, mut writer)) = split_stream(stream) else { return };
+    // The first rejection on the connection.
+    let mut rejection = None;
     while let Some((head, body)) = read_request(&mut reader).await {
         let keep_alive = match head.target.as_str() {
             "/-/report" => {
@@ -195,7 +202,7 @@
                 let out = order(&mut state.borrow_mut(), &body);
                 writer.write_all(&out).await.is_ok()
             }
-            _ => run(&state, &head, &body, &mut writer).await,
+            _ => run(&state, &head, &body, &mut writer, &mut rejection).await,
         };
         if !keep_alive {
             return;
@@ -227,6 +234,7 @@
     head: &RequestHead,
     body: &[u8],
     writer: &mut OwnedWriteHalf,
+    rejection: &mut Option<Vec<u8>>,
 ) -> bool {
     let header = |name: &str| head.headers.get(name).map(str::to_owned);
     let (id, events, fault) = {
@@ -235,14 +243,29 @@
         state.fault_count.set(state.fault_count.get().saturating_sub(1));
         (state.id.clone(), state.events, fault)
     };
+    let attempt = header("Attempt-Id").unwrap_or_default();
     if header("Expect-Instance").as_deref() != Some(id.as_str()) {
-        return writer.write_all(&encode_response(421, "Instance-Id: other\r\n", b"")).await.is_ok();
+        let headers = format!("Attempt-Id: {attempt}\r\nInstance-Id: other\r\n");
+        return writer.write_all(&encode_response(421, &headers, b"")).await.is_ok();
     }
-    let attempt = header("Attempt-Id").unwrap_or_default();
     if fault == Fault::NotRun {
         let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
         return writer.write_all(&encode_response(503, &headers, b"")).await.is_ok();
     }
+    if matches!(fault, Fault::RepeatNotRun | Fault::RepeatNotRunWithoutId) {
+        let is_first = rejection.is_none();
+        let out = rejection.get_or_insert_with(|| {
+            let id = if fault == Fault::RepeatNotRun {
+                format!("Attempt-Id: {attempt}\r\n")
+            } else {
+                String::new()
+            };
+            encode_response(503, &format!("{id}Not-Executed: 1\r\n"), b"")
+        });
+        if writer.write_all(out).await.is_err() || is_first {
+            return true;
+        }
+    }
     if fault == Fault::EndlessNotRun {
         let head = format!(
             "HTTP/1.1 503 Any\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -264,6 +287,9 @@
         path: header("Hop-Count"),
         saw_key: head.headers.get("Key").is_some(),
     });
+    if matches!(fault, Fault::RepeatNotRun | Fault::RepeatNotRunWithoutId) {
+        actix_rt::time::sleep(LONG_RUN).await;
+    }
     let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
     if fault == Fault::EndlessHead {
         let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
@@ -402,6 +428,9 @@
 /// Pause of a slow stream, longer than the time after which a gateway examines its path.
 const LONG_PAUSE: Duration = Duration::from_millis(900);
 
+/// Time that a run takes after a repeated rejection.
+const LONG_RUN: Duration = Duration::from_millis(20);
+
 /// Delay between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(2);
 
