forwarding: a rejection without an id counts only on a connection that carried nothing else

What callers saw: an endpoint that wrote an earlier rejection without an id once more, while it ran the next request on the kept connection, was taken to have rejected that one. A request that must not repeat ran four times and was answered with 503, "not run".

Cause: rejections were accepted without an id, because an endpoint may write them before it has read the request. On a connection that has carried another request or response, nothing tells whose rejection it is.

Change: a connection says which requests a response without an id may belong to. Where there is more than one, such a response is invalid like any other without an id: the request may have run. Endpoints that write the id, as the protocol says, lose nothing.

Failed before (a_repeated_rejection_is_not_taken_for_that_of_a_later_send): it ran: /call/x RepeatNotRunWithoutId second: 503 unsigned whole "endpoints rejected the request" after 4 runs

--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -23,23 +23,39 @@
     /// not state this. The request may have run.
     Ambiguous,
     /// A response that cannot be trusted: without a required id or signature, with a content encoding, a
-    /// redirection, or a success that is marked as not run.
+    /// redirection, or a success that is marked as not run. The request may have run.
     Invalid,
 }
 
+/// Which requests a response without an id may belong to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ConnectionUse {
+    /// Only to the one that was sent: the connection has carried no other request or response.
+    Sole,
+    /// Also to an earlier one, whose response the endpoint may have written once more.
+    Shared,
+}
+
 /// Statuses that tell a caller that the request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Status "Misdirected Request" of an endpoint that is not the expected one. It never runs the request.
 const MISDIRECTED_STATUS: u16 = 421;
 
 /// Classifies a response to the attempt with the given id.
-pub(super) fn classify(head: &ResponseHead, response_info: &ResponseInfo, id: &str) -> ResponseKind {
+pub(super) fn classify(
+    head: &ResponseHead,
+    response_info: &ResponseInfo,
+    id: &str,
+    connection_use: ConnectionUse,
+) -> ResponseKind {
     if (100..200).contains(&head.status) {
         return ResponseKind::Interim;
     }
     match &response_info.id {
         Some(found) if **found != *id => return ResponseKind::Foreign,
-        // Only rejections may have no id, since an endpoint may write them before it has read the request.
+        // Only rejections may have no id, since an endpoint may write them before it has read the request. One that may
+        // be a copy of an earlier rejection says nothing about this request.
+        None if connection_use == ConnectionUse::Shared => return ResponseKind::Invalid,
         None if !response_info.not_run && head.status != MISDIRECTED_STATUS => return ResponseKind::Invalid,
         _ => {}
     }
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -7,7 +7,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{timeout, timeout_at};
 
-use super::answer::{Response, ResponseKind, classify, write_response, write_stream_head};
+use super::answer::{ConnectionUse, Response, ResponseKind, classify, write_response, write_stream_head};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::pool::Upstream;
@@ -158,7 +158,7 @@
         Ok((reader, writer)) => {
             metrics::counter!("banyannotch_gateway_connections_total").increment(1);
             let number = context.pool.borrow_mut().number_connection();
-            Some(Upstream { reader, writer, number })
+            Some(Upstream { reader, writer, number, connection_use: ConnectionUse::Sole })
         }
         Err(error) => {
             log::info!("event=connect_failed endpoint_address={} error=\"{error}\"", order.address);
@@ -287,7 +287,7 @@
                 None => self.upstream.reader.response_head(HEAD_LIMIT_BYTES).await?,
             };
             let response_info = self.context.dialect.response_info(&head);
-            match classify(&head, &response_info, &self.request.id) {
+            match classify(&head, &response_info, &self.request.id, self.upstream.connection_use) {
                 ResponseKind::Interim => {}
                 ResponseKind::Foreign => {
                     log::info!(
@@ -297,6 +297,7 @@
                         response_info.id
                     );
                     self.may_reuse = false;
+                    self.upstream.connection_use = ConnectionUse::Shared;
                     let decoder = BodyDecoder::new(head.framing()?);
                     self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES).await?;
                 }
--- a/crates/banyannotch/src/gateway/forwarding/pool.rs
+++ b/crates/banyannotch/src/gateway/forwarding/pool.rs
@@ -4,6 +4,7 @@
 
 use tokio::net::tcp::OwnedWriteHalf;
 
+use super::answer::ConnectionUse;
 use crate::gateway::http1::Reader;
 use crate::pipeline::Address;
 use crate::table::Table;
@@ -21,6 +22,8 @@
     pub writer: OwnedWriteHalf,
     /// Number of the connection, which no other one has.
     pub number: u64,
+    /// Which requests a response without an id may belong to.
+    pub connection_use: ConnectionUse,
 }
 
 #[derive(Debug)]
@@ -84,6 +87,7 @@
             return;
         }
         self.count += 1;
+        let upstream = Upstream { connection_use: ConnectionUse::Shared, ..upstream };
         stack.push(Idle { upstream, expires_at: Instant::now() + Duration::from_millis(keep_ms) });
     }
 
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -1,7 +1,7 @@
 //! Tests that lost, duplicate, incomplete or reordered events are not forwarded, and that a response is not
 //! taken for the response to another attempt.
 
-use super::answer::classify;
+use super::answer::{ConnectionUse, classify};
 use super::events::EventSplitter;
 use crate::gateway::ResponseInfo;
 use crate::gateway::http1::ResponseHead;
@@ -42,7 +42,7 @@
         |signed, not_run| ResponseInfo { id: Some("a".into()), signed, not_run, ..ResponseInfo::default() };
     let foreign = ResponseInfo { id: Some("b".into()), signed: true, ..ResponseInfo::default() };
     let without_id = |not_run| ResponseInfo { signed: true, not_run, ..ResponseInfo::default() };
-    let cases = [
+    let sole_cases = [
         (200, own(true, false)),
         (200, own(false, false)),
         (200, foreign.clone()),
@@ -57,17 +57,19 @@
         (503, own(true, false)),
         (503, own(true, true)),
         (503, without_id(true)),
-        (503, foreign),
+        (503, foreign.clone()),
     ];
-    let lines: Vec<_> = cases
-        .iter()
-        .map(|(status, response_info)| {
+    let shared_cases =
+        [(421, without_id(false)), (503, without_id(true)), (503, foreign), (503, own(true, true))];
+    let lines: Vec<_> = (sole_cases.iter().map(|case| (ConnectionUse::Sole, case)))
+        .chain(shared_cases.iter().map(|case| (ConnectionUse::Shared, case)))
+        .map(|(connection_use, (status, response_info))| {
             let head = ResponseHead { status: *status, ..ResponseHead::default() };
             let id = response_info.id.as_deref().unwrap_or("none");
             let (signed, not_run) = (response_info.signed, response_info.not_run);
             format!(
-                "{status} id {id} signed {signed} not run {not_run}: {:?}",
-                classify(&head, response_info, "a")
+                "{connection_use:?} {status} id {id} signed {signed} not run {not_run}: {:?}",
+                classify(&head, response_info, "a", connection_use)
             )
         })
         .collect();
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -61,7 +61,7 @@
 #[actix_rt::test]
 async fn a_repeated_rejection_is_not_taken_for_that_of_a_later_send() {
     let mut lines = Vec::new();
-    for fault in [Fault::RepeatNotRun] {
+    for fault in [Fault::RepeatNotRun, Fault::RepeatNotRunWithoutId] {
         for path in ["/call/x", "/read/x"] {
             let fleet = Fleet::start();
             let gateway = Gateway::start(fleet.store.address, &[]);
