forwarding: a resumed run without any event does not end the stream as complete

What callers saw: a stream that broke off after 3 of 12 events, and whose next engine answered 200 with a body of length 0 or with nothing until it closed the connection, ended with the last chunk, as if it were complete.

Cause: the check for a stream without events looked at the last event id, which a resumed run has from the start.

Change: a run without any event ends a stream only if the end of its chunks says so. A body of length 0 and a closed connection are what an endpoint that failed sends too; the run counts as broken off, and the request goes on elsewhere or the connection is closed. A stream that broke off between its last event and its end still completes (BreakAfter(EVENTS) in a_broken_stream_resumes...).

--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -357,8 +357,12 @@
                     Decoded::End => ended = true,
                 }
             }
-            let has_no_event = splitter.last_id().is_none();
-            if ended && (splitter.is_inside_event() || has_no_event) {
+            // Without an event, a resumed run shows that nothing is left only by the end of its chunks. An endpoint that
+            // failed may send a body of length 0, or close the connection.
+            let shows_end = first_ms.is_some()
+                || !events.is_empty()
+                || (splitter.last_id().is_some() && head.framing()? == Framing::Chunked);
+            if ended && (splitter.is_inside_event() || !shows_end) {
                 return Err(ExchangeError::Upstream(HttpError::Truncated));
             }
             if !events.is_empty() && first_ms.is_none() {
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -52,9 +52,9 @@
     Ambiguous,
     /// Runs the request and responds with status 500.
     Fail,
-    /// Closes the connection of a new run after this many events, and responds to a resumed run with status
-    /// 500.
-    FailResumed(u64),
+    /// Closes the connection of a new run after this many events, and responds to a resumed run without the rest of the
+    /// stream.
+    SpoilResumed(u64, Spoiled),
     /// Responds without `Content-Length` and closes the connection.
     Unframed,
     /// Sends the response to another request after its own and closes the connection.
@@ -76,6 +76,29 @@
     RepeatNotRunWithoutId,
 }
 
+/// A response to a resumed run that does not contain the rest of the stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Spoiled {
+    /// Status 500 with the engine's signature.
+    Failure,
+    /// Status 503 without a statement that the request was not executed.
+    Ambiguous,
+    /// The statement that the request was not executed, with a body. The request is not run.
+    NotRun,
+    /// The response to another request, and nothing else.
+    Foreign,
+    /// A page of HTML.
+    Page,
+    /// The rest of the stream with another content type.
+    EventsAsText,
+    /// Events that skip one.
+    Gap,
+    /// A body of length 0.
+    Empty,
+    /// No body and no length, until the connection is closed.
+    EmptyUnframed,
+}
+
 /// One request that an endpoint has run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Run {
@@ -273,11 +296,15 @@
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
     }
     let resumed_after: Option<u64> = header("Last-Event-Id").and_then(|id| id.parse().ok());
-    let fault = match (fault, resumed_after) {
-        (Fault::FailResumed(count), None) => Fault::BreakAfter(count),
-        (Fault::FailResumed(_), Some(_)) => Fault::Fail,
-        _ => fault,
+    let (fault, spoiled) = match (fault, resumed_after) {
+        (Fault::SpoilResumed(count, _), None) => (Fault::BreakAfter(count), None),
+        (Fault::SpoilResumed(_, spoiled), Some(last)) => (Fault::None, Some((spoiled, last))),
+        _ => (fault, None),
     };
+    if let Some((Spoiled::NotRun, _)) = spoiled {
+        let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
+        return writer.write_all(&encode_response(503, &headers, b"id: 3\ndata: full\n\n")).await.is_ok();
+    }
     state.borrow_mut().runs.push(Run {
         id: attempt.clone(),
         target: head.target.clone(),
@@ -299,12 +326,42 @@
         let head = format!("HTTP/1.1 200 Any\r\n{signed}Transfer-Encoding: chunked\r\n\r\n");
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
     }
+    if let Some((spoiled, last)) = spoiled {
+        let out = spoiled_response(spoiled, &signed, last);
+        return writer.write_all(&out).await.is_ok()
+            && !matches!(spoiled, Spoiled::Foreign | Spoiled::EmptyUnframed);
+    }
     if head.target.starts_with("/write/") && fault != Fault::Fail {
         return write_stream(&id, &attempt, resumed_after, events, fault, writer).await;
     }
     write_response(&id, &attempt, fault, writer).await
 }
 
+fn spoiled_response(spoiled: Spoiled, signed: &str, last: u64) -> Vec<u8> {
+    let stream = format!("{signed}Content-Type: text/event-stream\r\n");
+    let event = |id: u64| format!("id: {id}\ndata: token {id}\n\n");
+    match spoiled {
+        Spoiled::Failure => encode_response(500, &stream, event(last + 1).as_bytes()),
+        Spoiled::Ambiguous => encode_response(503, &stream, event(last + 1).as_bytes()),
+        Spoiled::NotRun => Vec::new(),
+        Spoiled::Foreign => {
+            let headers = "Attempt-Id: another\r\nServer-Signature: x\r\nContent-Type: text/event-stream\r\n";
+            encode_response(200, headers, event(last + 1).as_bytes())
+        }
+        Spoiled::Page => {
+            let headers = format!("{signed}Content-Type: text/html\r\n");
+            encode_response(200, &headers, b"<html>out of memory</html>\n\n")
+        }
+        Spoiled::EventsAsText => {
+            let headers = format!("{signed}Content-Type: text/plain\r\n");
+            encode_response(200, &headers, event(last + 1).as_bytes())
+        }
+        Spoiled::Gap => encode_response(200, &stream, event(last + 2).as_bytes()),
+        Spoiled::Empty => encode_response(200, &stream, b""),
+        Spoiled::EmptyUnframed => format!("HTTP/1.1 200 Any\r\n{stream}\r\n").into_bytes(),
+    }
+}
+
 async fn write_response(id: &str, attempt: &str, fault: Fault, writer: &mut OwnedWriteHalf) -> bool {
     let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
     let build_response =
@@ -395,6 +452,9 @@
         out.clear();
         actix_rt::time::sleep(EVENT_INTERVAL).await;
     }
+    if fault == Fault::BreakAfter(events) {
+        return false;
+    }
     out.extend_from_slice(b"0\r\n\r\n");
     writer.write_all(&out).await.is_ok()
 }
