forwarding: a response of another content type is no stream of events

What callers saw: when a stream had begun and broke off, text of the next engine that happens to have lines like those of an event was appended to it, and the stream ended as complete.

Cause: only the lines of the body were checked. Error texts without such lines were not forwarded before either.

Change: a success on a streaming route that names another content type than text/event-stream counts as an invalid response.

--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -167,6 +167,15 @@
     }
 }
 
+/// Returns whether a response is a stream of events as far as its content type says. A text of another type may contain
+/// lines that look like events.
+fn is_event_stream(head: &ResponseHead) -> bool {
+    head.headers.get("content-type").is_none_or(|value| {
+        let media_type = value.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    })
+}
+
 struct Exchange<'a, D, C> {
     context: &'a Context<D, C>,
     order: &'a SendOrder,
@@ -195,6 +204,9 @@
         let decoder = BodyDecoder::new(framing);
         match kind {
             ResponseKind::Success if self.order.stream => {
+                if !is_event_stream(&head) {
+                    return Ok((Ending::Broken { by: BrokenBy::Garbled }, None));
+                }
                 self.forward_stream(
                     &head,
                     decoder,
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -239,6 +239,7 @@
         Spoiled::NotRun,
         Spoiled::Foreign,
         Spoiled::Page,
+        Spoiled::EventsAsText,
         Spoiled::Gap,
         Spoiled::Empty,
         Spoiled::EmptyUnframed,
