forwarding: a stream that is abandoned during a write to the caller stays whole

What callers saw: a caller that reads slowly got the head of a chunk in the middle of another one and could not decode the rest, or, had the sizes matched, would have missed events.

Cause: dispatch abandons a late stream by dropping the send. If events had arrived meanwhile and the caller read slowly, that ended a write in the middle of a chunk, while the id of the last event had already advanced. The resumed run began with a chunk of its own.

Change: the output belongs to the progress of the request and is written by calls that can be cancelled without loss. The next send first writes what the abandoned one has left. A stream whose end had arrived is delivered and not sent again. The other writes to callers are cancelled only when their connection is closed.

Failed before (a_stream_that_is_abandoned_during_a_write_stays_whole): Err(Malformed("chunk line is too long")) after 48 events

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -15,7 +15,7 @@
 use super::exchange::{Progress, Request, exchange};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
-use crate::gateway::dispatch::{BrokenBy, Ending, Refusal, RefusalReason, Verdict};
+use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
 use crate::gateway::http1::{BodyDecoder, HttpError, Reader, RequestHead, split};
 
 /// The operating system closes a connection whose peer acknowledges no data for this long.
@@ -243,7 +243,7 @@
                 Ok(sent) => sent,
                 Err(_) => return ServeOutcome::Expired,
             },
-            Ok(()) = abandoned => (Ending::Broken { by: BrokenBy::Silence }, None),
+            Ok(()) = abandoned => (progress.abandon(writer).await, None),
         };
         context.end_send(ticket);
         match ending {
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -54,6 +54,39 @@
     /// Numbers of the connections on which the request was sent. None of them carries it again: a second copy of the
     /// earlier response would have the same id as the response that is expected.
     connections: Vec<u64>,
+    /// Output of a stream that is being written to the caller. A send that is abandoned meanwhile leaves it here.
+    output: Vec<u8>,
+    /// Number of bytes of the output that have been written.
+    written: usize,
+    /// Time from the send to the first event of a stream whose end is part of the output, in milliseconds.
+    completed_first_ms: Option<u64>,
+}
+
+impl Progress {
+    /// Writes the rest of the output. After a cancelled call, the next one continues where it stopped, so that no part of
+    /// a chunk is lost or interrupted by another chunk.
+    async fn write_output(&mut self, caller_writer: &mut OwnedWriteHalf) -> std::io::Result<()> {
+        while let Some(rest) = self.output.get(self.written..).filter(|rest| !rest.is_empty()) {
+            match caller_writer.write(rest).await? {
+                0 => return Err(std::io::ErrorKind::WriteZero.into()),
+                size => self.written += size,
+            }
+        }
+        self.output.clear();
+        self.written = 0;
+        Ok(())
+    }
+
+    /// Returns how a send ends that dispatch abandons. A stream that has arrived completely is delivered nevertheless.
+    pub async fn abandon(&mut self, caller_writer: &mut OwnedWriteHalf) -> Ending {
+        match self.completed_first_ms {
+            None => Ending::Broken { by: BrokenBy::Silence },
+            Some(first_ms) => match self.write_output(caller_writer).await {
+                Ok(()) => Ending::Completed { first_ms },
+                Err(_) => Ending::Left,
+            },
+        }
+    }
 }
 
 /// How a send ended, and the failure response that dispatch may decide to deliver.
@@ -96,6 +129,10 @@
     progress: &mut Progress,
     caller_writer: &mut OwnedWriteHalf,
 ) -> ExchangeOutcome {
+    // The rest of what an abandoned send has left goes first. A caller that does not read it needs no further events.
+    if progress.write_output(caller_writer).await.is_err() {
+        return (Ending::Left, None);
+    }
     let connect_started_us = context.clock.now_us();
     let Some(upstream) = acquire_connection(context, order, &progress.connections).await else {
         return (Ending::Unsent, None);
@@ -347,7 +384,7 @@
         let mut silence_due = self.sent_at + silence_limit;
         let mut event_due = (self.sent_at + response_start_timeout).max(Instant::now());
         let mut first_ms = None;
-        let (mut events, mut out) = (Vec::new(), Vec::new());
+        let mut events = Vec::new();
         loop {
             let Ok(read) = timeout_at(event_due.into(), self.upstream.reader.body(&mut decoder)).await else {
                 if Instant::now() >= silence_due {
@@ -382,27 +419,26 @@
                 self.context.report_first_event(self.request.ticket);
             }
             if !events.is_empty() || ended {
-                self.write_head_once(head, progress, &mut out);
+                self.write_head_once(head, progress);
                 if !events.is_empty() {
-                    write_chunk(&events, &mut out);
+                    write_chunk(&events, &mut progress.output);
                 }
                 if ended {
-                    out.extend_from_slice(b"0\r\n\r\n");
+                    progress.output.extend_from_slice(b"0\r\n\r\n");
+                    progress.completed_first_ms = Some(first_ms.unwrap_or_else(|| self.elapsed_ms()));
                 }
                 progress.last_event_id = splitter.last_id();
-                if caller_writer.write_all(&out).await.is_err() {
+                if progress.write_output(caller_writer).await.is_err() {
                     return Err(ExchangeError::Ended(Ending::Left));
                 }
                 // The time that the caller took to read does not count.
                 event_due = Instant::now() + stall_limit;
                 silence_due = Instant::now() + silence_limit;
                 events.clear();
-                out.clear();
             }
-            if ended {
+            if let Some(first_ms) = progress.completed_first_ms {
                 self.may_reuse &= head.framing()? != Framing::UntilClose && head.keeps_alive();
                 self.allow_pooling(head);
-                let first_ms = first_ms.unwrap_or_else(|| self.elapsed_ms());
                 return Ok((Ending::Completed { first_ms }, None));
             }
         }
@@ -424,9 +460,9 @@
         })
     }
 
-    fn write_head_once(&self, head: &ResponseHead, progress: &mut Progress, out: &mut Vec<u8>) {
+    fn write_head_once(&self, head: &ResponseHead, progress: &mut Progress) {
         if !progress.head_sent {
-            write_stream_head(&self.context.dialect, head, self.request.close, out);
+            write_stream_head(&self.context.dialect, head, self.request.close, &mut progress.output);
             progress.head_sent = true;
         }
     }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -4,10 +4,13 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use banyannotch_standins::fleet::{Endpoint, Fault, RecordedResponse, Spoiled, stream};
+use std::time::Duration;
+
+use banyannotch::gateway::http1::{BodyDecoder, HttpError, split};
+use banyannotch_standins::fleet::{Endpoint, FLOOD_EVENTS, Fault, RecordedResponse, Spoiled, stream};
 use common::{EVENTS, Fleet, Gateway, LIMIT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 fn describe(got: &RecordedResponse, runs: usize) -> String {
     let signed = if got.signature.is_some() { "signed" } else { "unsigned" };
@@ -268,3 +271,45 @@
     }
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// A send that is abandoned while the caller reads slowly ends in the middle of a chunk. The resumed run must not begin a
+/// chunk of its own there. The engines pause, give no report, and send the rest before the gateway gives the report up.
+#[actix_rt::test]
+async fn a_stream_that_is_abandoned_during_a_write_stays_whole() {
+    /// Time after which the caller reads on; by then the gateway has given up the report.
+    const READING_PAUSE: Duration = Duration::from_millis(1_500);
+    let mut fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for engine in &fleet.engines {
+        engine.set_fault(Fault::Flood, usize::MAX);
+        engine.withhold_reports();
+    }
+    let socket = TcpSocket::new_v4().expect("a socket is created");
+    socket.set_recv_buffer_size(4_096).expect("the size of the buffer is set");
+    let connection = socket.connect(gateway.callers).await.expect("the gateway accepts a connection");
+    let (mut reader, mut writer) = split(connection, 30_000).expect("the options of the socket are set");
+    let request = "POST /write/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: slow\r\nKey: secret\r\nDeadline-Ms: 6000\r\n\
+                   Token-Usage: 10,20\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    writer.write_all(request.as_bytes()).await.expect("the request is written");
+    actix_rt::time::sleep(READING_PAUSE).await;
+    let mut body = Vec::new();
+    let end = tokio::time::timeout(LIMIT, async {
+        let head = reader.response_head(4_096).await?;
+        let mut decoder = BodyDecoder::new(head.framing()?);
+        while let Some(data) = reader.body(&mut decoder).await? {
+            body.extend_from_slice(&data);
+        }
+        Ok::<_, HttpError>(reader.has_buffered())
+    });
+    let end = end.await.expect("the response ends in time");
+    let judged = gateway.lines("event=late_stream_judged");
+    assert!(judged.iter().any(|line| line.contains("evidence=no_report")), "not abandoned: {judged:?}");
+    let text = String::from_utf8_lossy(&body);
+    let ids: Vec<u64> = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect();
+    let events = ids.len();
+    assert!(matches!(end, Ok(false)), "{end:?} after {events} events");
+    assert_eq!(ids, (0..FLOOD_EVENTS).collect::<Vec<_>>());
+    assert_eq!(text.matches(&"x".repeat(60_000)).count(), events, "an event is not whole");
+}
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -63,6 +63,9 @@
     TrickleAfter(u64),
     /// Pauses for 900 ms after this many events and then continues.
     PauseAfter(u64),
+    /// Sends a stream of events of 60 kB each. A new run pauses for 600 ms after the first three of them, and then sends the
+    /// others without delay.
+    Flood,
     /// Sends a head without end until the connection is closed.
     EndlessHead,
     /// Sends a body without end until the connection is closed.
@@ -131,6 +134,8 @@
     orders: u64,
     /// Addresses of the engines on which requests are reported as stalled.
     stalled: Vec<String>,
+    /// Whether requests for a report get no response.
+    withholds_reports: bool,
 }
 
 /// An endpoint in the test's own process.
@@ -156,6 +161,7 @@
             layers: None,
             orders: 0,
             stalled: Vec::new(),
+            withholds_reports: false,
         }));
         let shared = Rc::clone(&state);
         let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
@@ -200,6 +206,11 @@
         self.state.borrow_mut().stalled = vec![address.to_string()];
     }
 
+    /// Leaves requests for a report without a response from now on.
+    pub fn withhold_reports(&self) {
+        self.state.borrow_mut().withholds_reports = true;
+    }
+
     /// Returns the requests that the endpoint has run.
     pub fn runs(&self) -> Vec<Run> {
         self.state.borrow().runs.clone()
@@ -217,6 +228,7 @@
     let mut rejection = None;
     while let Some((head, body)) = read_request(&mut reader).await {
         let keep_alive = match head.target.as_str() {
+            "/-/report" if state.borrow().withholds_reports => std::future::pending().await,
             "/-/report" => {
                 let report = report(&state.borrow());
                 writer.write_all(&encode_response(200, "", report.to_string().as_bytes())).await.is_ok()
@@ -406,6 +418,9 @@
     )
     .into_bytes();
     let first = resumed_after.map_or(0, |last| last + 1);
+    if fault == Fault::Flood {
+        return write_flood(out, first, writer).await;
+    }
     for (sent, event) in (first..events).enumerate() {
         let text = format!("id: {event}\ndata: token {event}\n\n");
         match fault {
@@ -459,6 +474,27 @@
     writer.write_all(&out).await.is_ok()
 }
 
+/// Number of events in a [`Fault::Flood`], which are more than the buffers of the sockets hold.
+pub const FLOOD_EVENTS: u64 = 300;
+
+async fn write_flood(mut out: Vec<u8>, first: u64, writer: &mut OwnedWriteHalf) -> bool {
+    /// Number of events before the pause, and the time of the pause, in which a gateway requests a report.
+    const EARLY_EVENTS: u64 = 3;
+    const PAUSE: Duration = Duration::from_millis(600);
+    let filler = "x".repeat(60_000);
+    for event in first..FLOOD_EVENTS {
+        if event == EARLY_EVENTS && first == 0 {
+            actix_rt::time::sleep(PAUSE).await;
+        }
+        write_chunk(format!("id: {event}\ndata: {filler}\n\n").as_bytes(), &mut out);
+        if writer.write_all(&out).await.is_err() {
+            return false;
+        }
+        out.clear();
+    }
+    writer.write_all(b"0\r\n\r\n").await.is_ok()
+}
+
 /// A chunk of the chunked transfer coding.
 const FILLER_CHUNK: &[u8] = b"10\r\nxxxxxxxxxxxxxxxx\r\n";
 
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 pub use client::{Caller, RecordedResponse, call, stream};
-pub use endpoint::{Endpoint, Fault, Run, Spoiled};
+pub use endpoint::{Endpoint, FLOOD_EVENTS, Fault, Run, Spoiled};
 pub use proxy::{Link, Proxy};
 pub use store::{Store, StoreFault};
 
