forwarding: a stream that is resumed after the largest event id does not end the process

What would be seen: a caller that sends the largest number as the id of its last event ends the whole process in builds with overflow checks. In other builds an event 0 would have counted as the next one.

Cause: the id was incremented without a check. Ids come from callers and endpoints.

Failed before (splitter_emits_only_complete_events_with_consecutive_ids): panicked at events.rs:47:29: attempt to add with overflow

--- a/crates/banyannotch/src/gateway/forwarding/events.rs
+++ b/crates/banyannotch/src/gateway/forwarding/events.rs
@@ -44,7 +44,7 @@
             let event = self.buffer.split_to(size);
             let found = parse_event_id(&event).ok_or(EventError::NoId)?;
             if let Some(last) = self.last_id
-                && found != last + 1
+                && last.checked_add(1) != Some(found)
             {
                 return Err(EventError::OutOfOrder { last, found });
             }
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -20,13 +20,14 @@
 
 #[test]
 fn splitter_emits_only_complete_events_with_consecutive_ids() {
-    let cases: [(Option<u64>, &[&str]); 9] = [
+    let cases: [(Option<u64>, &[&str]); 10] = [
         (None, &["id: 0\ndata: a\n\nid: 1\ndata: b\n\n"]),
         (None, &["id: 0\nda", "ta: a\n", "\nid: 1\nd"]),
         (None, &["id: 0\r\ndata: a\r\n\r\n"]),
         (Some(4), &["id: 5\ndata: a\n\n"]),
         (Some(4), &["id: 4\ndata: a\n\n"]),
         (Some(4), &["id: 6\ndata: a\n\n"]),
+        (Some(u64::MAX), &["id: 0\ndata: a\n\n"]),
         (None, &["id: 0\n\n", "id: 2\n\n"]),
         (None, &["data: a\n\n"]),
         (None, &["weight-versions: 2\nid: 7\ndata: a\n\n"]),
