dispatch: a request with the largest lengths does not end the process

What would be seen: one request that states tokens of prompt and of answer ends the whole process in builds with overflow checks, and again with each retry. In other builds the sum wraps, and a request that fits on no engine counts as a small one.

Cause: the lengths, which callers state, were added as 32-bit numbers, in two places.

Change: one function adds them as floating-point numbers. The request is refused at once, since no engine has room for it.

Failed before (malformed_requests_get_the_appropriate_status): thread dispatch panicked at paths.rs:103:32: attempt to add with overflow Error: a thread of the gateway has ended unexpectedly

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -34,6 +34,13 @@
     pub digest: u64,
 }
 
+impl RequestInfo {
+    /// Returns the length of the prompt and the answer together, in tokens, at least 1. Callers may state any lengths.
+    pub fn total_tokens(&self) -> f64 {
+        (f64::from(self.prompt_tokens) + f64::from(self.answer_tokens)).max(1.0)
+    }
+}
+
 /// Error in a request head.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum RequestError {
--- a/crates/banyannotch/src/gateway/dispatch/paths.rs
+++ b/crates/banyannotch/src/gateway/dispatch/paths.rs
@@ -100,7 +100,7 @@
         let settings = self.settings;
         let load = health.load();
         let model_layers = f64::from(self.pipeline.layers.max(1));
-        let tokens = f64::from(request.prompt_tokens + request.answer_tokens).max(1.0);
+        let tokens = request.total_tokens();
         let cache_size = self.pipeline.cache_size(kind.memory_mb, layers.len());
         let free_cache = cache_size * settings.cache_share - load.cache;
         if free_cache < tokens {
@@ -284,7 +284,7 @@
         if !covers(&hops, self.pipeline.layers) {
             return None;
         }
-        let tokens = f64::from(request.prompt_tokens + request.answer_tokens).max(1.0);
+        let tokens = request.total_tokens();
         let load = |range: &LayerRange| Load {
             requests: u32::from(range.begin == 0),
             sequences: 1,
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -49,9 +49,10 @@
 /// Each malformed request gets the appropriate status, and a request sent after it on another connection succeeds.
 #[actix_rt::test]
 async fn malformed_requests_get_the_appropriate_status() {
-    let fleet = Fleet::start();
+    let mut fleet = Fleet::start();
     let gateway = Gateway::start(fleet.store.address, &[]);
-    gateway.wait_ready().await;
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
     let head = "POST /call/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nKey: secret\r\n";
     let inputs = [
         ("no request", "\u{1}\u{2}\r\n\r\n".to_owned()),
@@ -64,6 +65,10 @@
         ("slow head", head.to_owned()),
         ("slow body", format!("{head}Content-Length: 10\r\n\r\nabc")),
         ("unknown path", "GET /none/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n\r\n".to_owned()),
+        (
+            "most tokens",
+            format!("{head}Token-Usage: 4294967295,4294967295\r\n\r\n").replace("/call/", "/write/"),
+        ),
         ("no key", "GET /call/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n\r\n".to_owned()),
     ];
     let mut lines = Vec::new();
