gateway: the largest numbers in a configuration do not end the process

What would be seen: a configuration whose weights add up to more than 32 bits, or with times near the largest number, ends every gateway at its next request, in builds with overflow checks, and again after each start. In other builds the sums wrap: requests all go to one service of a split, and time limits become short.

Cause: sums and multiples of numbers of the operator were not checked.

Failed before (the_largest_numbers_in_a_configuration_do_not_end_the_gateway): thread dispatch panicked at accum.rs:204:1: attempt to add with overflow and, with the weights fixed, at settings.rs:130:18: attempt to multiply with overflow

--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -155,13 +155,14 @@
     }
 
     fn pick_service(&mut self, route: &Route) -> ServiceId {
-        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-        let mut drawn = self.random.below(total as usize) as u32;
+        let total: usize = route.targets.iter().map(|target| target.weight as usize).sum();
+        let mut drawn = self.random.below(total);
         for target in &route.targets {
-            if drawn < target.weight {
+            let weight = target.weight as usize;
+            if drawn < weight {
                 return target.service.clone();
             }
-            drawn -= target.weight;
+            drawn -= weight;
         }
         route.targets.first().map_or_else(|| ServiceId::from(""), |target| target.service.clone())
     }
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -25,8 +25,8 @@
 };
 pub use error::{GatewayError, Result};
 pub use model::{
-    Accelerator, CallerLimits, Configuration, Credential, Endpoint, EndpointError, NAME_LIMIT_BYTES,
-    Pipeline, RetryMode, Route, Service, Target, Team,
+    Accelerator, CallerLimits, Configuration, Credential, Endpoint, EndpointError, LONGEST_TIME_MS,
+    NAME_LIMIT_BYTES, Pipeline, RetryMode, Route, Service, Target, Team,
 };
 pub use settings::GatewaySettings;
 pub use start::Gateway;
--- a/crates/banyannotch/src/gateway/model.rs
+++ b/crates/banyannotch/src/gateway/model.rs
@@ -8,6 +8,10 @@
 use crate::ids::{ServiceId, TeamId, Zone};
 use crate::pipeline::{Address, LayerRange};
 
+/// Longest time in a configuration, in milliseconds: a day. Adapters replace longer ones by it, so that sums and multiples
+/// of times do not overflow.
+pub const LONGEST_TIME_MS: u64 = 86_400_000;
+
 /// Whether a request of a route may run again after a failure, and how its response is delivered.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RetryMode {
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -203,3 +203,35 @@
     let teams: Vec<_> = runs.map(|run| run.team).filter(|team| team.as_deref() != Some("shop")).collect();
     assert!(teams.is_empty(), "requests ran for other teams: {teams:?}");
 }
+
+/// A configuration with the largest numbers that its types can hold does not end the gateway.
+#[actix_rt::test]
+async fn the_largest_numbers_in_a_configuration_do_not_end_the_gateway() {
+    let mut fleet = Fleet::start();
+    let mut gateway = Gateway::start(fleet.store.address, &[]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    let largest = || serde_json::json!(u64::MAX);
+    let mut document = configuration(2, &["secret"]);
+    for route in document["routes"].as_array_mut().expect("the configuration has routes") {
+        let service = route["backend"].clone();
+        let share = serde_json::json!({"backend": service, "weight": u32::MAX});
+        route["traffic_split"] = serde_json::json!([share, share]);
+        route["max_attempts"] = serde_json::json!(u32::MAX);
+        route["timeout_ms"] = largest();
+        route["slo_ms"] = serde_json::json!(1e300);
+        route["itl_target_ms"] = serde_json::json!(1e300);
+    }
+    for limit in ["max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"] {
+        document["limits"][limit] = largest();
+    }
+    document["services"][0]["max_connections"] = largest();
+    fleet.store.put_configuration(&document);
+    wait_until(LIMIT, async || !gateway.lines("event=configuration_applied version=2").is_empty())
+        .await
+        .expect("version 2 is applied");
+    for path in ["/call/x", "/read/x", "/write/x"] {
+        assert_eq!(gateway.call(&path.replace('/', "-"), path).await.status, Some(200), "{path}");
+    }
+    assert!(gateway.child.try_wait().expect("the state of the process is known").is_none());
+}
