forwarding: tests of answers that end with their connection

Answers and streams without a length and without chunks, with HTTP/1.1 and 1.0, that end, are reset, or end inside an event. No fault was found: a reset is an error of the connection and never the end of a body, and the rest of a stream comes from another endpoint.

Seen to fail with a reset taken for the end: UnframedResetAfter(0) gives 200 with the body "answer", and UnframedResetAfter(5) a stream of five events that looks complete.

--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -40,6 +40,8 @@
         Fault::Ambiguous,
         Fault::Fail,
         Fault::Unframed,
+        Fault::UnframedOld,
+        Fault::UnframedResetAfter(0),
         Fault::Extra,
     ];
     let mut lines = Vec::new();
@@ -106,6 +108,11 @@
         Fault::EndlessBody,
         Fault::NotRun,
         Fault::EndlessNotRun,
+        Fault::Unframed,
+        Fault::UnframedOld,
+        Fault::UnframedResetAfter(0),
+        Fault::UnframedResetAfter(5),
+        Fault::UnframedTearAfter(5),
     ];
     for (number, fault) in faults.into_iter().enumerate() {
         // The gateway may choose either chain, so every engine gets the fault until one of them has run the request.
@@ -116,8 +123,9 @@
         let (got, runs) = stream_with_one_fault(&gateway, &fleet, &id).await;
         assert!(got.complete && got.status == Some(200), "{fault:?}: {got:?}");
         assert_eq!(got.events(), (0..EVENTS).collect::<Vec<_>>(), "{fault:?}");
-        let not_run = matches!(fault, Fault::NotRun | Fault::EndlessNotRun);
-        assert_eq!(runs, 2 - usize::from(not_run), "{fault:?}: runs");
+        let runs_once =
+            matches!(fault, Fault::NotRun | Fault::EndlessNotRun | Fault::Unframed | Fault::UnframedOld);
+        assert_eq!(runs, 2 - usize::from(runs_once), "{fault:?}: runs");
     }
 }
 
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -55,8 +55,14 @@
     /// Closes the connection of a new run after this many events, and responds to a resumed run without the rest of the
     /// stream.
     SpoilResumed(u64, Spoiled),
-    /// Responds without `Content-Length` and closes the connection.
+    /// Responds without a length and without chunks, and closes the connection at the end.
     Unframed,
+    /// As `Unframed`, with HTTP/1.0 in the status line.
+    UnframedOld,
+    /// As `Unframed`, but resets the connection after this many events, or in the middle of the body of a single response.
+    UnframedResetAfter(u64),
+    /// As `Unframed`, but closes the connection inside the event that follows this many.
+    UnframedTearAfter(u64),
     /// Sends the response to another request after its own and closes the connection.
     Extra,
     /// Sends single bytes without completing another event after this many, until the connection is closed.
@@ -240,6 +246,10 @@
             _ => run(&state, &head, &body, &mut writer, &mut rejection).await,
         };
         if !keep_alive {
+            if matches!(writer.as_ref().linger(), Ok(Some(Duration::ZERO))) {
+                // Dropping the writer would end the connection in order before it is reset.
+                writer.forget();
+            }
             return;
         }
     }
@@ -394,14 +404,34 @@
         Fault::Ambiguous => build_response(503, &signed),
         Fault::Fail => build_response(500, &signed),
         Fault::Unframed => format!("HTTP/1.1 200 Any\r\n{signed}\r\nanswer of {attempt}").into_bytes(),
+        Fault::UnframedOld => format!("HTTP/1.0 200 Any\r\n{signed}\r\nanswer of {attempt}").into_bytes(),
+        Fault::UnframedResetAfter(_) => format!("HTTP/1.1 200 Any\r\n{signed}\r\nanswer").into_bytes(),
         Fault::Extra => [build_response(200, &signed), foreign_response()].concat(),
         _ => build_response(200, &signed),
     };
     let closes = matches!(
         fault,
-        Fault::Garble | Fault::Truncate | Fault::ForeignOnly | Fault::Unframed | Fault::Extra
+        Fault::Garble
+            | Fault::Truncate
+            | Fault::ForeignOnly
+            | Fault::Unframed
+            | Fault::UnframedOld
+            | Fault::UnframedResetAfter(_)
+            | Fault::Extra
     );
-    writer.write_all(&out).await.is_ok() && !closes
+    let written = writer.write_all(&out).await.is_ok();
+    if matches!(fault, Fault::UnframedResetAfter(_)) {
+        // The gateway reads the bytes before the reset discards them.
+        actix_rt::time::sleep(EVENT_INTERVAL).await;
+        reset_on_close(writer);
+    }
+    written && !closes
+}
+
+/// Makes the operating system reset the connection when it is closed.
+fn reset_on_close(writer: &OwnedWriteHalf) {
+    // Without the option the connection is closed in order, and the test that needs the reset fails.
+    drop(writer.as_ref().set_zero_linger());
 }
 
 async fn write_stream(
@@ -412,9 +442,15 @@
     fault: Fault,
     writer: &mut OwnedWriteHalf,
 ) -> bool {
+    let is_unframed = matches!(
+        fault,
+        Fault::Unframed | Fault::UnframedOld | Fault::UnframedResetAfter(_) | Fault::UnframedTearAfter(_)
+    );
+    let version = if fault == Fault::UnframedOld { "1.0" } else { "1.1" };
+    let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
     let mut out = format!(
-        "HTTP/1.1 200 Any\r\nAttempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/{version} 200 Any\r\nAttempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n\
+         Content-Type: text/event-stream\r\n{framing}\r\n"
     )
     .into_bytes();
     let first = resumed_after.map_or(0, |last| last + 1);
@@ -447,6 +483,14 @@
                 return false;
             }
             Fault::SkipAfter(count) if sent as u64 == count => continue,
+            Fault::UnframedResetAfter(count) if sent as u64 == count => {
+                reset_on_close(writer);
+                return false;
+            }
+            Fault::UnframedTearAfter(count) if sent as u64 == count => {
+                drop(writer.write_all(partial_event(&text)).await);
+                return false;
+            }
             Fault::PauseAfter(count) if sent as u64 == count => {
                 if writer.write_all(&out).await.is_err() {
                     return false;
@@ -459,6 +503,7 @@
                 write_chunk(format!("id: {event}\ndata: ").as_bytes(), &mut out);
                 return write_slowly_without_end(&out, writer).await;
             }
+            _ if is_unframed => out.extend_from_slice(text.as_bytes()),
             _ => write_chunk(text.as_bytes(), &mut out),
         }
         if writer.write_all(&out).await.is_err() {
@@ -467,7 +512,7 @@
         out.clear();
         actix_rt::time::sleep(EVENT_INTERVAL).await;
     }
-    if fault == Fault::BreakAfter(events) {
+    if fault == Fault::BreakAfter(events) || is_unframed {
         return false;
     }
     out.extend_from_slice(b"0\r\n\r\n");
