platform: responses of the store and of engines have size limits of their own

What would be seen: engines that send a report without end cost a gateway up to 8 MiB for each report, and 48 reports are requested at a time. Four of them took a process to 43 MB, above the 32 MB that a gateway may use; a store that does so took it to 38 MB.

Cause: one limit of 8 MiB for the bodies of all responses, made for the largest message of the native interface.

The bound of both tests is the target of 32 MB.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use banyannotch::gateway::{Gateway, GatewaySettings, journal};
-use banyannotch_platform::{PlatformDialect, PlatformEngines, PlatformStore, http_client};
+use banyannotch_platform::{PlatformDialect, PlatformEngines, PlatformStore, engine_client, store_client};
 use bpaf::Bpaf;
 use eyre::WrapErr;
 use tokio::signal::unix::{SignalKind, signal};
@@ -41,7 +41,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot listen for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).wrap_err("cannot listen for SIGHUP")?;
     let store = settings.store;
-    let clients = move || (PlatformStore::new(store, http_client()), PlatformEngines::new(http_client()));
+    let clients = move || (PlatformStore::new(store, store_client()), PlatformEngines::new(engine_client()));
     let mut gateway = Gateway::start(&settings, PlatformDialect, clients)?;
     log::info!("event=started settings=\"{settings:?}\"");
     loop {
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use banyannotch::gateway::http1::{BodyDecoder, HttpError, split};
-use banyannotch_standins::fleet::{Endpoint, FLOOD_EVENTS, Fault, RecordedResponse, Spoiled, stream};
+use banyannotch_standins::fleet::{
+    Endpoint, FLOOD_EVENTS, Fault, RecordedResponse, ReportFault, Spoiled, stream,
+};
+use banyannotch_standins::harness::wait_until;
 use common::{EVENTS, Fleet, Gateway, LIMIT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -184,7 +187,7 @@
 /// closed.
 #[actix_rt::test]
 async fn bytes_without_end_cost_neither_memory_nor_the_request() {
-    const MEMORY_LIMIT_KB: u64 = 40_000;
+    const MEMORY_LIMIT_KB: u64 = 32_000;
     let fleet = Fleet::start();
     let gateway = Gateway::start(fleet.store.address, &[]);
     gateway.wait_ready().await;
@@ -205,6 +208,11 @@
             fleet.replicas[0].set_fault(Fault::None, 0);
         }
     }
+    // Reports are requested again and again while the engines do not hold their layers.
+    for engine in &fleet.engines {
+        engine.set_report_fault(ReportFault::EndlessBody);
+    }
+    wait_until(LIMIT, async || gateway.lines("event=report_failed").len() >= 8).await.expect("reports fail");
     let peak_kb = gateway.peak_memory_kb();
     assert!(peak_kb < MEMORY_LIMIT_KB, "the gateway used {peak_kb} kB");
 }
@@ -292,7 +300,7 @@
     gateway.first_stream().await;
     for engine in &fleet.engines {
         engine.set_fault(Fault::Flood, usize::MAX);
-        engine.withhold_reports();
+        engine.set_report_fault(ReportFault::Silent);
     }
     let socket = TcpSocket::new_v4().expect("a socket is created");
     socket.set_recv_buffer_size(4_096).expect("the size of the buffer is set");
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -12,12 +12,15 @@
 /// enough, rejected once it is too old, and accepted again after the fault.
 #[actix_rt::test]
 async fn requests_are_rejected_in_time_during_each_fault_of_the_store() {
+    const MEMORY_LIMIT_KB: u64 = 32_000;
     for fault in [
         StoreFault::Down,
         StoreFault::RateExceeded,
         StoreFault::Silent,
         StoreFault::Reset,
         StoreFault::AnswerLost,
+        StoreFault::EndlessHead,
+        StoreFault::EndlessBody,
     ] {
         let fleet = Fleet::start();
         let gateway = Gateway::start(fleet.store.address, &[("revoke_ms", "3000")]);
@@ -38,6 +41,8 @@
         wait_until(LIMIT, async || gateway.call("again", "/call/x").await.status == Some(200))
             .await
             .expect("requests are accepted again after the fault");
+        let peak_kb = gateway.peak_memory_kb();
+        assert!(peak_kb < MEMORY_LIMIT_KB, "{fault:?}: the gateway used {peak_kb} kB");
     }
 }
 
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use super::{encode_response, listen, read_request, split_stream};
+use super::{FILLER_CHUNK, encode_response, listen, read_request, split_stream, write_without_end};
 
 /// A fault of an endpoint in the next requests.
 ///
@@ -108,6 +108,18 @@
     EmptyUnframed,
 }
 
+/// A fault of the reports of an endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ReportFault {
+    /// No fault.
+    #[default]
+    None,
+    /// Sends no response.
+    Silent,
+    /// Sends a body without end until the connection is closed.
+    EndlessBody,
+}
+
 /// One request that an endpoint has run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Run {
@@ -140,8 +152,7 @@
     orders: u64,
     /// Addresses of the engines on which requests are reported as stalled.
     stalled: Vec<String>,
-    /// Whether requests for a report get no response.
-    withholds_reports: bool,
+    report_fault: ReportFault,
 }
 
 /// An endpoint in the test's own process.
@@ -167,7 +178,7 @@
             layers: None,
             orders: 0,
             stalled: Vec::new(),
-            withholds_reports: false,
+            report_fault: ReportFault::None,
         }));
         let shared = Rc::clone(&state);
         let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
@@ -212,9 +223,9 @@
         self.state.borrow_mut().stalled = vec![address.to_string()];
     }
 
-    /// Leaves requests for a report without a response from now on.
-    pub fn withhold_reports(&self) {
-        self.state.borrow_mut().withholds_reports = true;
+    /// Sets the fault of the reports from now on.
+    pub fn set_report_fault(&self, fault: ReportFault) {
+        self.state.borrow_mut().report_fault = fault;
     }
 
     /// Returns the requests that the endpoint has run.
@@ -233,8 +244,13 @@
     // The first rejection on the connection.
     let mut rejection = None;
     while let Some((head, body)) = read_request(&mut reader).await {
+        let report_fault = state.borrow().report_fault;
         let keep_alive = match head.target.as_str() {
-            "/-/report" if state.borrow().withholds_reports => std::future::pending().await,
+            "/-/report" if report_fault == ReportFault::Silent => std::future::pending().await,
+            "/-/report" if report_fault == ReportFault::EndlessBody => {
+                let head = b"HTTP/1.1 200 Any\r\nTransfer-Encoding: chunked\r\n\r\n";
+                write_without_end(head, FILLER_CHUNK, &mut writer).await
+            }
             "/-/report" => {
                 let report = report(&state.borrow());
                 writer.write_all(&encode_response(200, "", report.to_string().as_bytes())).await.is_ok()
@@ -540,21 +556,6 @@
     writer.write_all(b"0\r\n\r\n").await.is_ok()
 }
 
-/// A chunk of the chunked transfer coding.
-const FILLER_CHUNK: &[u8] = b"10\r\nxxxxxxxxxxxxxxxx\r\n";
-
-/// Writes the same bytes until the client closes the connection.
-async fn write_without_end(head: &[u8], filler: &[u8], writer: &mut OwnedWriteHalf) -> bool {
-    /// Number of times that the bytes are repeated in one write.
-    const REPETITIONS: usize = 256;
-    let filler = filler.repeat(REPETITIONS);
-    if writer.write_all(head).await.is_err() {
-        return false;
-    }
-    while writer.write_all(&filler).await.is_ok() {}
-    false
-}
-
 /// Writes a byte of a body after each interval of the events, until the client closes the connection.
 async fn write_slowly_without_end(head: &[u8], writer: &mut OwnedWriteHalf) -> bool {
     if writer.write_all(head).await.is_err() {
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 pub use client::{Caller, RecordedResponse, call, stream};
-pub use endpoint::{Endpoint, FLOOD_EVENTS, Fault, Run, Spoiled};
+pub use endpoint::{Endpoint, FLOOD_EVENTS, Fault, ReportFault, Run, Spoiled};
 pub use proxy::{Link, Proxy};
 pub use store::{Store, StoreFault};
 
@@ -19,6 +19,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 use bytes::Bytes;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -64,3 +65,18 @@
     out.extend_from_slice(body);
     out
 }
+
+/// A chunk of the chunked transfer coding.
+const FILLER_CHUNK: &[u8] = b"10\r\nxxxxxxxxxxxxxxxx\r\n";
+
+/// Writes the same bytes until the client closes the connection.
+async fn write_without_end(head: &[u8], filler: &[u8], writer: &mut OwnedWriteHalf) -> bool {
+    /// Number of times that the bytes are repeated in one write.
+    const REPETITIONS: usize = 256;
+    let filler = filler.repeat(REPETITIONS);
+    if writer.write_all(head).await.is_err() {
+        return false;
+    }
+    while writer.write_all(&filler).await.is_ok() {}
+    false
+}
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::{encode_response, listen, read_request, split_stream};
+use super::{FILLER_CHUNK, encode_response, listen, read_request, split_stream, write_without_end};
 
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -30,6 +30,10 @@
     Reset,
     /// Executes requests but sends no response, and keeps the connection open.
     AnswerLost,
+    /// Sends a head without end until the connection is closed.
+    EndlessHead,
+    /// Sends a body without end until the connection is closed.
+    EndlessBody,
 }
 
 #[derive(Default)]
@@ -139,6 +143,16 @@
             StoreFault::Down => encode_response(503, "", b""),
             StoreFault::RateExceeded => encode_response(429, "", b""),
             StoreFault::Reset => return,
+            StoreFault::EndlessHead => {
+                let head = b"HTTP/1.1 200 Any\r\nX-Filler: ";
+                write_without_end(head, b"xxxxxxxxxxxxxxxx", &mut writer).await;
+                return;
+            }
+            StoreFault::EndlessBody => {
+                let head = b"HTTP/1.1 200 Any\r\nTransfer-Encoding: chunked\r\n\r\n";
+                write_without_end(head, FILLER_CHUNK, &mut writer).await;
+                return;
+            }
             StoreFault::Silent => std::future::pending().await,
             StoreFault::AnswerLost => {
                 respond(&state, &changed, &head.target, &body).await;
