layout, dispatch: layers that the model does not have count as none

What callers would see: an engine of a zone is lost, and the layers that it held stay without a holder, because an entry of another writer claims them together with layers beyond the model. No path is found, and no engine is moved into the gap.

Cause: any range that is not empty counted as held. The memory of a card excludes such engines from paths, but not from the plan.

Change: Pipeline::has_layers is what the plan, the chains and the paths ask. An engine with such a range is treated as an empty one, so it is inspected and gets an order like any other.

--- a/crates/banyannotch/src/gateway/dispatch/chains.rs
+++ b/crates/banyannotch/src/gateway/dispatch/chains.rs
@@ -97,7 +97,9 @@
                 let health = self.health.get(&engine.address);
                 health.is_none_or(|health| !health.is_excluded(self.now_us))
             })
-            .filter_map(|engine| Some((*engine, engine.layers.filter(|layers| !layers.is_empty())?)))
+            .filter_map(|engine| {
+                Some((*engine, engine.layers.filter(|layers| self.pipeline.has_layers(*layers))?))
+            })
             .collect()
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/paths.rs
+++ b/crates/banyannotch/src/gateway/dispatch/paths.rs
@@ -88,7 +88,7 @@
         request: &RequestInfo,
         tried: &[Address],
     ) -> Option<Candidate<'a>> {
-        let layers = engine.layers.filter(|layers| !layers.is_empty())?;
+        let layers = engine.layers.filter(|layers| self.pipeline.has_layers(*layers))?;
         if engine.leaving {
             return None;
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/random.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/random.rs
@@ -1,8 +1,8 @@
 //! Random sequences of events, with invariants that are checked after each step.
 
-use super::fixtures::{World, address, request};
-use crate::gateway::EngineReport;
+use super::fixtures::{World, address, endpoints, pipeline_engine, plain_endpoint, request};
 use crate::gateway::dispatch::{BrokenBy, Ending, Event, PeerState};
+use crate::gateway::{Endpoint, EngineReport};
 use crate::random::Random;
 
 /// A request that has no final answer yet.
@@ -92,12 +92,14 @@
 /// Sends a report of an engine or the state of another gateway.
 fn send_random_event(random: &mut Random, world: &mut World) {
     let address = address(11 + random.below(6) as u8);
-    let event = match random.below(3) {
+    let event = match random.below(4) {
         0 => Event::Report { address, report: None },
         1 => {
-            let report = EngineReport { pace: 2.0, stalled: vec![address], ..EngineReport::default() };
+            let pace = [2.0, 0.0, -1.0, f64::MAX][random.below(4)];
+            let report = EngineReport { pace, stalled: vec![address], ..EngineReport::default() };
             Event::Report { address, report: Some(report) }
         }
+        2 => Event::Endpoints(endpoints_with_odd_ones(random).into()),
         _ => {
             let state =
                 PeerState { instance: "other".to_owned(), down: vec![address], ..PeerState::default() };
@@ -106,3 +108,17 @@
     };
     world.event(event);
 }
+
+/// Returns the endpoints of the fixture and some that other writers may leave in the store.
+fn endpoints_with_odd_ones(random: &mut Random) -> Vec<Endpoint> {
+    let mut all = endpoints();
+    for number in 0..random.below(4) {
+        let bounds = [0, 1, 4, 8, 9, 4_000, u16::MAX];
+        let (begin, end) = (bounds[random.below(7)], bounds[random.below(7)]);
+        let slots = [0, 1, u32::MAX][random.below(3)];
+        let kind = ["fast", "slow", "unknown"][random.below(3)];
+        all.push(Endpoint { slots, ..pipeline_engine(100 + number as u8, "a", kind, begin, end) });
+        all.push(Endpoint { slots, born_ms: u64::MAX, ..plain_endpoint(110 + number as u8, "unknown") });
+    }
+    all
+}
--- a/crates/banyannotch/src/gateway/layout/policy.rs
+++ b/crates/banyannotch/src/gateway/layout/policy.rs
@@ -198,7 +198,8 @@
                 let target = Target {
                     id: Arc::clone(&engine.id),
                     born_ms: engine.born_ms,
-                    layers: engine.layers.filter(|layers| !layers.is_empty()),
+                    // Layers that the model does not have would count as held and hide a gap.
+                    layers: engine.layers.filter(|layers| pipeline.has_layers(*layers)),
                     reported_layers: None,
                     busy: false,
                     next_inspection_us: now_us,
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -12,7 +12,8 @@
 use crate::gateway::dispatch::fixtures::{address, configuration, pipeline, pipeline_engine};
 use crate::gateway::{Endpoint, EngineReport, Group, OrderReply, Pipeline};
 use crate::ids::Zone;
-use crate::pipeline::LayerRange;
+use crate::pipeline::{Address, LayerRange};
+use crate::random::Random;
 
 const LAYER_SHARE: f64 = 0.88;
 
@@ -127,6 +128,8 @@
     lines: Vec<String>,
     /// Partitions of the group that an owner has.
     partitions: Vec<u64>,
+    /// Orders sent.
+    placed: Vec<(Address, LayerRange)>,
 }
 
 impl World {
@@ -135,8 +138,13 @@
     }
 
     fn with(settings: LayoutSettings) -> Self {
-        let mut world =
-            Self { layout: Layout::new(settings), now_us: 1_000_000, lines: Vec::new(), partitions: vec![0] };
+        let mut world = Self {
+            layout: Layout::new(settings),
+            now_us: 1_000_000,
+            lines: Vec::new(),
+            partitions: vec![0],
+            placed: Vec::new(),
+        };
         world.event(Event::Configuration(Arc::new(configuration(1))));
         world.event(Event::Rank(0));
         world
@@ -176,6 +184,7 @@
             let text = match action {
                 Action::Inspect(address) => format!("inspect {}", address.ip()),
                 Action::Place { address, layers, orders } => {
+                    self.placed.push((address, layers));
                     format!("place {} {layers} after {orders} orders", address.ip())
                 }
                 Action::Decide(Decision::Owner { owner, .. }) => format!("owner {owner}"),
@@ -505,3 +514,66 @@
     }
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Layers beyond the model, in an entry or a report, once counted as held: the gap that a lost engine had left was never
+/// filled. The real engines hold the model even beside engines with such entries, and every order fits.
+#[test]
+fn odd_layers_and_slots_leave_no_gap_and_lead_to_no_odd_order() {
+    let odd_engines = |random: &mut Random| -> Vec<Endpoint> {
+        (0..random.below(6))
+            .map(|number| {
+                let bounds = [0, 1, 4, 8, 9, 4_000, u16::MAX];
+                let (begin, end) = (bounds[random.below(7)], bounds[random.below(7)]);
+                let is_usable = begin < end && end <= pipeline().layers;
+                let (begin, end) = if is_usable { (end, begin) } else { (begin, end) };
+                let zone = ["a", "unknown"][random.below(2)];
+                let kind = ["fast", "slow", "unknown"][random.below(3)];
+                let slots = [0, 1, u32::MAX][random.below(3)];
+                let born_ms = [0, 1, u64::MAX][random.below(3)];
+                Endpoint { slots, born_ms, ..pipeline_engine(100 + number as u8, zone, kind, begin, end) }
+            })
+            .collect()
+    };
+    for seed in 0..200 {
+        let mut random = Random::seeded(seed);
+        let mut world = World::new();
+        world.join(true);
+        let odd = odd_engines(&mut random);
+        // Two engines hold the first half of the model, so one of them is to move to the second half.
+        let mut engines = vec![pipeline_engine(1, "a", "fast", 0, 4), pipeline_engine(2, "a", "fast", 0, 4)];
+        engines.extend(odd.iter().cloned());
+        world.event(Event::Endpoints(engines.into()));
+        for _ in 0..6 {
+            world.run_ms(700, Some(true));
+            for host in [1, 2] {
+                world.report(host, Some(LayerRange::new(0, 4)), 0, false);
+            }
+            for engine in &odd {
+                let report = EngineReport {
+                    born_ms: engine.born_ms,
+                    orders: u64::MAX,
+                    layers: engine.layers,
+                    pace: f64::MAX,
+                    ..EngineReport::default()
+                };
+                world.event(Event::Report { address: engine.address, report: Some(report) });
+            }
+        }
+        for (address, layers) in &world.placed {
+            let fits = layers.begin < layers.end && layers.end <= pipeline().layers;
+            assert!(fits, "seed {seed}: {address} is ordered to hold {layers}");
+        }
+        let held_by = |address: Address, claimed: LayerRange| {
+            let ordered = world.placed.iter().rev().find(|(to, _)| *to == address);
+            ordered.map_or(claimed, |(_, layers)| *layers)
+        };
+        let claims = odd.iter().filter_map(|engine| Some((engine.address, engine.layers?)));
+        let real = [1, 2].map(|host| (address(host), LayerRange::new(0, 4)));
+        let held: Vec<LayerRange> = (real.into_iter().chain(claims))
+            .map(|(address, claimed)| held_by(address, claimed))
+            .filter(|layers| layers.end <= pipeline().layers)
+            .collect();
+        let is_held = |layer: u16| held.iter().any(|held| held.begin <= layer && layer < held.end);
+        assert!((0..pipeline().layers).all(is_held), "seed {seed}: only {held:?} are held beside {odd:#?}");
+    }
+}
--- a/crates/banyannotch/src/gateway/model.rs
+++ b/crates/banyannotch/src/gateway/model.rs
@@ -126,6 +126,11 @@
         self.accelerators.get(index)
     }
 
+    /// Returns whether a range has layers, and none that the model does not have.
+    pub fn has_layers(&self, range: LayerRange) -> bool {
+        !range.is_empty() && range.end <= self.layers
+    }
+
     /// Returns the KV cache capacity of a card that holds `count` layers, in tokens times layers. The cache takes the
     /// memory that the layers leave free.
     pub fn cache_size(&self, memory_mb: f64, count: u16) -> f64 {
