platform: a report is read although its memory cannot be

What callers would see: streams that are only slow end, and their engine is left out, if its report has odd values of memory, because a report that cannot be read is no evidence that the engine is sound.

Cause: kv_in_use and kv_size had to be numbers, and nothing uses them.

Change: both are no longer decoded.

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -214,10 +214,6 @@
     pub pace: f64,
     /// Engines that the engine's requests wait for without a response.
     pub stalled: Vec<Address>,
-    /// KV cache in use, in tokens times layers.
-    pub cache_used: f64,
-    /// KV cache capacity, in tokens times layers.
-    pub cache_size: f64,
 }
 
 /// Result of sending an order to an engine.
