gateway: an entry that starts in the far future is refused

What callers would see: an entry of another writer, under the name of an engine and with the largest number as its start, replaces the engine at every gateway for as long as these run: all that the engine writes itself counts as late.

Cause: of two entries with one name, that of the later start counts, and any number was believed.

Change: Endpoint::check refuses starts after the year 2100, so the entry counts as none, and the next one of the engine is followed.

--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -383,7 +383,7 @@
     let name = "n".repeat(NAME_LIMIT_BYTES);
     let endpoint = |number| Endpoint {
         id: name.as_str().into(),
-        born_ms: u64::MAX,
+        born_ms: 4_102_444_800_000,
         service: ServiceId::new(name.as_str()),
         zone: Zone::new(name.as_str()),
         slots: u32::MAX,
--- a/crates/banyannotch/src/gateway/model.rs
+++ b/crates/banyannotch/src/gateway/model.rs
@@ -283,6 +283,10 @@
 /// into a datagram between gateways.
 pub const NAME_LIMIT_BYTES: usize = 200;
 
+/// Latest start of an endpoint that is believed, as Unix time in milliseconds: the year 2100. An entry with a later one
+/// would be in the way of all that the endpoint writes itself, because the entry of the latest start counts.
+const LATEST_START_MS: u64 = 4_102_444_800_000;
+
 /// Why no request can be sent to an endpoint as it describes itself.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum EndpointError {
@@ -294,6 +298,9 @@
     /// No process listens on such an address.
     #[error("no process listens on {0}")]
     Address(Address),
+    /// The start is in the far future.
+    #[error("the start at {0} ms is in the far future")]
+    Start(u64),
 }
 
 impl Endpoint {
@@ -320,6 +327,9 @@
         if self.address.port() == 0 || self.address.ip().is_unspecified() {
             return Err(EndpointError::Address(self.address));
         }
+        if self.born_ms > LATEST_START_MS {
+            return Err(EndpointError::Start(self.born_ms));
+        }
         Ok(())
     }
 }
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -94,6 +94,20 @@
     let gateway = Gateway::start(fleet.store.address, &[]);
     fleet.wait_placed().await;
     gateway.first_stream().await;
+    // An entry in place of that of a replica, as a start in the far future, is followed by the replica's own.
+    let own = fleet.replicas[1].entry("desk", None, "ready").to_string();
+    let far = own.replace("\"born\":1", "\"born\":18446744073709551615");
+    let far = far.replace(&fleet.replicas[1].address.to_string(), "127.0.0.1:9");
+    fleet.store.put_bytes("desk-2", far.as_bytes());
+    fleet.write_entries();
+    let address = format!("address={}", fleet.replicas[1].address);
+    wait_until(LIMIT, async || {
+        let known = gateway.lines("event=endpoint_known endpoint=desk-2 ");
+        let is_refused = !gateway.lines("event=record_unusable key=desk-2 ").is_empty();
+        is_refused && known.last().is_some_and(|line| line.contains(&address))
+    })
+    .await
+    .unwrap_or_else(|error| panic!("{error}: {:#?}", gateway.lines("endpoint=desk-2 ")));
     let replica = fleet.replicas[0].entry("desk", None, "ready").to_string();
     let first = fleet.engines.iter().find(|engine| engine.layers().is_some_and(|(from, _)| from == 0));
     let first = first.expect("an engine holds the first layer");
