layout: an empty engine that never answers is left out of the plan

What callers would see: an entry of another writer, usable in form but with an address at which nothing answers, got its share of the first plan. The layers of that share had no holder, and no request of the model was served until the entry was gone.

Cause: the plan relies on every entry, and the engines that hold other layers alone cannot be moved into the gap.

Change: after three inspections without a report an engine that does not hold its planned layers does not count. If the others do not hold the model together, they are planned anew; otherwise nothing moves. A report makes the engine count again. Engines that hold their planned layers are not inspected, so a cut link to one of them changes nothing.

Failed before (the_model_is_held_beside_an_engine_that_never_answers): only [LayerRange { begin: 0, end: 2 }, LayerRange { begin: 2, end: 5 }] are held after 15 s

--- a/crates/banyannotch/src/gateway/layout/policy.rs
+++ b/crates/banyannotch/src/gateway/layout/policy.rs
@@ -13,6 +13,10 @@
 use crate::pipeline::{Address, LayerRange};
 use crate::table::Table;
 
+/// Number of inspections in a row without a report after which an engine that does not hold its planned layers is left
+/// out of the plan.
+const UNANSWERED_LIMIT: u32 = 3;
+
 /// Layers that an engine is to hold, and its last known state.
 #[derive(Clone, Debug)]
 struct Target {
@@ -22,6 +26,8 @@
     /// Layers in the engine's last report, which is newer than its entry.
     reported_layers: Option<LayerRange>,
     busy: bool,
+    /// Number of inspections since the last report.
+    unanswered: u32,
     /// When the engine may be inspected again.
     next_inspection_us: u64,
 }
@@ -202,17 +208,30 @@
                     layers: engine.layers.filter(|layers| pipeline.has_layers(*layers)),
                     reported_layers: None,
                     busy: false,
+                    unanswered: 0,
                     next_inspection_us: now_us,
                 };
                 self.targets.insert(engine.address, target);
             }
         }
-        let mut cards: Vec<Card> = engines.iter().filter_map(|engine| self.card(pipeline, engine)).collect();
-        if cards.iter().all(|card| card.layers.is_none()) {
-            for assignment in plan(pipeline, &cards, self.settings.layer_share) {
-                self.set_target(assignment.address, assignment.layers, out);
+        let answers = |engine: &&Endpoint| {
+            let target = self.targets.get(&engine.address);
+            target.is_some_and(|target| target.unanswered < UNANSWERED_LIMIT)
+        };
+        let (answering, silent): (Vec<&Endpoint>, Vec<&Endpoint>) = engines.iter().partition(answers);
+        let mut cards: Vec<Card> =
+            answering.into_iter().filter_map(|engine| self.card(pipeline, engine)).collect();
+        // A first plan may have relied on engines at whose addresses nothing answers. The layers that they were to hold
+        // cannot be given to engines that hold others alone.
+        let relied_on_silent_ones = !silent.is_empty() && !holds_model(pipeline, &cards);
+        if cards.iter().all(|card| card.layers.is_none()) || relied_on_silent_ones {
+            let assignments = plan(pipeline, &cards, self.settings.layer_share);
+            if !assignments.is_empty() || !relied_on_silent_ones {
+                for assignment in assignments {
+                    self.set_target(assignment.address, assignment.layers, out);
+                }
+                return;
             }
-            return;
         }
         for index in 0..cards.len() {
             let Some(card) = cards.get(index).filter(|card| card.layers.is_none()).cloned() else { continue };
@@ -297,6 +316,7 @@
             return;
         }
         let Some(target) = self.targets.get_mut(&address) else { return };
+        target.unanswered = if report.is_some() { 0 } else { target.unanswered.saturating_add(1) };
         let Some(report) = report.filter(|report| report.born_ms == target.born_ms || report.born_ms == 0)
         else {
             return;
@@ -328,6 +348,12 @@
     }
 }
 
+/// Returns whether the cards hold or are planned to hold every layer of the model together.
+fn holds_model(pipeline: &Pipeline, cards: &[Card]) -> bool {
+    let ranges: Vec<LayerRange> = cards.iter().filter_map(|card| card.layers).collect();
+    (0..pipeline.layers).all(|layer| ranges.iter().any(|held| held.begin <= layer && layer < held.end))
+}
+
 /// Returns the endpoint at an address; the catalog publishes the endpoints sorted by address.
 fn find_engine(endpoints: &[Endpoint], address: Address) -> Option<&Endpoint> {
     let index = endpoints.binary_search_by_key(&address, |endpoint| endpoint.address).ok()?;
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -577,3 +577,28 @@
         assert!((0..pipeline().layers).all(is_held), "seed {seed}: only {held:?} are held beside {odd:#?}");
     }
 }
+
+/// An entry at whose address nothing answers must not keep the engines that do answer from holding the model.
+#[test]
+fn the_model_is_held_beside_an_engine_that_never_answers() {
+    let mut world = World::new();
+    world.join(true);
+    world.event(Event::Endpoints([empty_engine(1), empty_engine(2), empty_engine(3)].into()));
+    for _ in 0..30 {
+        world.run_ms(500, Some(true));
+        for host in [1, 2] {
+            let held =
+                world.placed.iter().rev().find(|(to, _)| *to == address(host)).map(|(_, layers)| *layers);
+            let orders = world.placed.iter().filter(|(to, _)| *to == address(host)).count() as u64;
+            world.report(host, held, orders, false);
+        }
+        world.event(Event::Report { address: address(3), report: None });
+    }
+    let held: Vec<LayerRange> = [1, 2]
+        .iter()
+        .filter_map(|host| world.placed.iter().rev().find(|(to, _)| *to == address(*host)))
+        .map(|(_, layers)| *layers)
+        .collect();
+    let is_held = |layer: u16| held.iter().any(|held| held.begin <= layer && layer < held.end);
+    assert!((0..pipeline().layers).all(is_held), "only {held:?} are held after 15 s");
+}
