--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -34,6 +34,13 @@
     pub digest: u64,
 }
 
+impl RequestInfo {
+    /// Returns the length of the prompt and the answer together, in tokens, at least 1. Callers may state any lengths.
+    pub fn total_tokens(&self) -> f64 {
+        (f64::from(self.prompt_tokens) + f64::from(self.answer_tokens)).max(1.0)
+    }
+}
+
 /// Error in a request head.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum RequestError {
@@ -211,10 +218,6 @@
     pub pace: f64,
     /// Engines that the engine's requests wait for without a response.
     pub stalled: Vec<Address>,
-    /// KV cache in use, in tokens times layers.
-    pub cache_used: f64,
-    /// KV cache capacity, in tokens times layers.
-    pub cache_size: f64,
 }
 
 /// Result of sending an order to an engine.
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -8,8 +8,8 @@
 use tokio::time::timeout;
 
 use super::answer::{
-    Response, ResponseKind, classify, describes_endpoint, requested_hold_off_ms, write_response,
-    write_stream_head,
+    ConnectionUse, Response, ResponseKind, classify, describes_endpoint, requested_hold_off_ms,
+    write_response, write_stream_head,
 };
 use super::context::Context;
 use super::events::EventSplitter;
@@ -55,6 +55,9 @@
     pub last_event_id: Option<u64>,
     /// Sending to an endpoint has begun, so the request may have run.
     pub request_sent: bool,
+    /// Numbers of the connections on which the request was sent. None of them carries it again: a second copy of the
+    /// earlier response would have the same id as the response that is expected.
+    connections: Vec<u64>,
 }
 
 /// How a send ended, and the failure response that dispatch may decide to deliver.
@@ -121,9 +124,10 @@
     caller_writer: &mut OwnedWriteHalf,
 ) -> ExchangeOutcome<'a, D, C> {
     let connect_started_us = context.clock.now_us();
-    let Some(upstream) = acquire_connection(context, &order).await else {
+    let Some(upstream) = acquire_connection(context, &order, &progress.connections).await else {
         return ExchangeOutcome { ending: Ending::Unsent, response: None, open };
     };
+    progress.connections.push(upstream.number);
     let now_us = context.clock.now_us();
     if let Some(ending) = order.late_ending(now_us) {
         return ExchangeOutcome { ending, response: None, open };
@@ -212,14 +216,16 @@
 async fn acquire_connection<D: Dialect, C: Clock>(
     context: &Context<D, C>,
     order: &SendOrder,
+    excluded: &[u64],
 ) -> Option<Upstream> {
-    if let Some(upstream) = context.pool.borrow_mut().take(order.address) {
+    if let Some(upstream) = context.pool.borrow_mut().take(order.address, excluded) {
         return Some(upstream);
     }
     match connect(order.address, order.connect_limit_ms, TCP_USER_TIMEOUT_MS).await {
         Ok((reader, writer)) => {
             metrics::counter!("banyannotch_gateway_connections_total").increment(1);
-            Some(Upstream { reader, writer, reused: false })
+            let number = context.pool.borrow_mut().number_connection();
+            Some(Upstream { reader, writer, number, connection_use: ConnectionUse::Sole })
         }
         Err(error) => {
             log::info!("event=connect_failed endpoint_address={} error=\"{error}\"", order.address);
@@ -228,6 +234,15 @@
     }
 }
 
+/// Returns whether a response is a stream of events as far as its content type says. A text of another type may contain
+/// lines that look like events.
+fn is_event_stream(head: &ResponseHead) -> bool {
+    head.headers.get("content-type").is_none_or(|value| {
+        let media_type = value.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    })
+}
+
 /// What an exchange waits for.
 enum Stage {
     /// The exchange cannot go on after it was abandoned: the request is not written completely, or a body is only partly
@@ -289,6 +304,9 @@
         let decoder = BodyDecoder::new(framing);
         match kind {
             ResponseKind::Success if self.order.stream => {
+                if !is_event_stream(&head) {
+                    return Ok((Ending::Broken { by: BrokenBy::Garbled }, None));
+                }
                 let splitter = EventSplitter::new(self.resume_after);
                 let stream = StreamState { head, decoder, splitter, first_ms: None };
                 self.forward_stream(stream, watch, progress, caller_writer).await
@@ -356,7 +374,7 @@
                 None => self.upstream.reader.response_head(HEAD_LIMIT_BYTES).await?,
             };
             let response_info = self.context.dialect.response_info(&head);
-            let kind = classify(&head, &response_info, &self.request.id);
+            let kind = classify(&head, &response_info, &self.request.id, self.upstream.connection_use);
             if describes_endpoint(kind, &response_info) {
                 // Dispatch must know before the rest of the response arrives, which takes long for a stream.
                 if response_info.leaving {
@@ -377,6 +395,7 @@
                     );
                     self.may_reuse = false;
                     self.stage = Stage::Unsettled;
+                    self.upstream.connection_use = ConnectionUse::Shared;
                     let decoder = BodyDecoder::new(head.framing()?);
                     self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES).await?;
                 }
@@ -427,8 +446,12 @@
                     Decoded::End => ended = true,
                 }
             }
-            let has_no_event = stream.splitter.last_id().is_none();
-            if ended && (stream.splitter.is_inside_event() || has_no_event) {
+            // Without an event, a resumed run shows that nothing is left only by the end of its chunks. An endpoint that
+            // failed may send a body of length 0, or close the connection.
+            let shows_end = stream.first_ms.is_some()
+                || !events.is_empty()
+                || (stream.splitter.last_id().is_some() && stream.head.framing()? == Framing::Chunked);
+            if ended && (stream.splitter.is_inside_event() || !shows_end) {
                 return Err(ExchangeError::Upstream(HttpError::Truncated));
             }
             if !events.is_empty() && stream.first_ms.is_none() {
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::answer::{ResponseKind, classify, describes_endpoint};
+use super::answer::{ConnectionUse, ResponseKind, classify, describes_endpoint};
 use super::events::EventSplitter;
 use super::watch::WatchLimits;
 use crate::gateway::ResponseInfo;
@@ -23,13 +23,14 @@
 
 #[test]
 fn splitter_emits_only_complete_events_with_consecutive_ids() {
-    let cases: [(Option<u64>, &[&str]); 9] = [
+    let cases: [(Option<u64>, &[&str]); 10] = [
         (None, &["id: 0\ndata: a\n\nid: 1\ndata: b\n\n"]),
         (None, &["id: 0\nda", "ta: a\n", "\nid: 1\nd"]),
         (None, &["id: 0\r\ndata: a\r\n\r\n"]),
         (Some(4), &["id: 5\ndata: a\n\n"]),
         (Some(4), &["id: 4\ndata: a\n\n"]),
         (Some(4), &["id: 6\ndata: a\n\n"]),
+        (Some(u64::MAX), &["id: 0\ndata: a\n\n"]),
         (None, &["id: 0\n\n", "id: 2\n\n"]),
         (None, &["data: a\n\n"]),
         (None, &["weight-versions: 2\nid: 7\ndata: a\n\n"]),
@@ -57,7 +58,7 @@
         |signed, not_run| ResponseInfo { id: Some("a".into()), signed, not_run, ..ResponseInfo::default() };
     let foreign = ResponseInfo { id: Some("b".into()), signed: true, ..ResponseInfo::default() };
     let without_id = |not_run| ResponseInfo { signed: true, not_run, ..ResponseInfo::default() };
-    let cases = [
+    let sole_cases = [
         (200, own(true, false)),
         (200, own(false, false)),
         (200, foreign.clone()),
@@ -72,17 +73,19 @@
         (503, own(true, false)),
         (503, own(true, true)),
         (503, without_id(true)),
-        (503, foreign),
+        (503, foreign.clone()),
     ];
-    let lines: Vec<_> = cases
-        .iter()
-        .map(|(status, response_info)| {
+    let shared_cases =
+        [(421, without_id(false)), (503, without_id(true)), (503, foreign), (503, own(true, true))];
+    let lines: Vec<_> = (sole_cases.iter().map(|case| (ConnectionUse::Sole, case)))
+        .chain(shared_cases.iter().map(|case| (ConnectionUse::Shared, case)))
+        .map(|(connection_use, (status, response_info))| {
             let head = ResponseHead { status: *status, ..ResponseHead::default() };
             let id = response_info.id.as_deref().unwrap_or("none");
             let (signed, not_run) = (response_info.signed, response_info.not_run);
             format!(
-                "{status} id {id} signed {signed} not run {not_run}: {:?}",
-                classify(&head, response_info, "a")
+                "{connection_use:?} {status} id {id} signed {signed} not run {not_run}: {:?}",
+                classify(&head, response_info, "a", connection_use)
             )
         })
         .collect();
--- a/crates/banyannotch/src/gateway/model.rs
+++ b/crates/banyannotch/src/gateway/model.rs
@@ -3,10 +3,15 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::ids::{ServiceId, TeamId, Zone};
 use crate::pipeline::{Address, LayerRange};
 
+/// Longest time in a configuration, in milliseconds: a day. Adapters replace longer ones by it, so that sums and multiples
+/// of times do not overflow.
+pub const LONGEST_TIME_MS: u64 = 86_400_000;
+
 /// Whether a request of a route may run again after a failure, and how its response is delivered.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RetryMode {
@@ -121,6 +126,11 @@
         self.accelerators.get(index)
     }
 
+    /// Returns whether a range has layers, and none that the model does not have.
+    pub fn has_layers(&self, range: LayerRange) -> bool {
+        !range.is_empty() && range.end <= self.layers
+    }
+
     /// Returns the KV cache capacity of a card that holds `count` layers, in tokens times layers. The cache takes the
     /// memory that the layers leave free.
     pub fn cache_size(&self, memory_mb: f64, count: u16) -> f64 {
@@ -268,3 +278,58 @@
     /// Layers that the engine holds.
     pub layers: Option<LayerRange>,
 }
+
+/// Maximum length of each name in an endpoint's entry, in bytes. With longer ones the changes of endpoints would not fit
+/// into a datagram between gateways.
+pub const NAME_LIMIT_BYTES: usize = 200;
+
+/// Latest start of an endpoint that is believed, as Unix time in milliseconds: the year 2100. An entry with a later one
+/// would be in the way of all that the endpoint writes itself, because the entry of the latest start counts.
+const LATEST_START_MS: u64 = 4_102_444_800_000;
+
+/// Why no request can be sent to an endpoint as it describes itself.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum EndpointError {
+    /// A name is empty, too long, or cannot be part of a header or of a log line.
+    #[error(
+        "the name of the {0} is empty, longer than {NAME_LIMIT_BYTES} bytes, or has spaces or control characters"
+    )]
+    Name(&'static str),
+    /// No process listens on such an address.
+    #[error("no process listens on {0}")]
+    Address(Address),
+    /// The start is in the far future.
+    #[error("the start at {0} ms is in the far future")]
+    Start(u64),
+}
+
+impl Endpoint {
+    /// Checks that the endpoint can be used. The names go into the heads of requests, where a line break in one would
+    /// begin another header.
+    ///
+    /// # Errors
+    /// Returns the first [`EndpointError`] that is found.
+    pub fn check(&self) -> std::result::Result<(), EndpointError> {
+        let names = [
+            ("endpoint", Some(&*self.id)),
+            ("service", Some(self.service.as_str())),
+            ("zone", Some(self.zone.as_str())),
+            ("accelerator", self.accelerator.as_deref()),
+        ];
+        let is_unusable = |name: &str| {
+            let has_separator =
+                name.chars().any(|character| character.is_whitespace() || character.is_control());
+            name.is_empty() || name.len() > NAME_LIMIT_BYTES || has_separator
+        };
+        if let Some((owner, _)) = names.iter().find(|(_, name)| name.is_some_and(is_unusable)) {
+            return Err(EndpointError::Name(owner));
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Err(EndpointError::Address(self.address));
+        }
+        if self.born_ms > LATEST_START_MS {
+            return Err(EndpointError::Start(self.born_ms));
+        }
+        Ok(())
+    }
+}
