gateway, platform: requests carry the digests of the shared parts of their prompts

No duty knew what two requests have in common, so dispatch could not tell which part of a prompt had crashed an engine.

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -11,6 +11,9 @@
 use crate::ids::TeamId;
 use crate::pipeline::{Address, LayerRange};
 
+/// Maximum number of shared parts of a prompt that [`RequestInfo`] lists.
+pub const SHARED_PART_LIMIT: usize = 16;
+
 /// The parts of a caller's request that the gateway needs to route it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestInfo {
@@ -32,6 +35,9 @@
     pub resume_after: Option<u64>,
     /// Digest of method, path, key and body. A repeated request has the same digest, also under another attempt id.
     pub digest: u64,
+    /// Digests of the parts of the prompt that other requests may have too, from the most general to the most specific,
+    /// at most [`SHARED_PART_LIMIT`]. The last part of the prompt belongs to this request only and is not listed.
+    pub shared_parts: Vec<u64>,
 }
 
 /// Error in a request head.
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -135,6 +135,7 @@
         answer_tokens: 50,
         resume_after: None,
         digest: 7,
+        shared_parts: Vec::new(),
     }
 }
 
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 
 pub use adapter::{
     Batch, Dialect, EngineControl, EngineReport, Feed, ForwardingInfo, Group, OrderReply, Record,
-    RequestError, RequestInfo, ResponseInfo, Store, StoreError, StoreResult,
+    RequestError, RequestInfo, ResponseInfo, SHARED_PART_LIMIT, Store, StoreError, StoreResult,
 };
 pub use error::{GatewayError, Result};
 pub use model::{
