dispatch: a part of prompts that crashes engines is quarantined

Callers saw one engine after the other crash, as each began to answer requests that share a part of their prompt, and most sound requests of the route failed or were refused.

Cause: evidence was kept for each request by itself, by the digest of its whole content. What different requests have in common was not considered, and no two of these are alike.

Change: a crash is evidence against all features (shared parts, and the whole request) of the requests that the endpoint had not begun to answer. A run that begins later and survives clears its features. The feature that explains the most incidents is quarantined once there are three at separate times and at two addresses, one second after the third, if any run began since. Gateways exchange crashes, runs and quarantines with their state, so 6 and 295 gateways come to the same result. A trial ends a wrong quarantine.

Observability: feature_quarantined, feature_released, feature_refused and feature_tried in the log, the reason quarantined_part, and the gauge banyannotch_gateway_quarantined_features.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
+use super::crashes::{Change, Crash, Judgement, SURVIVAL_US, features};
 use super::health::Load;
-use super::messages::{Action, BrokenBy, Decision, PeerState, Verdict};
+use super::messages::{Action, BrokenBy, Decision, Ending, PeerState, Verdict};
 use super::policy::Dispatch;
 use super::tickets::Reservation;
 use crate::clock::US_PER_MS;
@@ -27,8 +28,9 @@
 
 impl Dispatch {
     /// Subtracts the prompt of a request from the load of its engines, which have processed it.
-    pub(super) fn on_stream_start(&mut self, ticket_id: u64) {
+    pub(super) fn on_stream_start(&mut self, now_us: u64, ticket_id: u64) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        ticket.begun_us = Some(now_us);
         for (address, load) in &mut ticket.reservation.loads {
             let processed = Load { reading: std::mem::take(&mut load.reading), ..Load::default() };
             if let Some(health) = self.health.get_mut(address) {
@@ -37,6 +39,61 @@
         }
     }
 
+    /// Records the run of a send that ends, or else that the request may have crashed its endpoint.
+    pub(super) fn record_progress(
+        &mut self,
+        now_us: u64,
+        ticket_id: u64,
+        reservation: &Reservation,
+        ending: Ending,
+    ) {
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        let survived_us = match ending {
+            Ending::Completed { .. } => Some(ticket.begun_us.unwrap_or(reservation.sent_us)),
+            _ => ticket.begun_us.filter(|begun_us| begun_us + SURVIVAL_US <= now_us),
+        };
+        if let Some(begun_us) = survived_us {
+            ticket.has_survived = true;
+            self.crashes.record_run(&features(&ticket.request), begun_us, now_us);
+        }
+        // A request that an endpoint has answered in part is sound.
+        if ending == (Ending::Broken { by: BrokenBy::Connection })
+            && !ticket.has_survived
+            && let Some((first, _)) = reservation.loads.first()
+        {
+            let crash = Crash { address: *first, born_ms: reservation.born_ms };
+            self.crashes.record_break(crash, features(&ticket.request), now_us);
+        }
+    }
+
+    /// Counts the recent breaks of an endpoint, because it was found to be down or to have started anew.
+    pub(super) fn confirm_crash(&mut self, address: Address, now_us: u64) {
+        self.suspects.confirm_breaks(address, now_us);
+        self.crashes.confirm(address, now_us);
+    }
+
+    /// Records the runs that have begun and survived, and decides which features are quarantined.
+    pub(super) fn judge_crashes(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for (_, ticket) in self.tickets.iter_mut() {
+            if let Some(begun_us) = ticket.begun_us.take_if(|begun_us| *begun_us + SURVIVAL_US <= now_us) {
+                ticket.has_survived = true;
+                self.crashes.record_run(&features(&ticket.request), begun_us, now_us);
+            }
+        }
+        for change in self.crashes.judge(now_us, self.known_gateways, &mut self.random) {
+            actions.push(Action::Decide(match change {
+                Change::Quarantined { digest, by: Judgement::Own { incidents, is_whole_request } } => {
+                    let kind = if is_whole_request { "request" } else { "part" };
+                    Decision::FeatureQuarantined { digest, kind, incidents }
+                }
+                Change::Quarantined { digest, by: Judgement::Peer } => {
+                    Decision::FeatureQuarantined { digest, kind: "reported", incidents: 0 }
+                }
+                Change::Released { digest, cause } => Decision::FeatureReleased { digest, cause },
+            }));
+        }
+    }
+
     /// Requests a report of the first engine on the path of a stream whose next event is late. Replicas of plain services
     /// give no reports, so their streams go on until the limit of silence.
     pub(super) fn on_late_event(&mut self, ticket_id: u64, actions: &mut Vec<Action>) {
@@ -113,8 +170,8 @@
     }
 
     /// Records a failure of the first engine after a broken connection or an invalid answer, and of all
-    /// engines of the path after a time-out. On a path of several engines the first one is then asked for a
-    /// report, except after an invalid answer; the report names the engines that are stalled.
+    /// engines of the path after a time-out. The first engine is then asked for a report, except after an invalid
+    /// answer; the report names the engines that are stalled. After a time-out that is of use only on a path of several.
     pub(super) fn record_broken_answer(
         &mut self,
         now_us: u64,
@@ -123,13 +180,14 @@
         by: BrokenBy,
         actions: &mut Vec<Action>,
     ) {
-        let Some((first, _)) = reservation.loads.first() else { return };
+        let Some((first, first_load)) = reservation.loads.first() else { return };
         let half_life_ms = self.settings.failure_half_life_ms;
         match by {
             BrokenBy::Connection => {
                 self.suspects.record_break(digest, *first, now_us);
                 self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0);
-                if reservation.loads.len() > 1 {
+                // The report also shows whether an engine that is a path of its own has crashed.
+                if first_load.sequences > 0 {
                     actions.push(Action::Inspect(*first));
                 }
             }
@@ -169,14 +227,14 @@
         self.inspections.remove(&address);
         match report {
             None => {
-                self.suspects.confirm_breaks(address, now_us);
+                self.confirm_crash(address, now_us);
                 self.exclude(now_us, address, "no_report", actions);
             }
             Some(report) => {
                 let known = self.endpoint_at(address);
                 // A report without a start time says nothing about a restart.
                 if report.born_ms != 0 && known.is_some_and(|endpoint| endpoint.born_ms != report.born_ms) {
-                    self.suspects.confirm_breaks(address, now_us);
+                    self.confirm_crash(address, now_us);
                 }
                 self.health.entry(address).record_slowdown(now_us, report.pace);
                 // The report names an engine once for each request that waits for it.
@@ -194,7 +252,17 @@
     /// Stores the state of another gateway. Its loads take effect with the next call of
     /// [`Self::update_peer_loads`], because a state arrives for each of many datagrams.
     pub(super) fn update_peer(&mut self, now_us: u64, state: PeerState, known: usize, zone_known: usize) {
-        let PeerState { instance, zone, zone_loads, other_loads, down, suspects, version, .. } = state;
+        let PeerState {
+            instance,
+            zone,
+            zone_loads,
+            other_loads,
+            down,
+            suspects,
+            crash_findings,
+            version,
+            ..
+        } = state;
         if instance == self.settings.instance {
             return;
         }
@@ -203,6 +271,7 @@
         for (digest, count) in suspects {
             self.suspects.record_peer_breaks(digest, count, now_us);
         }
+        self.crashes.update(&crash_findings, now_us, known, &mut self.random);
         for address in down {
             if self.endpoint_at(address).is_some() {
                 let for_ms = self.settings.peer_exclusion_ms;
@@ -242,6 +311,7 @@
     pub(super) fn update_endpoints(&mut self, now_us: u64, endpoints: &[Endpoint]) {
         let mut endpoints = endpoints.to_vec();
         endpoints.sort_by_key(|endpoint| endpoint.address);
+        let mut ended = Vec::new();
         for known in &*self.endpoints {
             let successor = find_endpoint(&endpoints, known.address);
             let restarted = successor
@@ -251,9 +321,12 @@
             }
             // An endpoint that announced its departure did not crash.
             if !known.leaving && (restarted || successor.is_none()) {
-                self.suspects.confirm_breaks(known.address, now_us);
+                ended.push(known.address);
             }
         }
+        for address in ended {
+            self.confirm_crash(address, now_us);
+        }
         self.health
             .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
         self.endpoints = endpoints.into();
@@ -285,6 +358,7 @@
             other_loads,
             down,
             suspects: self.suspects.observed(now_us).collect(),
+            crash_findings: self.crashes.findings(now_us),
             version: self.version(),
             proof_age_ms: self.proof_age_ms(now_us),
             endpoints_change: self.endpoints_proof.version,
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -79,6 +79,47 @@
     pub at_us: u64,
 }
 
+/// A shared part of a prompt, or a whole request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Feature {
+    /// Digest of the part or of the request.
+    pub digest: u64,
+    /// Position in the prompt; a deeper part is more specific.
+    pub depth: u8,
+}
+
+/// A crash of an endpoint, with features that may have caused it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// Address of the endpoint.
+    pub address: Address,
+    /// Start of the incarnation that crashed, as Unix time in milliseconds.
+    pub born_ms: u64,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u32,
+    /// Features of the requests that the endpoint had not begun to answer.
+    pub features: Vec<Feature>,
+}
+
+impl Default for CrashReport {
+    fn default() -> Self {
+        let address = Address::from(([0, 0, 0, 0], 0));
+        Self { address, born_ms: 0, age_ms: 0, features: Vec::new() }
+    }
+}
+
+/// What a gateway knows of crashes and their causes.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CrashFindings {
+    /// Crashes that are not explained yet, or by a quarantined feature.
+    pub crashes: Vec<CrashReport>,
+    /// Digests of features that other gateways suspect, with the time in milliseconds since a run began that cleared
+    /// them.
+    pub runs: Vec<(u64, u32)>,
+    /// Digests of quarantined features, with the time since the last crash in milliseconds.
+    pub quarantined: Vec<(u64, u32)>,
+}
+
 /// State that a gateway publishes to the other gateways.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct PeerState {
@@ -94,6 +135,8 @@
     pub down: Vec<Address>,
     /// Digests of requests during which connections to endpoints broke, and the number of breaks.
     pub suspects: Vec<(u64, u32)>,
+    /// Crashes of endpoints and the parts of prompts that may have caused them.
+    pub crash_findings: CrashFindings,
     /// Version of the configuration.
     pub version: u64,
     /// Time since the configuration was last confirmed to be current, in milliseconds.
@@ -115,6 +158,7 @@
             other_loads: self.other_loads.clone(),
             down: self.down.clone(),
             suspects: self.suspects.clone(),
+            crash_findings: self.crash_findings.clone(),
             ..*self
         }
     }
@@ -248,6 +292,9 @@
     /// Connections to endpoints broke repeatedly while they ran the request.
     #[error("endpoints broke off each time the request ran")]
     Quarantined,
+    /// Endpoints crashed repeatedly when they began to answer requests with one of the parts of the prompt.
+    #[error("endpoints broke off each time a part of the prompt ran")]
+    QuarantinedPart,
     /// The request may have run, and no complete answer arrived.
     #[error("the endpoint broke off")]
     Broken,
@@ -271,7 +318,8 @@
             | Self::NoCapacity
             | Self::Rejected
             | Self::BudgetSpent
-            | Self::Quarantined => 503,
+            | Self::Quarantined
+            | Self::QuarantinedPart => 503,
         }
     }
 }
@@ -353,6 +401,31 @@
         /// What the report showed.
         evidence: &'static str,
     },
+    /// A part of a prompt, or a whole request, is quarantined.
+    FeatureQuarantined {
+        /// Digest of the part or of the request.
+        digest: u64,
+        /// Whether it is a part or a whole request, or another gateway reported it.
+        kind: &'static str,
+        /// Number of separate incidents that it explains; 0 if another gateway found it.
+        incidents: usize,
+    },
+    /// A quarantine ended.
+    FeatureReleased {
+        /// Digest of the part or of the request.
+        digest: u64,
+        /// Why it ended.
+        cause: &'static str,
+    },
+    /// A request has a quarantined feature.
+    FeatureRefused {
+        /// Id that the caller gave to the attempt.
+        id: Arc<str>,
+        /// Digest of the part or of the request.
+        digest: u64,
+        /// Whether it is sent nevertheless, to find out whether the feature still crashes endpoints.
+        is_trial: bool,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -388,6 +461,17 @@
                 "event=late_stream_judged request={id} endpoint_address={address} abandoned={abandoned} \
                  evidence={evidence}"
             ),
+            Self::FeatureQuarantined { digest, kind, incidents } => write!(
+                formatter,
+                "event=feature_quarantined feature={digest:016x} kind={kind} incidents={incidents}"
+            ),
+            Self::FeatureReleased { digest, cause } => {
+                write!(formatter, "event=feature_released feature={digest:016x} cause={cause}")
+            }
+            Self::FeatureRefused { id, digest, is_trial } => {
+                let event = if *is_trial { "feature_tried" } else { "feature_refused" };
+                write!(formatter, "event={event} request={id} feature={digest:016x}")
+            }
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod chains;
+mod crashes;
 mod evidence;
 mod health;
 mod messages;
@@ -21,8 +22,8 @@
 
 pub use health::Load;
 pub use messages::{
-    Action, BrokenBy, Decision, Ending, Event, PeerState, Proof, Refusal, RefusalReason, SendOrder,
-    Submission, Verdict,
+    Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, Event, Feature, PeerState, Proof,
+    Refusal, RefusalReason, SendOrder, Submission, Verdict,
 };
 pub use policy::Dispatch;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -4,6 +4,7 @@
 
 use super::DispatchSettings;
 use super::budget::Budget;
+use super::crashes::{Crashes, features};
 use super::evidence::Peer;
 use super::health::{HealthTable, Load};
 use super::messages::{
@@ -46,6 +47,7 @@
     pub(super) inspections: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
     pub(super) suspects: Suspects,
+    pub(super) crashes: Crashes,
     pub(super) peers: Table<String, Peer>,
     /// Number of known gateways, this one included.
     pub(super) known_gateways: usize,
@@ -85,6 +87,7 @@
             inspections: Table::default(),
             budgets: Table::default(),
             suspects: Suspects::default(),
+            crashes: Crashes::default(),
             peers: Table::default(),
             known_gateways: 1,
             zone_gateways: Table::default(),
@@ -98,7 +101,12 @@
 
     fn submit(&mut self, now_us: u64, submission: Submission, actions: &mut Vec<Action>) {
         let Submission { ticket, request } = submission;
-        let admitted = self.admit(now_us, &request);
+        let admitted = self.admit(now_us, &request).and_then(|admitted| {
+            if self.has_refused_feature(now_us, &request, actions) {
+                return Err(RefusalReason::QuarantinedPart);
+            }
+            Ok(admitted)
+        });
         match admitted {
             Ok((route, team)) => {
                 let service = self.pick_service(&route);
@@ -154,6 +162,21 @@
         Ok((route.clone(), team))
     }
 
+    /// Returns whether a request is refused because of a quarantined feature.
+    fn has_refused_feature(
+        &mut self,
+        now_us: u64,
+        request: &crate::gateway::RequestInfo,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let features = features(request);
+        let Some(digest) = self.crashes.quarantined_feature(&features) else { return false };
+        let is_refused = self.crashes.refuses(&features, now_us);
+        let id = Arc::clone(&request.id);
+        actions.push(Action::Decide(Decision::FeatureRefused { id, digest, is_trial: !is_refused }));
+        is_refused
+    }
+
     fn pick_service(&mut self, route: &Route) -> ServiceId {
         let total: u32 = route.targets.iter().map(|target| target.weight).sum();
         let mut drawn = self.random.below(total as usize) as u32;
@@ -175,6 +198,11 @@
             return self.refuse(now_us, ticket_id, RefusalReason::Expired, actions);
         }
         let is_retry = ticket.sends > 0;
+        if is_retry && self.crashes.quarantined_feature(&features(&ticket.request)).is_some() {
+            let is_run = ticket.possible_runs > 0;
+            let reason = if is_run { RefusalReason::Broken } else { RefusalReason::QuarantinedPart };
+            return self.refuse(now_us, ticket_id, reason, actions);
+        }
         if is_retry && !self.has_budget(now_us, ticket_id) {
             let reason =
                 if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::BudgetSpent };
@@ -188,6 +216,7 @@
         let valid_until_us = self.valid_until_us(ticket_id);
         let (version, proof_age_ms) = (self.version(), self.proof_age_ms(now_us));
         let window_ms = self.settings.retry_window_ms;
+        let born_ms = self.endpoint_at(choice.address).map_or(0, |endpoint| endpoint.born_ms);
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         if is_retry {
             self.budgets.entry(ticket.service.clone()).count_retry(now_us, window_ms);
@@ -197,8 +226,13 @@
             self.health.entry(*address).own.add(load);
         }
         ticket.tried.extend(choice.loads.iter().map(|(address, _)| *address));
-        ticket.reservation =
-            Reservation { loads: choice.loads, endpoint: Arc::clone(&choice.endpoint), sent_us: now_us };
+        ticket.begun_us = None;
+        ticket.reservation = Reservation {
+            loads: choice.loads,
+            endpoint: Arc::clone(&choice.endpoint),
+            born_ms,
+            sent_us: now_us,
+        };
         actions.push(Action::Decide(Decision::Sent {
             id: Arc::clone(&ticket.request.id),
             route: Arc::clone(&ticket.route),
@@ -353,6 +387,7 @@
             }));
         }
         let (digest, retry_mode) = (ticket.request.digest, ticket.retry_mode);
+        self.record_progress(now_us, ticket_id, &reservation, ending);
         match ending {
             Ending::Completed { .. } => {
                 for (address, _) in &reservation.loads {
@@ -370,7 +405,7 @@
             }
             Ending::Unsent => {
                 if let Some((first, _)) = reservation.loads.first() {
-                    self.suspects.confirm_breaks(*first, now_us);
+                    self.confirm_crash(*first, now_us);
                     self.exclude(now_us, *first, "no_connection", actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
@@ -534,7 +569,7 @@
     fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
-            Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
+            Event::StreamStarted { ticket } => return self.on_stream_start(now_us, ticket),
             Event::Waiting { ticket } => return self.on_late_event(ticket, actions),
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
@@ -563,6 +598,7 @@
         if now_us >= self.publish_at_us {
             self.publish_at_us = now_us + self.settings.publish_interval_ms * US_PER_MS;
             self.update_peer_loads(now_us);
+            self.judge_crashes(now_us, actions);
             self.publish_state(now_us, actions);
             self.update_readiness(now_us, actions);
         }
@@ -573,5 +609,6 @@
         gauge("banyannotch_gateway_endpoints", self.endpoints.len() as f64);
         gauge("banyannotch_gateway_configuration_version", self.version() as f64);
         gauge("banyannotch_gateway_peers", self.peers.len() as f64);
+        gauge("banyannotch_gateway_quarantined_features", self.crashes.quarantined_count() as f64);
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -130,6 +130,7 @@
         RefusalReason::Rejected => "rejected",
         RefusalReason::BudgetSpent => "budget_spent",
         RefusalReason::Quarantined => "quarantined",
+        RefusalReason::QuarantinedPart => "quarantined_part",
         RefusalReason::Broken => "broken",
         RefusalReason::Expired => "expired",
     }
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod chains;
+mod crashes;
 pub(crate) mod fixtures;
 mod outcomes;
 mod paths;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -14,6 +14,8 @@
     pub loads: Vec<(Address, Load)>,
     /// Name of the endpoint that the request was sent to.
     pub endpoint: Arc<str>,
+    /// Start of the incarnation of this endpoint, as Unix time in milliseconds.
+    pub born_ms: u64,
     /// Time of the send, in microseconds.
     pub sent_us: u64,
 }
@@ -40,6 +42,10 @@
     /// Number of sends in which the request may have run.
     pub possible_runs: u32,
     pub reservation: Reservation,
+    /// When the first event of the current send arrived, in microseconds.
+    pub begun_us: Option<u64>,
+    /// Whether an endpoint has begun to answer the request and survived it.
+    pub has_survived: bool,
     /// Whether the next event of the current send is late and its first engine was asked for a report.
     pub is_waiting: bool,
     /// Endpoints on the paths of all sends so far.
@@ -70,6 +76,8 @@
             sends: 0,
             possible_runs: 0,
             reservation: Reservation::default(),
+            begun_us: None,
+            has_survived: false,
             is_waiting: false,
             tried: Vec::new(),
         }
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -5,7 +5,7 @@
 use super::{Action, Change, Changes, Event, Gossip, GossipSettings, Mention, Message, READER_COUNT};
 use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine};
-use crate::gateway::dispatch::{Load, PeerState};
+use crate::gateway::dispatch::{CrashFindings, CrashReport, Feature, Load, PeerState};
 use crate::gateway::mutation::mutate;
 use crate::ids::Zone;
 use crate::pipeline::Address;
@@ -332,6 +332,16 @@
         other_loads: vec![(address(21), load)],
         down: vec![address(13)],
         suspects: vec![(1 << 40, 1)],
+        crash_findings: CrashFindings {
+            crashes: vec![CrashReport {
+                address: address(12),
+                born_ms: 1 << 40,
+                age_ms: 50,
+                features: vec![Feature { digest: 9, depth: 0 }, Feature { digest: 10, depth: 1 }],
+            }],
+            runs: vec![(9, 20)],
+            quarantined: vec![(10, 30)],
+        },
         endpoints_change: 5,
         ..state(2, 30)
     };
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -52,6 +52,11 @@
     ("banyannotch_gateway_log_lines_dropped_total", Counter, "Log lines dropped because the queue was full"),
     ("banyannotch_gateway_orders_total", Counter, "Orders sent to engines"),
     ("banyannotch_gateway_peers", Gauge, "Other gateways that share their state"),
+    (
+        "banyannotch_gateway_quarantined_features",
+        Gauge,
+        "Parts of prompts and requests that are refused because they crashed endpoints",
+    ),
     ("banyannotch_gateway_refusals_total", Counter, "Requests answered with a failure of our own, by reason"),
     ("banyannotch_gateway_requests_in_flight", Gauge, "Requests of a gateway that have no final answer yet"),
     (
--- a/crates/standins/src/fleet/client.rs
+++ b/crates/standins/src/fleet/client.rs
@@ -42,12 +42,17 @@
 
 /// Sends one request, with a deadline of 3 s, on a new connection.
 pub async fn call(address: SocketAddr, id: &str, path: &str, key: &str, body: &str) -> RecordedResponse {
-    send(address, id, path, key, body, 3_000).await
+    send(address, id, path, key, body, ("", 3_000)).await
 }
 
 /// Requests a stream, with a deadline of 8 s, on a new connection.
 pub async fn stream(address: SocketAddr, id: &str, key: &str) -> RecordedResponse {
-    send(address, id, "/write/x", key, "prompt", 8_000).await
+    send(address, id, "/write/x", key, "prompt", ("", 8_000)).await
+}
+
+/// Requests a stream for a prompt of the given parts, which are entries of an id and a number of tokens.
+pub async fn stream_of_parts(address: SocketAddr, id: &str, key: &str, parts: &str) -> RecordedResponse {
+    send(address, id, "/write/x", key, parts, (&format!("Prefix-Hash: {parts}\r\n"), 8_000)).await
 }
 
 /// A client that reuses its connection for the next request, unless the last response was incomplete or
@@ -66,7 +71,7 @@
             };
             let Ok((mut reader, mut writer)) = connection else { return RecordedResponse::default() };
             let response =
-                exchange(&mut reader, &mut writer, id, path, key, "body", CALLER_DEADLINE_MS).await;
+                exchange(&mut reader, &mut writer, id, path, key, "body", ("", CALLER_DEADLINE_MS)).await;
             if response.complete && !response.close {
                 self.0 = Some((reader, writer));
             }
@@ -82,14 +87,14 @@
     path: &str,
     key: &str,
     body: &str,
-    deadline_ms: u64,
+    (headers, deadline_ms): (&str, u64),
 ) -> RecordedResponse {
     let once = async {
         let Ok((mut reader, mut writer)) = connect(address, CONNECT_TIMEOUT_MS, CONNECT_TIMEOUT_MS).await
         else {
             return RecordedResponse::default();
         };
-        exchange(&mut reader, &mut writer, id, path, key, body, deadline_ms).await
+        exchange(&mut reader, &mut writer, id, path, key, body, (headers, deadline_ms)).await
     };
     actix_rt::time::timeout(EXCHANGE_TIMEOUT, once).await.unwrap_or_default()
 }
@@ -101,10 +106,10 @@
     path: &str,
     key: &str,
     body: &str,
-    deadline_ms: u64,
+    (headers, deadline_ms): (&str, u64),
 ) -> RecordedResponse {
     let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nKey: {key}\r\nTenant: forged\r\n\
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nKey: {key}\r\nTenant: forged\r\n{headers}\
              Deadline-Ms: {deadline_ms}\r\nToken-Usage: 10,20\r\nLength-Hint: 5\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -3,13 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use banyannotch::gateway::http1::{RequestHead, write_chunk};
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 
 use super::{encode_response, listen, read_request, split_stream};
 
@@ -103,6 +104,20 @@
     orders: u64,
     /// Addresses of the engines on which requests are reported as stalled.
     stalled: Vec<String>,
+    /// Id of a part of a prompt that crashes the endpoint when it begins to answer.
+    deadly_part: Option<String>,
+    /// Number of starts, which reports and entries contain as `born`.
+    born: u64,
+    /// Until when the endpoint is down after a crash.
+    down_until: Option<Instant>,
+    /// Notified at a crash, which ends all connections.
+    crashed: Rc<Notify>,
+}
+
+impl State {
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
 }
 
 /// An endpoint in the test's own process.
@@ -128,6 +143,10 @@
             layers: None,
             orders: 0,
             stalled: Vec::new(),
+            deadly_part: None,
+            born: 1,
+            down_until: None,
+            crashed: Rc::default(),
         }));
         let shared = Rc::clone(&state);
         let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
@@ -141,7 +160,7 @@
             self.state.borrow().layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
         let mut entry = json!({
             "backend": service, "address": self.address.to_string(), "zone": "a", "version": "v1", "slots": 8,
-            "state": state, "cold_left_ms": 0, "born": 1, "sequence": 4,
+            "state": state, "cold_left_ms": 0, "born": self.state.borrow().born, "sequence": 4,
         });
         if let (Some(card), Some(object)) = (card, entry.as_object_mut()) {
             object.insert("route_type".to_owned(), json!(card));
@@ -167,6 +186,21 @@
         }
     }
 
+    /// Sets a part of a prompt that crashes the endpoint. It keeps its layers and is back after half a second.
+    pub fn set_deadly_part(&self, id: &str) {
+        self.state.borrow_mut().deadly_part = Some(id.to_owned());
+    }
+
+    /// Returns whether the endpoint is down after a crash.
+    pub fn is_down(&self) -> bool {
+        self.state.borrow().is_down()
+    }
+
+    /// Returns how often the endpoint has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.state.borrow().born - 1
+    }
+
     /// Reports another engine as the one on which requests are stalled.
     pub fn set_stalled(&self, address: SocketAddr) {
         self.state.borrow_mut().stalled = vec![address.to_string()];
@@ -183,8 +217,23 @@
     }
 }
 
+/// Time after a crash in which an endpoint accepts no request.
+const RESTART: Duration = Duration::from_millis(500);
+
 async fn serve(state: Rc<RefCell<State>>, stream: TcpStream) {
+    let crashed = Rc::clone(&state.borrow().crashed);
+    tokio::select! {
+        biased;
+        () = crashed.notified() => {}
+        () = serve_requests(&state, stream) => {}
+    }
+}
+
+async fn serve_requests(state: &Rc<RefCell<State>>, stream: TcpStream) {
     let Ok((mut reader, mut writer)) = split_stream(stream) else { return };
+    if state.borrow().is_down() {
+        return;
+    }
     while let Some((head, body)) = read_request(&mut reader).await {
         let keep_alive = match head.target.as_str() {
             "/-/report" => {
@@ -195,7 +244,7 @@
                 let out = order(&mut state.borrow_mut(), &body);
                 writer.write_all(&out).await.is_ok()
             }
-            _ => run(&state, &head, &body, &mut writer).await,
+            _ => run(state, &head, &body, &mut writer).await,
         };
         if !keep_alive {
             return;
@@ -207,7 +256,7 @@
     let layers = state.layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
     let stalled: Vec<Value> =
         state.stalled.iter().map(|address| json!({"id": "x", "address": address})).collect();
-    json!({"born": 1, "sequence": state.orders, "busy": false, "layers": layers, "pace": 1.0, "stalled": stalled})
+    json!({"born": state.born, "sequence": state.orders, "busy": false, "layers": layers, "pace": 1.0, "stalled": stalled})
 }
 
 fn order(state: &mut State, body: &[u8]) -> Vec<u8> {
@@ -264,6 +313,17 @@
         path: header("Hop-Count"),
         saw_key: head.headers.get("Key").is_some(),
     });
+    let parts = header("Prefix-Hash").unwrap_or_default();
+    let is_deadly = |deadly: &String| {
+        parts.split(',').any(|part| part.split_once(':').is_some_and(|(id, _)| id == deadly))
+    };
+    if state.borrow().deadly_part.as_ref().is_some_and(is_deadly) {
+        let mut state = state.borrow_mut();
+        state.born += 1;
+        state.down_until = Some(Instant::now() + RESTART);
+        state.crashed.notify_waiters();
+        return false;
+    }
     let signed = format!("Attempt-Id: {attempt}\r\nServer-Signature: {id}.{attempt}\r\n");
     if fault == Fault::EndlessHead {
         let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use client::{Caller, RecordedResponse, call, stream};
+pub use client::{Caller, RecordedResponse, call, stream, stream_of_parts};
 pub use endpoint::{Endpoint, Fault, Run};
 pub use proxy::{Link, Proxy};
 pub use store::{Store, StoreFault};
