--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod announcements;
 mod budget;
 mod chains;
+mod crashes;
 mod evidence;
 mod health;
 mod late;
@@ -23,8 +24,8 @@
 
 pub use health::Load;
 pub use messages::{
-    Action, BrokenBy, Decision, Ending, EndpointStart, Event, PeerState, Proof, Refusal, RefusalReason,
-    SendOrder, Submission, Verdict,
+    Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, Event, Feature, PeerState,
+    Proof, Refusal, RefusalReason, SendOrder, Submission, Verdict,
 };
 pub use policy::Dispatch;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -5,6 +5,7 @@
 use super::DispatchSettings;
 use super::announcements::Announcements;
 use super::budget::Budget;
+use super::crashes::{Crashes, features};
 use super::evidence::Peer;
 use super::health::{HealthTable, Load};
 use super::messages::{
@@ -48,6 +49,7 @@
     pub(super) inspections: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
     pub(super) suspects: Suspects,
+    pub(super) crashes: Crashes,
     pub(super) peers: Table<String, Peer>,
     /// Number of known gateways, this one included.
     pub(super) known_gateways: usize,
@@ -76,6 +78,7 @@
             inspections: Table::default(),
             budgets: Table::default(),
             suspects: Suspects::default(),
+            crashes: Crashes::default(),
             peers: Table::default(),
             known_gateways: 1,
             zone_gateways: Table::default(),
@@ -89,7 +92,12 @@
 
     fn submit(&mut self, now_us: u64, submission: Submission, actions: &mut Vec<Action>) {
         let Submission { ticket, request } = submission;
-        let admitted = self.admit(now_us, &request);
+        let admitted = self.admit(now_us, &request).and_then(|admitted| {
+            if self.has_refused_feature(now_us, &request, actions) {
+                return Err(RefusalReason::QuarantinedPart);
+            }
+            Ok(admitted)
+        });
         match admitted {
             Ok((configuration, route, team)) => {
                 let service = self.pick_service(&route);
@@ -144,6 +152,28 @@
         Ok((Arc::clone(configuration), route.clone(), team))
     }
 
+    /// Returns whether a request is refused because of a quarantined feature.
+    fn has_refused_feature(
+        &mut self,
+        now_us: u64,
+        request: &crate::gateway::RequestInfo,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let features = features(request);
+        let Some(digest) = self.crashes.quarantined_feature(&features) else { return false };
+        let is_refused = self.crashes.refuses(&features, now_us);
+        let id = Arc::clone(&request.id);
+        actions.push(Action::Decide(Decision::FeatureRefused { id, digest, is_trial: !is_refused }));
+        is_refused
+    }
+
+    /// Returns whether a feature of an admitted request has been quarantined since.
+    fn has_quarantined_feature(&self, ticket_id: u64) -> bool {
+        self.tickets
+            .get(&ticket_id)
+            .is_some_and(|ticket| self.crashes.quarantined_feature(&features(&ticket.request)).is_some())
+    }
+
     fn pick_service(&mut self, route: &Route) -> ServiceId {
         let total: usize = route.targets.iter().map(|target| target.weight as usize).sum();
         let mut drawn = self.random.below(total);
@@ -199,6 +229,9 @@
         avoided: Option<Address>,
     ) -> Result<Choice, RefusalReason> {
         let is_retry = self.tickets.get(&ticket_id).is_some_and(|ticket| ticket.sends > 0);
+        if is_retry && self.has_quarantined_feature(ticket_id) {
+            return Err(RefusalReason::QuarantinedPart);
+        }
         if is_retry && !self.has_budget(now_us, ticket_id) {
             return Err(RefusalReason::BudgetSpent);
         }
@@ -269,8 +302,13 @@
         ticket.sends += 1;
         ticket.late_report = 0;
         ticket.tried.extend(choice.loads.iter().map(|(address, _)| *address));
-        ticket.reservation =
-            Reservation { loads: choice.loads, endpoint: Arc::clone(&choice.endpoint), sent_us: now_us };
+        ticket.begun_us = None;
+        ticket.reservation = Reservation {
+            loads: choice.loads,
+            endpoint: Arc::clone(&choice.endpoint),
+            born_ms: choice.born_ms,
+            sent_us: now_us,
+        };
         actions.push(Action::Decide(Decision::Sent {
             id: Arc::clone(&ticket.request.id),
             route: Arc::clone(&ticket.route),
@@ -449,6 +487,7 @@
             }));
         }
         let (digest, retry_mode) = (ticket.request.digest, ticket.retry_mode);
+        self.record_progress(now_us, ticket_id, &reservation, ending);
         match ending {
             Ending::Completed { .. } => {
                 for (address, _) in &reservation.loads {
@@ -466,7 +505,7 @@
             }
             Ending::Unsent => {
                 if let Some((first, _)) = reservation.loads.first() {
-                    self.suspects.confirm_breaks(*first, now_us);
+                    self.confirm_crash(*first, now_us);
                     self.exclude(now_us, *first, "no_connection", actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
@@ -641,7 +680,7 @@
     fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
-            Event::StreamStarted { ticket } => return self.on_stream_start(ticket),
+            Event::StreamStarted { ticket } => return self.on_stream_start(now_us, ticket),
             Event::Waiting { ticket, report, silent_ms } => {
                 return self.on_late_answer(now_us, ticket, report, silent_ms, actions);
             }
@@ -677,6 +716,7 @@
         if now_us >= self.publish_at_us {
             self.publish_at_us = now_us + self.settings.publish_interval_ms * US_PER_MS;
             self.update_peer_loads(now_us);
+            self.judge_crashes(now_us, actions);
             self.publish_state(now_us, actions);
             self.update_readiness(now_us, actions);
         }
@@ -688,5 +728,6 @@
         gauge("banyannotch_gateway_endpoints_leaving", self.announcements.leaving() as f64);
         gauge("banyannotch_gateway_configuration_version", self.version() as f64);
         gauge("banyannotch_gateway_peers", self.peers.len() as f64);
+        gauge("banyannotch_gateway_quarantined_features", self.crashes.quarantined_count() as f64);
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod budgets;
 mod chains;
+mod crashes;
 pub(crate) mod fixtures;
 mod late;
 mod outcomes;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -32,6 +32,8 @@
     pub loads: Vec<(Address, Load)>,
     /// Name of the endpoint that the request was sent to.
     pub endpoint: Arc<str>,
+    /// Start of the incarnation of this endpoint, as Unix time in milliseconds.
+    pub born_ms: u64,
     /// Time of the send, in microseconds.
     pub sent_us: u64,
 }
@@ -62,6 +64,10 @@
     pub reservation: Reservation,
     /// Endpoint or path of the next send, chosen before the current send was abandoned. Its load and the retry are counted.
     pub successor: Option<Choice>,
+    /// When the first event of the current send arrived, in microseconds.
+    pub begun_us: Option<u64>,
+    /// Whether an endpoint has begun to answer the request and survived it.
+    pub has_survived: bool,
     /// Whether the next event of the current send is late and its first engine was asked for a report.
     pub is_waiting: bool,
     /// Number of the last report that the current send is late.
@@ -97,6 +103,8 @@
             possible_runs: 0,
             reservation: Reservation::default(),
             successor: None,
+            begun_us: None,
+            has_survived: false,
             is_waiting: false,
             late_report: 0,
             tried: Vec::new(),
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 
 use super::{FILLER_CHUNK, encode_response, listen, read_request, split_stream, write_without_end};
 
@@ -171,6 +172,20 @@
     /// Number of requests that arrived, those that were rejected included.
     arrivals: usize,
     report_fault: ReportFault,
+    /// Id of a part of a prompt that crashes the endpoint when it begins to answer.
+    deadly_part: Option<String>,
+    /// Number of starts, which reports and entries contain as `born`.
+    born: u64,
+    /// Until when the endpoint is down after a crash.
+    down_until: Option<Instant>,
+    /// Notified at a crash, which ends all connections.
+    crashed: Rc<Notify>,
+}
+
+impl State {
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
 }
 
 /// An endpoint in the test's own process.
@@ -200,6 +215,10 @@
             leaving: false,
             arrivals: 0,
             report_fault: ReportFault::None,
+            deadly_part: None,
+            born: 1,
+            down_until: None,
+            crashed: Rc::default(),
         }));
         let shared = Rc::clone(&state);
         let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
@@ -213,7 +232,7 @@
             self.state.borrow().layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
         let mut entry = json!({
             "backend": service, "address": self.address.to_string(), "zone": "a", "version": "v1", "slots": 8,
-            "state": state, "cold_left_ms": 0, "born": 1, "sequence": 4,
+            "state": state, "cold_left_ms": 0, "born": self.state.borrow().born, "sequence": 4,
         });
         if let (Some(card), Some(object)) = (card, entry.as_object_mut()) {
             object.insert("route_type".to_owned(), json!(card));
@@ -239,6 +258,21 @@
         }
     }
 
+    /// Sets a part of a prompt that crashes the endpoint. It keeps its layers and is back after half a second.
+    pub fn set_deadly_part(&self, id: &str) {
+        self.state.borrow_mut().deadly_part = Some(id.to_owned());
+    }
+
+    /// Returns whether the endpoint is down after a crash.
+    pub fn is_down(&self) -> bool {
+        self.state.borrow().is_down()
+    }
+
+    /// Returns how often the endpoint has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.state.borrow().born - 1
+    }
+
     /// Reports another engine as the one on which requests are stalled.
     pub fn set_stalled(&self, address: SocketAddr) {
         self.state.borrow_mut().stalled = vec![address.to_string()];
@@ -270,12 +304,27 @@
     }
 }
 
+/// Time after a crash in which an endpoint accepts no request.
+const RESTART: Duration = Duration::from_millis(500);
+
 async fn serve(state: Rc<RefCell<State>>, stream: TcpStream) {
+    let crashed = Rc::clone(&state.borrow().crashed);
+    tokio::select! {
+        biased;
+        () = crashed.notified() => {}
+        () = serve_requests(&state, stream) => {}
+    }
+}
+
+async fn serve_requests(state: &Rc<RefCell<State>>, stream: TcpStream) {
     let Ok((mut reader, mut writer)) = split_stream(stream) else { return };
+    if state.borrow().is_down() {
+        return;
+    }
     // The first rejection on the connection.
     let mut rejection = None;
     while let Some((head, body)) = read_request(&mut reader).await {
-        wait_while_silent(&state).await;
+        wait_while_silent(state).await;
         let report_fault = state.borrow().report_fault;
         let keep_alive = match head.target.as_str() {
             "/-/report" if report_fault == ReportFault::Silent => std::future::pending().await,
@@ -291,7 +340,7 @@
                 let out = order(&mut state.borrow_mut(), &body);
                 writer.write_all(&out).await.is_ok()
             }
-            _ => run(&state, &head, &body, &mut writer, &mut rejection).await,
+            _ => run(state, &head, &body, &mut writer, &mut rejection).await,
         };
         if !keep_alive {
             if matches!(writer.as_ref().linger(), Ok(Some(Duration::ZERO))) {
@@ -307,7 +356,7 @@
     let layers = state.layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
     let stalled: Vec<Value> =
         state.stalled.iter().map(|address| json!({"id": "x", "address": address})).collect();
-    json!({"born": 1, "sequence": state.orders, "busy": false, "layers": layers, "pace": 1.0, "stalled": stalled})
+    json!({"born": state.born, "sequence": state.orders, "busy": false, "layers": layers, "pace": 1.0, "stalled": stalled})
 }
 
 fn order(state: &mut State, body: &[u8]) -> Vec<u8> {
@@ -390,6 +439,17 @@
         path: header("Hop-Count"),
         saw_key: head.headers.get("Key").is_some(),
     });
+    let parts = header("Prefix-Hash").unwrap_or_default();
+    let is_deadly = |deadly: &String| {
+        parts.split(',').any(|part| part.split_once(':').is_some_and(|(id, _)| id == deadly))
+    };
+    if state.borrow().deadly_part.as_ref().is_some_and(is_deadly) {
+        let mut state = state.borrow_mut();
+        state.born += 1;
+        state.down_until = Some(Instant::now() + RESTART);
+        state.crashed.notify_waiters();
+        return false;
+    }
     if matches!(fault, Fault::RepeatNotRun | Fault::RepeatNotRunWithoutId) {
         actix_rt::time::sleep(LONG_RUN).await;
     }
