dispatch: sends that end with the same crash of an endpoint count once

Cause: the quarantine of a request counted broken sends, not crashes, and added the highest count of any other gateway to the own one. Two gateways that each sent two equal requests to the engine made four of one crash.

Change: a crash is identified by the address and the start of the endpoint, in the own records and in those that gateways exchange, and three different ones are needed.

Evidence: sends_that_end_with_the_same_crash_count_once fails if each send counts ("refused after one crash"), and passes now.

--- a/crates/banyannotch/src/gateway/dispatch/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/crashes.rs
@@ -6,6 +6,8 @@
 //! and survives clears the feature. A feature that explains several separate incidents is quarantined. Gateways
 //! exchange crashes, runs and quarantines; see `docs/platform.md`.
 
+use serde::{Deserialize, Serialize};
+
 use super::messages::{CrashFindings, CrashReport, Feature};
 use crate::clock::US_PER_MS;
 use crate::gateway::RequestInfo;
@@ -75,10 +77,11 @@
 }
 
 /// One incarnation of an endpoint that ended.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Crash {
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Crash {
+    /// Address of the endpoint.
     pub address: Address,
-    /// Start of the incarnation.
+    /// Start of the incarnation, as Unix time in milliseconds.
     pub born_ms: u64,
 }
 
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -138,7 +138,8 @@
         let half_life_ms = self.settings.failure_half_life_ms;
         match by {
             BrokenBy::Connection => {
-                self.suspects.record_break(digest, *first, now_us);
+                let crash = Crash { address: *first, born_ms: reservation.born_ms };
+                self.suspects.record_break(digest, crash, now_us);
                 self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0);
                 // The report also shows whether an engine that is a path of its own has crashed.
                 if first_load.sequences > 0 {
@@ -222,8 +223,8 @@
         }
         self.known_gateways = known;
         self.zone_gateways.insert(zone.clone(), zone_known);
-        for (digest, count) in suspects {
-            self.suspects.record_peer_breaks(digest, count, now_us);
+        for (digest, crash) in suspects {
+            self.suspects.record_peer_crash(digest, crash, now_us);
         }
         self.crashes.update(&crash_findings, now_us, known, &mut self.random);
         for address in down {
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::crashes::Crash;
 use super::health::Load;
 use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo};
 use crate::ids::Zone;
@@ -136,8 +137,8 @@
     pub other_loads: Vec<(Address, Load)>,
     /// Endpoints that the gateway excludes because of failures that it observed itself.
     pub down: Vec<Address>,
-    /// Digests of requests during which connections to endpoints broke, and the number of breaks.
-    pub suspects: Vec<(u64, u32)>,
+    /// Digests of requests, and the crashes of endpoints while they ran these.
+    pub suspects: Vec<(u64, Crash)>,
     /// Crashes of endpoints and the parts of prompts that may have caused them.
     pub crash_findings: CrashFindings,
     /// Version of the configuration.
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) use tests::fixtures;
 mod tickets;
 
+pub use crashes::Crash;
 pub use health::Load;
 pub use messages::{
     Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, Event, Feature, PeerState,
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -5,7 +5,7 @@
 
 use super::fixtures::{World, address, configuration, request};
 use crate::gateway::EngineReport;
-use crate::gateway::dispatch::{BrokenBy, Ending, Event, PeerState, Proof};
+use crate::gateway::dispatch::{BrokenBy, Crash, Ending, Event, PeerState, Proof};
 
 /// Ends the first send and all further ones with each ending in turn, for each kind of route.
 #[test]
@@ -131,11 +131,31 @@
     assert_eq!(published.suspects, vec![], "breaks of endpoints that run were published");
 }
 
+/// Two gateways that each sent equal requests to an engine that then crashed counted the crash four times, and refused the
+/// sound request for a minute (seed 35 of the soak's run of planned work).
+#[test]
+fn sends_that_end_with_the_same_crash_count_once() {
+    let mut world = World::new();
+    let tickets = [world.submit("/write/x"), world.submit("/write/x")];
+    for ticket in tickets {
+        world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    }
+    world.event(Event::Report { address: address(11), report: None });
+    let crash = Crash { address: address(11), born_ms: 1 };
+    let suspects = vec![(7, crash), (7, crash)];
+    let state = PeerState { instance: "other".to_owned(), suspects, ..PeerState::default() };
+    world.event(Event::Peer { state: Box::new(state), known: 2, zone_known: 1 });
+    assert_eq!(world.publish_state().suspects, vec![(7, crash)]);
+    world.submit("/write/x");
+    assert!(!world.text().contains("3: 503"), "refused after one crash: {}", world.text());
+}
+
 /// Gateways repeat the breaks that they observed in each message. A repetition must not prolong the quarantine.
 #[test]
 fn a_repeated_report_of_breaks_does_not_prolong_the_quarantine() {
     let mut world = World::new();
-    let state = PeerState { instance: "other".to_owned(), suspects: vec![(7, 3)], ..PeerState::default() };
+    let suspects = [1, 2, 3].map(|host| (7, Crash { address: address(host), born_ms: 1 })).to_vec();
+    let state = PeerState { instance: "other".to_owned(), suspects, ..PeerState::default() };
     for _ in 0..4 {
         world.event(Event::Peer { state: Box::new(state.clone()), known: 2, zone_known: 1 });
         world.wait_ms(20_000);
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -6,7 +6,7 @@
 use super::{Action, Change, Changes, Event, Gossip, GossipSettings, Mention, Message, READER_COUNT};
 use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine};
-use crate::gateway::dispatch::{CrashFindings, CrashReport, Feature, Load, PeerState};
+use crate::gateway::dispatch::{Crash, CrashFindings, CrashReport, Feature, Load, PeerState};
 use crate::gateway::mutation::mutate;
 use crate::gateway::{Endpoint, NAME_LIMIT_BYTES};
 use crate::ids::{ServiceId, Zone};
@@ -333,7 +333,7 @@
         zone_loads: vec![(address(11), load), (address(12), load)],
         other_loads: vec![(address(21), load)],
         down: vec![address(13)],
-        suspects: vec![(1 << 40, 1)],
+        suspects: vec![(1 << 40, Crash { address: address(12), born_ms: 1 << 40 })],
         crash_findings: CrashFindings {
             crashes: vec![CrashReport {
                 address: address(12),
