forwarding: idle connections outlast their timeout by the time that a configuration takes

Callers may go by an idle timeout from the moment at which the store acknowledges a configuration; it reaches a gateway up to config_apply_ms later. A connection that was closed by the earlier timeout in between lost the request of such a caller.

An idle connection is closed config_apply_ms after its timeout. a_raised_idle_timeout_keeps_connections_that_are_already_idle, which now applies the raised timeout after the earlier one has passed, failed without this (no response to the second request).

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -65,7 +65,7 @@
 /// Waits for the first byte of a request. Returns false when the connection has been idle for too long or has ended.
 ///
 /// A caller may know either the limit that was in force when the connection became idle or the present one, so the longer
-/// one applies.
+/// one applies. It may also know one that has not reached this gateway yet.
 async fn wait_for_request<D: Dialect, C: Clock>(context: &Context<D, C>, reader: &mut Reader) -> bool {
     if reader.has_buffered() {
         return true;
@@ -73,7 +73,7 @@
     let idle_since = tokio::time::Instant::now();
     let mut applied_ms = context.limits.get().idle_timeout_ms;
     loop {
-        let due = idle_since + Duration::from_millis(applied_ms);
+        let due = idle_since + Duration::from_millis(applied_ms + context.config_apply_ms);
         if let Ok(result) = timeout_at(due, reader.fill()).await {
             return result.is_ok();
         }
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -23,6 +23,8 @@
     pub supervisor: Supervisor,
     pub pool: RefCell<Pool>,
     pub limits: Cell<CallerLimits>,
+    /// Time until a configuration has reached all gateways, in milliseconds.
+    pub config_apply_ms: u64,
     pub ready: Cell<bool>,
     pub drain_stage: Cell<DrainStage>,
     /// Notified when the number of requests in flight becomes zero.
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -55,6 +55,8 @@
     pub grace_ms: u64,
     /// Maximum number of idle connections over all endpoints.
     pub idle_connections: usize,
+    /// Time until a configuration has reached all gateways, in milliseconds.
+    pub config_apply_ms: u64,
 }
 
 /// Time limits of a graceful shutdown, counted from its start.
@@ -97,6 +99,7 @@
             supervisor: thread_supervisor.clone(),
             pool: RefCell::new(Pool::new(settings.idle_connections)),
             limits: Cell::new(CallerLimits::default()),
+            config_apply_ms: settings.config_apply_ms,
             ready: Cell::new(false),
             drain_stage: Cell::new(DrainStage::Accepting),
             became_idle: tokio::sync::Notify::new(),
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -185,6 +185,7 @@
             forwarding::ForwardingSettings {
                 grace_ms: (settings.grace_s * MS_PER_S) as u64,
                 idle_connections: settings.descriptors / IDLE_CONNECTION_DIVISOR,
+                config_apply_ms: settings.config_apply_ms,
             },
         )?;
         Ok(Self {
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -47,27 +47,31 @@
     assert!(!gateway.lines("event=stopped").is_empty());
 }
 
-/// A configuration that raises the idle timeout applies to connections that are idle already: callers go by it, and a request
-/// that crosses an earlier close is lost.
+/// A configuration that raises the idle timeout applies to connections that are idle already, also if it arrives after the
+/// earlier timeout has passed: callers go by it, and a request that crosses an earlier close is lost.
 #[actix_rt::test]
 async fn a_raised_idle_timeout_keeps_connections_that_are_already_idle() {
-    const SHORT_IDLE: Duration = Duration::from_secs(3);
+    const SHORT_IDLE: Duration = Duration::from_secs(1);
+    /// `config_apply_ms` of the settings.
+    const APPLY_TIME: Duration = Duration::from_secs(3);
     let fleet = Fleet::start();
     let mut limited = configuration(2, &["secret"]);
     limited["limits"]["idle_timeout_ms"] = json!(SHORT_IDLE.as_millis() as u64);
     fleet.store.put_configuration(&limited);
-    let gateway = Gateway::start(fleet.store.address, &[]);
+    let gateway = Gateway::start(fleet.store.address, &[("config_apply_ms", "3000")]);
     gateway.wait_ready().await;
     let mut caller = Caller::default();
     let first = caller.send(gateway.callers, "first", "/call/x", "secret").await;
     assert_eq!((first.status, first.close), (Some(200), false), "{first:?}");
     let idle_since = Instant::now();
+    actix_rt::time::sleep(SHORT_IDLE + Duration::from_millis(200)).await;
     fleet.store.put_configuration(&configuration(3, &["secret"]));
     wait_until(LIMIT, async || !gateway.lines("idle_timeout_ms=15000").is_empty())
         .await
         .expect("the configuration is applied");
-    assert!(idle_since.elapsed() < SHORT_IDLE, "the configuration was not applied in time");
-    actix_rt::time::sleep_until((idle_since + SHORT_IDLE + Duration::from_millis(300)).into()).await;
+    assert!(idle_since.elapsed() < SHORT_IDLE + APPLY_TIME, "the configuration was not applied in time");
+    let after_close = SHORT_IDLE + APPLY_TIME + Duration::from_millis(300);
+    actix_rt::time::sleep_until((idle_since + after_close).into()).await;
     let second = caller.send(gateway.callers, "second", "/call/x", "secret").await;
     assert_eq!((second.status, second.complete), (Some(200), true), "{second:?}");
 }
