dispatch: a part is tried soon if a request explains the crashes as well

Callers repeat a request that failed, so one request may be in all crashes that a part caused.

Now the part is quarantined too, and tried from the next moments on at a time drawn from 0.25 s for each known gateway. The pause doubles with each trial without a result. A sound part is cleared by its trial, one that crashes engines by then explains more incidents than the request and stays.

--- a/crates/banyannotch/src/gateway/dispatch/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/crashes.rs
@@ -45,6 +45,10 @@
 /// before the others learn of the result.
 const TRIAL_SPREAD_US: u64 = 2_000_000;
 
+/// Time over which the trials of a part are spread for each known gateway if a request explains the same crashes, in
+/// microseconds. The part is probably sound, so that it is tried at once.
+const PROBATION_SPREAD_US: u64 = 250_000;
+
 /// Maximum number of broken connections that wait for a confirmation.
 const UNCONFIRMED_LIMIT: usize = 256;
 /// Maximum number of retained crashes.
@@ -103,6 +107,17 @@
     last_crash_us: u64,
     /// When this gateway may send one request with the feature.
     trial_at_us: u64,
+    /// Time until the next trial if the result of one does not become known; it doubles with each trial.
+    trial_pause_us: u64,
+}
+
+/// How long a quarantine lasts before the first trial.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Pause {
+    /// Until gateways have agreed, because a request explains the crashes as well.
+    Probation,
+    /// Until the feature is likely to be sound again.
+    Long,
 }
 
 /// A crash of which other gateways reported a feature that has been cleared.
@@ -121,6 +136,8 @@
     /// Time of the last incident that the quarantine requires.
     complete_us: u64,
     last_crash_us: u64,
+    /// Whether a whole request explains as many incidents.
+    is_alternative: bool,
 }
 
 /// Why a feature is quarantined.
@@ -255,7 +272,7 @@
             }
             // A gateway that knows enough crashes judges by them.
             if self.crash_count(*digest) < INCIDENT_LIMIT && last_crash_us + QUARANTINE_US > now_us {
-                self.quarantine(*digest, last_crash_us, Judgement::Peer, gateways, random);
+                self.quarantine(*digest, last_crash_us, Judgement::Peer, (Pause::Long, gateways), random);
             }
         }
     }
@@ -265,7 +282,7 @@
         digest: u64,
         last_crash_us: u64,
         by: Judgement,
-        gateways: usize,
+        (pause, gateways): (Pause, usize),
         random: &mut Random,
     ) {
         let is_new = !self.quarantined.contains(&digest);
@@ -274,10 +291,14 @@
         }
         let quarantine = self.quarantined.entry(digest);
         if is_new || last_crash_us > quarantine.last_crash_us {
-            let spread_us = random.unit() * gateways.max(1) as f64 * TRIAL_SPREAD_US as f64;
+            let (pause_us, spread_us) = match pause {
+                Pause::Probation => (SETTLING_US, PROBATION_SPREAD_US),
+                Pause::Long => (TRIAL_PAUSE_US, TRIAL_SPREAD_US),
+            };
+            let spread_us = random.unit() * gateways.max(1) as f64 * spread_us as f64;
             let last_crash_us = quarantine.last_crash_us.max(last_crash_us);
-            let trial_at_us = (last_crash_us + TRIAL_PAUSE_US + spread_us as u64).max(quarantine.trial_at_us);
-            *quarantine = Quarantine { last_crash_us, trial_at_us };
+            let trial_at_us = (last_crash_us + pause_us + spread_us as u64).max(quarantine.trial_at_us);
+            *quarantine = Quarantine { last_crash_us, trial_at_us, trial_pause_us: pause_us };
         }
         if is_new {
             self.changes.push(Change::Quarantined { digest, by });
@@ -297,7 +318,8 @@
             if is_settled || self.quarantined.contains(&found.digest) {
                 let is_whole_request = found.depth == WHOLE_REQUEST_DEPTH;
                 let by = Judgement::Own { incidents: found.incidents, is_whole_request };
-                self.quarantine(found.digest, found.last_crash_us, by, gateways, random);
+                let pause = if found.is_alternative { Pause::Probation } else { Pause::Long };
+                self.quarantine(found.digest, found.last_crash_us, by, (pause, gateways), random);
             }
         }
         let quarantined: Vec<_> = self.quarantined.iter().map(|(digest, known)| (*digest, *known)).collect();
@@ -309,8 +331,10 @@
                 "crashes_explained_by_another"
             } else {
                 // The crash after a trial prolongs the quarantine.
-                if let Some(last_crash_us) = self.crashes_with(digest).map(|crash| crash.at_us).max() {
-                    self.quarantine(digest, last_crash_us, Judgement::Peer, gateways, random);
+                if !is_explanation
+                    && let Some(last_crash_us) = self.crashes_with(digest).map(|crash| crash.at_us).max()
+                {
+                    self.quarantine(digest, last_crash_us, Judgement::Peer, (Pause::Long, gateways), random);
                 }
                 continue;
             };
@@ -342,11 +366,18 @@
                 })
                 .collect();
             suspects.sort_unstable();
-            let best = suspects
-                .chunk_by(|left, right| left.0 == right.0)
-                .filter_map(explain)
-                .max_by_key(|explanation| (explanation.incidents, explanation.depth, explanation.digest));
-            let Some(best) = best else { break };
+            let mut candidates: Vec<_> =
+                suspects.chunk_by(|left, right| left.0 == right.0).filter_map(explain).collect();
+            candidates.sort_by_key(|found| (found.incidents, found.depth, found.digest));
+            let Some(best) = candidates.pop() else { break };
+            if best.depth == WHOLE_REQUEST_DEPTH {
+                // A request may be sent again so often that it explains as much as the part that crashes the engines.
+                let is_alternative = |found: &&Explanation| {
+                    found.depth < WHOLE_REQUEST_DEPTH && found.incidents == best.incidents
+                };
+                let part = candidates.iter().rfind(is_alternative);
+                found.extend(part.map(|part| Explanation { is_alternative: true, ..*part }));
+            }
             open.retain(|(_, evidence)| !evidence.features.contains(&best.digest));
             found.push(best);
         }
@@ -375,7 +406,8 @@
         let Some((_, quarantine)) = quarantined.next() else { return false };
         let is_trial = now_us >= quarantine.trial_at_us && quarantined.next().is_none();
         if is_trial {
-            quarantine.trial_at_us = now_us + TRIAL_PAUSE_US;
+            quarantine.trial_at_us = now_us + quarantine.trial_pause_us;
+            quarantine.trial_pause_us = (quarantine.trial_pause_us * 2).min(TRIAL_PAUSE_US);
         }
         !is_trial
     }
@@ -438,5 +470,12 @@
     let (digest, last_crash_us, ..) = *crashes.last()?;
     let depth = crashes.iter().map(|(.., depth)| *depth).max()?;
     let is_enough = incidents >= INCIDENT_LIMIT && addresses.len() >= ADDRESS_LIMIT;
-    is_enough.then_some(Explanation { digest, depth, incidents, complete_us, last_crash_us })
+    is_enough.then_some(Explanation {
+        digest,
+        depth,
+        incidents,
+        complete_us,
+        last_crash_us,
+        is_alternative: false,
+    })
 }
