soak: a response that runs into the end of the grace period is no loss

The trace: gateway 2 got SIGTERM at 61.800 s; request 2-54 was sent 1.2 s later; its engine, whose report named nothing, was silent twice in a row; the response was cut at 64.401 s, 2.6 s into a grace period of 3 s. The users' rules allow that for a request that was sent within 3 s after the signal and is still being run in the last sixth of the grace period.

The check excuses exactly this case, for responses that had begun.

--- a/crates/gateway/tests/soak/lost.rs
+++ b/crates/gateway/tests/soak/lost.rs
@@ -3,12 +3,15 @@
 use std::time::{Duration, Instant};
 
 use crate::SentRequest;
-use crate::world::World;
+use crate::world::{GRACE, World};
 
 /// A connection that ends this soon after the request was sent may have crossed the request, which was then not read.
 const CROSSING_LIMIT: Duration = Duration::from_millis(200);
 /// Time after a disruption in which it may still have effects: data that was held back, and processes that catch up.
 const AFTER_EFFECTS: Duration = Duration::from_millis(500);
+/// A response that is still being sent in the last part of the grace period may be cut if the request was sent within this
+/// time after SIGTERM.
+const ACCEPTED_AFTER_SIGTERM: Duration = Duration::from_secs(3);
 /// A request that ends this long before the end of its time counts as ended by it.
 const TIME_LIMIT_MARGIN: Duration = Duration::from_millis(100);
 
@@ -55,8 +58,15 @@
         // Only a response that has begun cannot be replaced by a failure when its endpoint breaks off.
         let is_broken_off = request.got.status == Some(200)
             && runs.iter().any(|number| is_disrupted(Part::Endpoint(*number), request));
+        let is_cut_at_end_of_grace = request.got.status == Some(200)
+            && !runs.is_empty()
+            && world.members[request.gateway].stops.borrow().iter().any(|stopped_at| {
+                request.sent_at <= *stopped_at + ACCEPTED_AFTER_SIGTERM
+                    && (*stopped_at + GRACE * 5 / 6..=*stopped_at + GRACE).contains(&request.ended_at)
+            });
         if !may_be_unread
             && !is_expired
+            && !is_cut_at_end_of_grace
             && !is_broken_off
             && !is_disrupted(Part::Gateway(request.gateway), request)
         {
