forwarding: the transfer of a request is a module of its own

exchange.rs opens connections and keeps abandoned exchanges; transfer.rs writes the request and forwards the response. No change of behaviour.

--- a/crates/banyannotch/src/gateway/forwarding/mod.rs
+++ b/crates/banyannotch/src/gateway/forwarding/mod.rs
@@ -16,6 +16,7 @@
 mod runtime;
 #[cfg(test)]
 mod tests;
+mod transfer;
 mod watch;
 
 pub use messages::Event;
