dispatch: booking of endpoints is a module of its own

policy.rs decides what happens to a request; booking.rs chooses the endpoint or path of a send and counts its load and retry. No change of behaviour.

--- a/crates/banyannotch/src/gateway/dispatch/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/late.rs
@@ -24,20 +24,21 @@
     ) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         ticket.late_report = report;
-        let Some(ticket) = self.tickets.get(&ticket_id) else { return };
         let is_overdue =
             !ticket.retry_mode.is_stream() || silent_ms >= self.settings.silence_limit_ms(ticket);
-        if is_overdue && self.abandon(now_us, ticket_id, "silent", actions) {
-            return;
+        if !is_overdue || !self.abandon(now_us, ticket_id, "silent", actions) {
+            self.request_report(now_us, ticket_id, actions);
         }
-        let Some(ticket) = self.tickets.get(&ticket_id) else { return };
+    }
+
+    /// Requests a report of the first engine of a late stream, unless the engine wants no requests for a time.
+    fn request_report(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         let Some((first, load)) = ticket.reservation.loads.first().copied() else { return };
         let is_engine = load.sequences > 0;
-        // An engine that wants no requests for a time is not asked for reports either.
         if !is_engine || self.announcements.hold_off_end_us(&first, now_us).is_some() {
             return;
         }
-        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         ticket.is_waiting = true;
         if !self.inspections.contains(&first) {
             self.inspections.insert(first, ());
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! said so, or no connection to the endpoint was made. See `docs/platform.md`.
 
 mod announcements;
+mod booking;
 mod budget;
 mod chains;
 mod crashes;
