--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -x "$root/target/review/cases" ] && [ -x "$root/target/release/banyannotch-gateway" ] || exit 2
-exec "$root/target/review/cases" history "$root" "$here"
+exec "$root/target/review/cases" restart "$root" "$here"
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -42,11 +42,29 @@
     }
 }
 
+/// The seeds in the settings of the gateways.
+#[derive(Clone, Copy)]
+pub enum Seeds {
+    All,
+    /// The first gateway, and two addresses at which nothing answers any more.
+    FirstAndStale,
+}
+
 pub struct Gateway {
     child: Child,
     pub name: &'static str,
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Gateway {
+    /// Sends a signal to the process, by its name without `SIG`.
+    pub fn signal(&self, signal: &str) -> Result<(), String> {
+        let line = format!("kill -{signal} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &line]).status().map_err(|error| error.to_string())?;
+        if status.success() { Ok(()) } else { Err(format!("{line} failed")) }
+    }
 }
 
 /// The replicas are in `riga-a`, `riga-b` and `riga-a`, the gateways in `riga-a`, `riga-b` and `riga-b`. The first gateway
@@ -57,6 +75,7 @@
     pub replicas: Vec<Replica>,
     pub gateways: Vec<Gateway>,
     folder: PathBuf,
+    root: PathBuf,
 }
 
 impl Drop for Fleet {
@@ -79,7 +98,7 @@
 }
 
 impl Fleet {
-    pub fn start(root: &str, out: &str) -> std::io::Result<Self> {
+    pub fn start(root: &str, out: &str, seeds: Seeds) -> std::io::Result<Self> {
         let record = Record {
             started: Instant::now(),
             file: Arc::new(Mutex::new(File::create(PathBuf::from(out).join("record.txt"))?)),
@@ -96,13 +115,18 @@
         ] {
             replicas.push(Replica::start(id, zone, ip, &store, &record)?);
         }
-        let mut fleet = Self { record, store, replicas, gateways: Vec::new(), folder };
+        let mut fleet = Self { record, store, replicas, gateways: Vec::new(), folder, root: root.into() };
         let mut ips = ["127.0.10.1", "127.0.10.2", "127.0.10.3"];
         ips.sort_by_key(|ip| order_key(ip));
         let peers = ips.iter().map(|ip| free_address(ip)).collect::<std::io::Result<Vec<_>>>()?;
+        let seeds = match seeds {
+            Seeds::All => peers.clone(),
+            // The other two have been replaced, and nothing answers at their addresses.
+            Seeds::FirstAndStale => vec![peers[0], free_address("127.0.10.8")?, free_address("127.0.10.9")?],
+        };
         let names = [("edge-a-1", "riga-a"), ("edge-b-1", "riga-b"), ("edge-b-2", "riga-b")];
         for ((name, zone), (ip, own)) in names.iter().zip(ips.iter().zip(&peers)) {
-            let gateway = fleet.start_gateway(root, (name, zone), ip, *own, &peers)?;
+            let gateway = fleet.start_gateway((name, zone), ip, *own, &seeds)?;
             fleet.gateways.push(gateway);
         }
         Ok(fleet)
@@ -110,14 +134,13 @@
 
     fn start_gateway(
         &self,
-        root: &str,
         (name, zone): (&'static str, &str),
         ip: &str,
         own: SocketAddr,
-        peers: &[SocketAddr],
+        seeds: &[SocketAddr],
     ) -> std::io::Result<Gateway> {
         let (callers, readiness, metrics) = (free_address(ip)?, free_address(ip)?, free_address(ip)?);
-        let seeds: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "instance = \"{name}\"\nzone = \"{zone}\"\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
              peers = \"{own}\"\nmetrics = \"{metrics}\"\nstore = \"{}\"\nseeds = [{}]\nheartbeat_ms = 1200\n\
@@ -129,16 +152,34 @@
         );
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text)?;
-        let log = File::create(self.folder.join(format!("{name}.log")))?;
-        let child = Command::new(PathBuf::from(root).join("target/release/banyannotch-gateway"))
+        let child = self.spawn(name, &settings)?;
+        self.record.line(&format!("gateway {name} in {zone} starts"));
+        Ok(Gateway { child, name, callers, readiness, settings })
+    }
+
+    /// Starts a gateway with the command of the deploy file.
+    fn spawn(&self, name: &str, settings: &Path) -> std::io::Result<Child> {
+        let path = self.folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(path)?;
+        Command::new(self.root.join("target/release/banyannotch-gateway"))
             .arg(format!("--settings={}", settings.display()))
-            .current_dir(root)
+            .current_dir(&self.root)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .spawn()?;
-        self.record.line(&format!("gateway {name} in {zone} starts"));
-        Ok(Gateway { child, name, callers, readiness })
+            .spawn()
+    }
+
+    /// Waits until a gateway that got SIGTERM has ended, and starts it again at the given time.
+    pub fn restart(&mut self, index: usize, at_ms: u64) -> Result<(), String> {
+        self.gateways[index].child.wait().map_err(|error| error.to_string())?;
+        let name = self.gateways[index].name;
+        self.record.line(&format!("gateway {name} has ended"));
+        self.wait_until(at_ms);
+        let settings = self.gateways[index].settings.clone();
+        self.gateways[index].child = self.spawn(name, &settings).map_err(|error| error.to_string())?;
+        self.record.line(&format!("gateway {name} starts again"));
+        Ok(())
     }
 
     /// Waits until all gateways say that they are ready.
@@ -148,7 +189,8 @@
             loop {
                 let limit = Duration::from_secs(1);
                 let line = "GET /-/readyz HTTP/1.1";
-                let answer = call(gateway.readiness, line, &[("Host", "probe"), ("Connection", "close")], b"", limit);
+                let answer =
+                    call(gateway.readiness, line, &[("Host", "probe"), ("Connection", "close")], b"", limit);
                 if answer.is_ok_and(|answer| answer.status() == 200) {
                     break;
                 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,11 +9,13 @@
 mod net;
 mod replica;
 mod reset;
-mod spoiled;
+mod restart;
 mod store;
 
 use std::process::exit;
 
+use fleet::{Fleet, Seeds};
+
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let [name, root, out] = arguments.as_slice() else {
@@ -25,13 +27,14 @@
         "leaving" => leaving::run,
         "history" => history::run,
         "reset" => reset::run,
-        "spoiled" => spoiled::run,
+        "restart" => restart::run,
         other => {
             eprintln!("unknown case {other}");
             exit(2);
         }
     };
-    let mut fleet = match fleet::Fleet::start(root, out) {
+    let seeds = if name == "restart" { Seeds::FirstAndStale } else { Seeds::All };
+    let mut fleet = match Fleet::start(root, out, seeds) {
         Ok(fleet) => fleet,
         Err(error) => {
             eprintln!("the case cannot run: {error}");
--- a/review/standins/net.rs
+++ b/review/standins/net.rs
@@ -102,7 +102,8 @@
     limit: Duration,
 ) -> Result<Message, String> {
     let started = Instant::now();
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).map_err(|e| e.to_string())?;
+    let mut stream =
+        TcpStream::connect_timeout(&address, Duration::from_secs(1)).map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     stream.set_read_timeout(Some(limit)).map_err(|e| e.to_string())?;
     write_message(&mut stream, first_line, headers, body).map_err(|e| e.to_string())?;
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -23,8 +23,6 @@
     silent: AtomicBool,
     /// The process of the replica has ended.
     ended: AtomicBool,
-    /// The next answer to a request that ran is spoiled.
-    spoils_next: AtomicBool,
     /// The next answer comes early and without a length, and the connection is reset in the middle of it.
     resets_next: AtomicBool,
 }
@@ -129,11 +127,6 @@
         self.store.put("keyed.servers", &self.id, None);
     }
 
-    /// Spoils the next answer: its bytes are no response, because no status is 000.
-    pub fn spoil_next(&self) {
-        self.flags.spoils_next.store(true, Ordering::SeqCst);
-    }
-
     /// Lets the next answer come before the body of the request is read, without a length, and end in a reset.
     pub fn reset_next(&self, resets: bool) {
         self.flags.resets_next.store(resets, Ordering::SeqCst);
@@ -153,7 +146,9 @@
             if self.flags.resets_next.swap(false, Ordering::SeqCst) {
                 return self.reset_within_answer(stream, &request);
             }
-            if read_body(&mut stream, &mut buffer, &mut request).is_none() || self.flags.ended.load(Ordering::SeqCst) {
+            if read_body(&mut stream, &mut buffer, &mut request).is_none()
+                || self.flags.ended.load(Ordering::SeqCst)
+            {
                 return;
             }
             let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
@@ -195,11 +190,7 @@
             if self.flags.leaving.load(Ordering::SeqCst) {
                 headers.push(("Server-Leaving", "1"));
             }
-            let mut first_line = refusal.unwrap_or("HTTP/1.1 200 OK");
-            if refusal.is_none() && self.flags.spoils_next.swap(false, Ordering::SeqCst) {
-                first_line = "HTTP/1.1 000 ?";
-                self.record.line(&format!("replica {} spoils the answer to {attempt}", self.id));
-            }
+            let first_line = refusal.unwrap_or("HTTP/1.1 200 OK");
             if write_message(&mut stream, first_line, &headers, answer_body(&signature).as_bytes()).is_err() {
                 return;
             }
@@ -215,12 +206,18 @@
         let signature = format!("{}.{attempt}", self.id);
         let body = answer_body(&signature);
         let half = &body[..body.len() / 2];
-        let answer = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {signature}\r\n\r\n{half}");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {signature}\r\n\r\n{half}"
+        );
         let own = stream.peer_addr().ok();
         self.streams.lock().unwrap().retain(|copy| copy.peer_addr().ok() != own);
         let written = stream.write_all(answer.as_bytes());
         drop(stream);
         let sent = if written.is_ok() { half.len() } else { 0 };
-        self.record.line(&format!("replica {} resets after {sent} of {} bytes of the answer to {attempt}", self.id, body.len()));
+        self.record.line(&format!(
+            "replica {} resets after {sent} of {} bytes of the answer to {attempt}",
+            self.id,
+            body.len()
+        ));
     }
 }
--- a/review/standins/reset.rs
+++ b/review/standins/reset.rs
@@ -28,7 +28,9 @@
                 let signature = answer.header("Server-Signature").unwrap_or_default().to_owned();
                 if answer.body != answer_body(&signature).as_bytes() {
                     let (size, whole) = (answer.body.len(), answer_body(&signature).len());
-                    fleet.record.line(&format!("MIXED: {attempt} got a success with {size} of {whole} bytes"));
+                    fleet
+                        .record
+                        .line(&format!("MIXED: {attempt} got a success with {size} of {whole} bytes"));
                     held = false;
                 }
             }
