--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod replica;
 mod reset;
 mod restart;
+mod spoiled;
 mod store;
 
 use std::process::exit;
@@ -28,6 +29,7 @@
         "history" => history::run,
         "reset" => reset::run,
         "restart" => restart::run,
+        "spoiled" => spoiled::run,
         other => {
             eprintln!("unknown case {other}");
             exit(2);
