forwarding: a reset during the write completes no body without length

Cause: the operating system reports a reset once. If the report went to the write of the request, the reads after it returned the bytes that had arrived and then an orderly end, which ends a body without a length. The failed write only kept the connection out of the pool.

The reader of a connection now knows that a write has failed, and the end of the connection completes nothing from then on. Answers with a length or chunks show their end themselves and are delivered as before. Streams read their bodies the same way.

The test suspends the gateway during the write and sends half an answer and a reset, so that the write gets the report. Before the change it failed with "RecordedResponse { status: Some(200), complete: true, body: "half of the" }".

--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -193,16 +193,21 @@
         request_bytes: &[u8],
     ) -> Result<(ResponseHead, ResponseKind, Option<Address>), TransferError> {
         let mut early_head = None;
+        let mut write_failed = false;
         {
             let (reader, writer) = (&mut self.upstream.reader, &mut self.upstream.writer);
             let write = std::pin::pin!(writer.write_all(request_bytes));
             tokio::select! {
                 biased;
                 // An endpoint may respond and then reset the connection; the response is still read.
-                write_result = write => if write_result.is_err() { self.may_reuse = false },
+                write_result = write => write_failed = write_result.is_err(),
                 head = reader.response_head(HEAD_LIMIT_BYTES) => early_head = Some(head?),
             }
         }
+        if write_failed {
+            self.may_reuse = false;
+            self.upstream.reader.record_failed_write();
+        }
         if early_head.is_some() {
             // The request was not sent completely, so the endpoint still expects the rest of its body.
             self.may_reuse = false;
--- a/crates/banyannotch/src/gateway/http1/connection.rs
+++ b/crates/banyannotch/src/gateway/http1/connection.rs
@@ -28,6 +28,8 @@
 pub struct Reader {
     read_half: OwnedReadHalf,
     buffer: BytesMut,
+    /// Whether a write on the connection has failed.
+    write_failed: bool,
 }
 
 impl Reader {
@@ -43,6 +45,13 @@
         }
     }
 
+    /// Records that a write on the connection has failed. From then on, the end of the connection no longer completes a
+    /// body without a length: the operating system reports a reset only once, so that the reads after a write that
+    /// received the report find an orderly end.
+    pub fn record_failed_write(&mut self) {
+        self.write_failed = true;
+    }
+
     /// Returns whether the buffer holds bytes that have not been decoded.
     pub fn has_buffered(&self) -> bool {
         !self.buffer.is_empty()
@@ -79,7 +88,7 @@
     /// Reads the next bytes of a body. Returns `None` at its end.
     ///
     /// # Errors
-    /// Returns [`HttpError::Truncated`] when the connection ends before the body is complete.
+    /// Returns [`HttpError::Truncated`] when the connection ends before the body is complete, or may have been reset.
     pub async fn body(&mut self, decoder: &mut BodyDecoder) -> Result<Option<Bytes>> {
         loop {
             match decoder.decode(&mut self.buffer)? {
@@ -87,7 +96,9 @@
                 Decoded::End => return Ok(None),
                 Decoded::NeedMore => match self.fill().await {
                     Ok(()) => {}
-                    Err(HttpError::Closed) if decoder.ends_with_connection() => return Ok(None),
+                    Err(HttpError::Closed) if decoder.ends_with_connection() && !self.write_failed => {
+                        return Ok(None);
+                    }
                     Err(HttpError::Closed) => return Err(HttpError::Truncated),
                     Err(error) => return Err(error),
                 },
@@ -166,7 +177,7 @@
     socket.set_tcp_keepalive(&keep_alive)?;
     socket.set_tcp_user_timeout(Some(Duration::from_millis(user_timeout_ms)))?;
     let (read_half, writer) = stream.into_split();
-    Ok((Reader { read_half, buffer: BytesMut::new() }, writer))
+    Ok((Reader { read_half, buffer: BytesMut::new(), write_failed: false }, writer))
 }
 
 /// Opens a connection within `timeout_ms` and splits it as [`split`] does.
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -8,10 +8,11 @@
 
 use banyannotch::gateway::http1::{BodyDecoder, HttpError, split};
 use banyannotch_standins::fleet::{
-    Endpoint, FLOOD_EVENTS, Fault, RecordedResponse, ReportFault, Spoiled, stream,
+    Endpoint, FLOOD_EVENTS, Fault, RecordedResponse, ReportFault, Spoiled, call, stream,
 };
 use banyannotch_standins::harness::wait_until;
-use common::{EVENTS, Fleet, Gateway, LIMIT};
+use common::{EVENTS, Fleet, Gateway, LIMIT, configuration};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -63,6 +64,46 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// The operating system reports a reset once. When the report went to the write of the request, the gateway took the end of the
+/// reads for the end of a body without a length and delivered half of it as a whole success.
+#[actix_rt::test]
+async fn a_reset_during_the_write_does_not_complete_a_body_without_length() {
+    /// Size of a request, in bytes, that the buffers of the sockets do not hold.
+    const LONG_BODY_BYTES: usize = 4 << 20;
+    let mut fleet = Fleet::start();
+    let mut allowing = configuration(2, &["secret"]);
+    allowing["limits"]["max_body_bytes"] = json!(LONG_BODY_BYTES);
+    fleet.store.put_configuration(&allowing);
+    let socket = TcpSocket::new_v4().expect("a socket is created");
+    socket.set_recv_buffer_size(4_096).expect("the size of the buffer is set");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("the socket is bound");
+    let listener = socket.listen(8).expect("the socket listens");
+    let address = listener.local_addr().expect("the socket has an address");
+    fleet.proxies = fleet.engines.iter().map(|engine| engine.address).collect();
+    fleet.proxies.push(address);
+    fleet.write_entries();
+    fleet.store.put_endpoint("desk-2", None);
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    gateway.wait_ready().await;
+    let callers = gateway.callers;
+    let request = actix_rt::spawn(async move {
+        call(callers, "long", "/call/x", "secret", &"x".repeat(LONG_BODY_BYTES)).await
+    });
+    let (connection, _) = listener.accept().await.expect("the gateway connects");
+    let (mut reader, mut writer) = split(connection, 30_000).expect("the options of the socket are set");
+    reader.request_head(65_536).await.expect("the head of the request arrives");
+    // The answer and the reset are there before the gateway writes on.
+    gateway.suspend().await;
+    let part = "HTTP/1.1 200 Any\r\nAttempt-Id: long\r\nServer-Signature: desk-1.long\r\n\r\nhalf of the";
+    writer.write_all(part.as_bytes()).await.expect("the answer is written");
+    writer.as_ref().set_zero_linger().expect("the option of the socket is set");
+    writer.forget();
+    drop(reader);
+    gateway.signal("-CONT");
+    let got = request.await.expect("the task ends");
+    assert_eq!((got.status, got.signature.as_deref()), (Some(502), None), "{got:?}");
+}
+
 /// A replica that writes an earlier rejection once more, while it runs the next request on the connection, neither makes a
 /// request run twice nor makes the gateway tell that it did not run. The first request of a pair is sent to each replica
 /// more than once; the second one is sent on the connections that the first one left.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -141,6 +141,25 @@
         number.expect("the status contains the peak of the resident memory")
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill {signal} failed");
+    }
+
+    /// Stops the process with SIGSTOP and waits until all its threads have stopped.
+    pub async fn suspend(&self) {
+        self.signal("-STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_stopped = |task: std::io::Result<std::fs::DirEntry>| {
+            let status = task.and_then(|task| std::fs::read_to_string(task.path().join("status")));
+            status.expect("the process runs").contains("State:\tT")
+        };
+        wait_until(LIMIT, async || std::fs::read_dir(&tasks).expect("the process runs").all(is_stopped))
+            .await
+            .expect("all threads stop");
+    }
+
     /// Returns the HTTP status of the readiness check.
     pub async fn readiness(&self) -> Option<u16> {
         call(self.readiness, "probe", "/-/readyz", "", "").await.status
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -14,8 +14,7 @@
 use tokio::io::AsyncWriteExt;
 
 fn terminate(gateway: &Gateway) {
-    let status = std::process::Command::new("kill").args(["-TERM", &gateway.child.id().to_string()]).status();
-    assert!(status.is_ok_and(|status| status.success()), "kill -TERM failed");
+    gateway.signal("-TERM");
 }
 
 #[actix_rt::test]
