catalog: proofs of peers end a failure as own reads do

Cause: a failed read set a flag that only a successful read of the same gateway cleared. After a cut the proofs of peers came first and put the next own read off, so the flag stayed, and each timer prolonged the grace period of endpoints whose entry was missing.

Failure is now derived: the latest read failed, and no proof of anybody is later than its start. Both feeds use it. The pause after failed reads still goes by their count. dependency_regained says which proof ended the failure.

an_endpoint_that_leaves_after_a_cut_is_removed_on_proofs_of_peers failed before with "removed after None ms".

--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -168,6 +168,15 @@
     Decide(Decision),
 }
 
+/// Who proved that a feed can be read again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProofSource {
+    /// A read of this gateway.
+    OwnRead,
+    /// A peer that has read the feed.
+    Peer,
+}
+
 /// A decision that is logged as one line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -217,12 +226,14 @@
         /// Error of the first failed read.
         error: StoreError,
     },
-    /// Reads of a feed succeed again.
+    /// A feed can be read again, by this gateway or by a peer.
     Regained {
         /// Feed that was read.
         feed: Feed,
         /// Time from the last proof to the start of the read that succeeded, in milliseconds.
         gap_ms: u64,
+        /// Who has read the feed.
+        by: ProofSource,
     },
 }
 
@@ -247,9 +258,10 @@
             Self::Lost { feed, error } => {
                 write!(formatter, "event=dependency_lost dependency=store feed={feed:?} error=\"{error}\"")
             }
-            Self::Regained { feed, gap_ms } => {
-                write!(formatter, "event=dependency_regained dependency=store feed={feed:?} gap_ms={gap_ms}")
-            }
+            Self::Regained { feed, gap_ms, by } => write!(
+                formatter,
+                "event=dependency_regained dependency=store feed={feed:?} gap_ms={gap_ms} by={by:?}"
+            ),
         }
     }
 }
--- a/crates/banyannotch/src/gateway/catalog/mod.rs
+++ b/crates/banyannotch/src/gateway/catalog/mod.rs
@@ -14,6 +14,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use messages::{Action, CatalogSettings, Decision, Event, PeerUpdate};
+pub use messages::{Action, CatalogSettings, Decision, Event, PeerUpdate, ProofSource};
 pub use policy::Catalog;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -4,7 +4,7 @@
 
 use super::entries::Entries;
 use super::exchange::Snapshot;
-use super::{Action, CatalogSettings, Decision, Event, PeerUpdate};
+use super::{Action, CatalogSettings, Decision, Event, PeerUpdate, ProofSource};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::Proof;
@@ -53,8 +53,10 @@
     proof_us: Option<u64>,
     /// When the last outage of the store ended.
     recovered_us: Option<u64>,
-    /// Whether the last read failed.
-    failing: bool,
+    /// When the latest read was sent.
+    sent_us: u64,
+    /// When the latest read was sent if it failed.
+    failed_us: Option<u64>,
     /// Whether the standby reads, because the reader's proofs were late, and no later one has arrived since.
     standby_reads: bool,
     /// When to read what a peer has read and this gateway lacks, unless gossip delivers it first.
@@ -63,6 +65,14 @@
     failures: u32,
 }
 
+impl FeedState {
+    /// Returns whether the latest read failed and nobody has read the feed since it was sent. A proof of a peer ends the
+    /// failure as an own read does, because reads are put off while peers send proofs.
+    fn is_failing(&self) -> bool {
+        self.failed_us.is_some_and(|failed_us| self.proof_us < Some(failed_us))
+    }
+}
+
 /// Follows the configuration and the endpoints in the store and in updates of peers.
 #[derive(Debug)]
 pub struct Catalog {
@@ -319,8 +329,13 @@
             return;
         };
         state.standby_reads = false;
-        self.detect_outage(now_us, feed, at_us);
+        let was_failing = state.is_failing();
+        let gap_us = self.detect_outage(now_us, feed, at_us);
         self.publish_proof(feed, at_us, out);
+        if was_failing && !self.state(feed).is_failing() {
+            let gap_ms = gap_us / US_PER_MS;
+            out.push(Action::Decide(Decision::Regained { feed, gap_ms, by: ProofSource::Peer }));
+        }
         if self.rank != Some(READER_RANK) {
             self.schedule_read(now_us, feed, at_us);
         }
@@ -398,7 +413,7 @@
         self.next_fetch_us = now_us + FETCH_PAUSE_US;
         out.push(Action::Decide(Decision::NotFetched { from, fault }));
         let state = &mut self.configuration_feed;
-        if state.catch_up_us.is_some() && !state.failing {
+        if state.catch_up_us.is_some() && state.failures == 0 {
             state.due_us = now_us;
         }
     }
@@ -449,8 +464,9 @@
         if error == StoreError::Expired {
             state.next_offset = None;
         }
-        if !state.failing {
-            state.failing = true;
+        let was_failing = state.is_failing();
+        state.failed_us = Some(state.sent_us);
+        if !was_failing && state.is_failing() {
             out.push(Action::Decide(Decision::Lost { feed, error }));
         }
     }
@@ -468,6 +484,7 @@
             }
             let state = self.state(feed);
             state.in_flight = true;
+            state.sent_us = now_us;
             state.standby_reads |= is_standby;
             let waits = feed == Feed::Configuration && self.reads_as_reader(now_us, feed);
             let wait_ms = if waits { self.settings.configuration_wait_ms } else { 0 };
@@ -495,10 +512,11 @@
     fn record_success(&mut self, now_us: u64, feed: Feed, sent_us: u64, out: &mut Vec<Action>) {
         let gap_us = self.detect_outage(now_us, feed, sent_us);
         let state = self.state(feed);
-        if state.failing {
-            out.push(Action::Decide(Decision::Regained { feed, gap_ms: gap_us / US_PER_MS }));
+        if state.is_failing() {
+            let gap_ms = gap_us / US_PER_MS;
+            out.push(Action::Decide(Decision::Regained { feed, gap_ms, by: ProofSource::OwnRead }));
         }
-        state.failing = false;
+        state.failed_us = None;
         state.failures = 0;
     }
 
@@ -559,7 +577,7 @@
             self.endpoints_feed.due_us = now_us + wait_us + jitter_us;
         }
         self.start_reads(now_us, actions);
-        if self.endpoints_feed.failing {
+        if self.endpoints_feed.is_failing() {
             self.entries.extend_grace(now_us);
         } else if self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, actions) {
             self.entries.publish(actions);
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -350,6 +350,53 @@
     assert_eq!(world.endpoints_text(), "");
 }
 
+/// Peers' proofs end a gateway's own failure. A gateway that was cut off kept endpoints that left soon after for good,
+/// because only a read of its own ended it and the proofs of its peers made such a read unnecessary.
+#[test]
+fn an_endpoint_that_leaves_after_a_cut_is_removed_on_proofs_of_peers() {
+    /// Interval between two updates of a peer, in milliseconds.
+    const ROUND_MS: u64 = 250;
+    let mut world = World::new();
+    world.answer_configuration(5);
+    world.answer_endpoints(vec![present(1), present(2)], true);
+    let update = |world: &World, through, list: Vec<Change>| {
+        let changes = (!list.is_empty()).then(|| Box::new(Changes { from: 2, through, list }));
+        let asked_us = Some(world.now_us - 5_000);
+        let age_ms = 100;
+        Event::PeerUpdate(PeerUpdate {
+            version: 5,
+            version_proof_age_ms: age_ms,
+            change_offset: through,
+            change_proof_age_ms: age_ms,
+            asked_us,
+            changes,
+            ..update_of_peer()
+        })
+    };
+    let event = update(&world, 2, Vec::new());
+    world.event(event);
+    for _ in 0..3 {
+        world.wait_ms(1_000);
+        for feed in [Feed::Configuration, Feed::Endpoints] {
+            world.event(Event::Failed { feed, error: StoreError::Unavailable });
+        }
+    }
+    world.lines.clear();
+    let cut_end_us = world.now_us;
+    let mut removed_ms = None;
+    for round in 0..24 {
+        world.wait_ms(ROUND_MS);
+        let list = if round == 4 { vec![Change::Missing("desk-1".into())] } else { Vec::new() };
+        let event = update(&world, if round < 4 { 2 } else { 3 }, list);
+        world.event(event);
+        if removed_ms.is_none() && !world.endpoints_text().is_empty() {
+            removed_ms = Some((world.now_us - cut_end_us) / US_PER_MS);
+        }
+    }
+    // The grace period of 2.5 s counts from the first proof after the cut.
+    assert!(removed_ms.is_some_and(|ms| ms <= 3_000), "removed after {removed_ms:?} ms");
+}
+
 /// A gateway whose reads are refused keeps its retry pauses although updates of peers announce newer
 /// versions. When each update cut the pause short, gateways on dacd-riga-grown scale-2 made 3,427 refused
 /// calls in nine seconds.
