catalog: pass on a reported departure that an answer had announced

Cause: the gateway that reads the store for the others has answers of the replica, which announce the departure, and marked it in its own state. The entry that it read next was equal to that state, so no change was passed on, and its proofs told the others that nothing had changed.

What entries say and what endpoints announce are now kept apart. Only entries are compared, passed on and offered; announcements are added when the endpoints are published to the duties of the same gateway.

a_reported_departure_is_passed_on_after_it_was_announced failed before: nothing was passed on.

--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -1,27 +1,29 @@
 //! The endpoints by their entries in the store: which are known, missing or leaving.
+//!
+//! What the entries say is kept apart from what endpoints announce in their answers. Gateways pass on the former only, and an
+//! announcement must not make the entry that follows it look like no change.
 
 use std::sync::Arc;
 
+use super::departures::{Departures, Start};
 use super::{Action, Decision};
 use crate::clock::US_PER_MS;
 use crate::gateway::Endpoint;
 use crate::table::Table;
 
-/// Maximum number of departures kept, the latest ones. They prevent a late record from reviving an endpoint that is
-/// leaving.
-const DEPARTURE_LIMIT: usize = 4_096;
-
 /// The endpoints of all services.
 #[derive(Debug)]
 pub(super) struct Entries {
     /// How long after an outage of the store an endpoint without an entry is kept, in milliseconds.
     return_grace_ms: u64,
+    /// The endpoints as their entries describe them.
     known: Table<Arc<str>, Endpoint>,
     /// Endpoints whose entry is missing, and when they are removed.
     missing: Table<Arc<str>, u64>,
-    /// Name and start of the endpoints that have announced their departure, with the position in their order.
-    departures: Table<(Arc<str>, u64), u64>,
-    departure_count: u64,
+    /// Departures that entries reported. They prevent a late record from reviving an endpoint that is leaving.
+    reported: Departures,
+    /// Departures that endpoints announced in their answers.
+    announced: Departures,
 }
 
 impl Entries {
@@ -31,12 +33,12 @@
             return_grace_ms,
             known: Table::default(),
             missing: Table::default(),
-            departures: Table::default(),
-            departure_count: 0,
+            reported: Departures::default(),
+            announced: Departures::default(),
         }
     }
 
-    /// Returns all endpoints; several may have the same address.
+    /// Returns all endpoints as their entries describe them; several may have the same address.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.known.iter().map(|(_, endpoint)| endpoint)
     }
@@ -67,11 +69,11 @@
             // The record is late and belongs to an earlier start of the endpoint.
             return false;
         }
-        let start = (Arc::clone(&endpoint.id), endpoint.born_ms);
+        let start = start_of(&endpoint);
         if endpoint.leaving {
-            self.record_departure(start);
-        } else if self.departures.contains(&start) {
-            endpoint.leaving = true;
+            self.reported.record(start);
+        } else {
+            endpoint.leaving = self.reported.contains(&start);
         }
         self.missing.remove(&endpoint.id);
         if self.known.get(&endpoint.id) == Some(&endpoint) {
@@ -94,28 +96,9 @@
 
     /// Records the departure of an endpoint that announced it itself. Returns whether the endpoint changed.
     pub fn mark_leaving(&mut self, id: Arc<str>, born_ms: u64) -> bool {
-        let known = self.known.get_mut(&id).filter(|known| known.born_ms == born_ms && !known.leaving);
-        let changed = known.is_some();
-        if let Some(known) = known {
-            known.leaving = true;
-        }
-        self.record_departure((id, born_ms));
-        changed
-    }
-
-    /// Records a departure, in place of the oldest one if too many are kept.
-    fn record_departure(&mut self, start: (Arc<str>, u64)) {
-        if self.departures.contains(&start) {
-            return;
-        }
-        if self.departures.len() >= DEPARTURE_LIMIT {
-            let oldest = self.departures.iter().min_by_key(|(_, position)| **position);
-            if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
-                self.departures.remove(&oldest);
-            }
-        }
-        self.departure_count += 1;
-        self.departures.insert(start, self.departure_count);
+        let known = self.known.get(&id);
+        let is_in_use = known.is_some_and(|known| known.born_ms == born_ms && !known.leaving);
+        self.announced.record((id, born_ms)) && is_in_use
     }
 
     /// Marks an endpoint whose entry is missing for removal. After an outage, in which the entry may have expired, the
@@ -154,6 +137,14 @@
         let mut by_address: Vec<&Endpoint> = self.known.iter().map(|(_, endpoint)| endpoint).collect();
         by_address.sort_by_key(|endpoint| (endpoint.address, std::cmp::Reverse(endpoint.born_ms)));
         by_address.dedup_by_key(|endpoint| endpoint.address);
-        out.push(Action::Endpoints(by_address.into_iter().cloned().collect()));
+        let published = by_address.into_iter().map(|endpoint| {
+            let leaving = endpoint.leaving || self.announced.contains(&start_of(endpoint));
+            Endpoint { leaving, ..endpoint.clone() }
+        });
+        out.push(Action::Endpoints(published.collect()));
     }
 }
+
+fn start_of(endpoint: &Endpoint) -> Start {
+    (Arc::clone(&endpoint.id), endpoint.born_ms)
+}
--- a/crates/banyannotch/src/gateway/catalog/mod.rs
+++ b/crates/banyannotch/src/gateway/catalog/mod.rs
@@ -4,6 +4,7 @@
 //! State is monotonic: the version of the configuration never decreases, and an endpoint that announced its
 //! departure stays leaving until it restarts. See `docs/platform.md`.
 
+mod departures;
 mod entries;
 mod exchange;
 #[cfg(test)]
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -30,6 +30,8 @@
     now_us: u64,
     next: u64,
     lines: Vec<String>,
+    /// Changes of endpoints that were passed to gossip.
+    passed_on: Vec<Change>,
 }
 
 impl World {
@@ -39,7 +41,7 @@
 
     fn with(settings: CatalogSettings) -> Self {
         let catalog = Catalog::new(settings, 1);
-        Self { catalog, now_us: 10_000_000, next: 0, lines: Vec::new() }
+        Self { catalog, now_us: 10_000_000, next: 0, lines: Vec::new(), passed_on: Vec::new() }
     }
 
     fn event(&mut self, event: Event) {
@@ -66,7 +68,11 @@
                 Action::EndpointsProof(proof) => format!("endpoints are {} ms old", age_ms(proof.at_us)),
                 Action::Read { feed, from, wait_ms } => format!("read {feed:?} from {from:?} wait {wait_ms}"),
                 Action::Fetch { from } => format!("fetch from {}", from.ip()),
-                Action::Decide(_) | Action::Changed(_) | Action::Offer(_) => continue,
+                Action::Changed(changes) => {
+                    self.passed_on.extend(changes.list);
+                    continue;
+                }
+                Action::Decide(_) | Action::Offer(_) => continue,
             };
             self.lines.push(format!("{at_ms}: {text}"));
         }
@@ -147,6 +153,23 @@
     insta::assert_snapshot!(world.endpoints_text());
 }
 
+/// A reader that learned of a departure from an answer must still pass on the entry that reports it. It found its own state
+/// unchanged, so that the other gateways took its proofs for "nothing changed" and kept using the endpoint.
+#[test]
+fn a_reported_departure_is_passed_on_after_it_was_announced() {
+    let mut world = World::new();
+    let leaving = Endpoint { leaving: true, ..plain_endpoint(1, "a") };
+    world.answer_endpoints(vec![present(1), present(2)], true);
+    world.event(Event::Leaving { id: "desk-1".into(), born_ms: 1 });
+    let offset = world.catalog.change_offset();
+    world.answer_endpoints(vec![Record::Endpoint(leaving.clone())], false);
+    assert_eq!(world.passed_on, [Change::Known(leaving.clone())]);
+    assert!(world.catalog.change_offset() > offset, "the offset of the last change stayed");
+    // Its heartbeats are no changes.
+    world.answer_endpoints(vec![Record::Endpoint(leaving)], false);
+    assert_eq!(world.passed_on.len(), 1);
+}
+
 /// Entries that expire while the store is not available are renewed within two seconds of its return.
 /// Endpoints whose entry is not renewed within the grace period are removed.
 #[test]
