catalog: pass on the return of a missing entry

After an outage in which entries lapsed, gateways could remove engines that were alive: a reader told the others that an entry was missing, but not that it had returned, if the endpoint was the same as before. They removed it after the grace period. The same held for an unreadable record that is followed by a good one in the same read.

Entries::upsert now tells the return of an entry from no change. The return is passed on, but not published to the duties of the same gateway, for which nothing has changed.

the_return_of_a_missing_entry_is_passed_on failed before: only [Missing("desk-1")] was passed on. The tests of the catalog pass.

--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -11,6 +11,17 @@
 use crate::gateway::Endpoint;
 use crate::table::Table;
 
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum EntryChange {
+    /// Nothing, or only the heartbeat.
+    Unchanged,
+    /// The entry had been missing; the endpoint is as before.
+    Returned,
+    /// The endpoint is new or has changed.
+    Changed,
+}
+
 /// The endpoints of all services.
 #[derive(Debug)]
 pub(super) struct Entries {
@@ -62,12 +73,12 @@
         }
     }
 
-    /// Adds or updates an endpoint from its entry. Returns whether anything but its heartbeat changed.
-    pub fn upsert(&mut self, mut endpoint: Endpoint, out: &mut Vec<Action>) -> bool {
+    /// Adds or updates an endpoint from its entry.
+    pub fn upsert(&mut self, mut endpoint: Endpoint, out: &mut Vec<Action>) -> EntryChange {
         let known = self.known.get(&endpoint.id);
         if known.is_some_and(|known| known.born_ms > endpoint.born_ms) {
             // The record is late and belongs to an earlier start of the endpoint.
-            return false;
+            return EntryChange::Unchanged;
         }
         let start = start_of(&endpoint);
         if endpoint.leaving {
@@ -75,9 +86,9 @@
         } else {
             endpoint.leaving = self.reported.contains(&start);
         }
-        self.missing.remove(&endpoint.id);
+        let was_missing = self.missing.remove(&endpoint.id).is_some();
         if self.known.get(&endpoint.id) == Some(&endpoint) {
-            return false;
+            return if was_missing { EntryChange::Returned } else { EntryChange::Unchanged };
         }
         let state = format!(
             "service={} address={} zone={} born_ms={} leaving={} accelerator={} layers={}",
@@ -91,7 +102,7 @@
         );
         out.push(Action::Decide(Decision::Known { id: Arc::clone(&endpoint.id), state }));
         self.known.insert(Arc::clone(&endpoint.id), endpoint);
-        true
+        EntryChange::Changed
     }
 
     /// Records the departure of an endpoint that announced it itself. Returns whether the endpoint changed.
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::entries::Entries;
+use super::entries::{Entries, EntryChange};
 use super::exchange::Snapshot;
 use super::{Action, CatalogSettings, Decision, Event, PeerUpdate, ProofSource};
 use crate::clock::US_PER_MS;
@@ -140,7 +140,8 @@
             batch = Batch { next: self.state(feed).next_offset.unwrap_or(batch.next), ..Batch::default() };
         }
         let next = batch.next;
-        let (mut changed, mut newly_missing) = (false, false);
+        // Whether an endpoint is new or has changed, and whether an entry went missing or returned.
+        let (mut changed, mut presence_changed) = (false, false);
         let recovered_us = self.endpoints_feed.recovered_us;
         let mut present = Vec::new();
         let mut changes = Vec::new();
@@ -149,10 +150,12 @@
                 Record::Configuration(configuration) => self.apply_configuration(configuration, out),
                 Record::Endpoint(endpoint) => {
                     present.push(Arc::clone(&endpoint.id));
-                    if self.entries.upsert(endpoint.clone(), out) {
-                        changed = true;
-                        changes.push(Change::Known(endpoint));
+                    match self.entries.upsert(endpoint.clone(), out) {
+                        EntryChange::Unchanged => continue,
+                        EntryChange::Returned => presence_changed = true,
+                        EntryChange::Changed => changed = true,
                     }
+                    changes.push(Change::Known(endpoint));
                 }
                 Record::NoEndpoint { id, fault } => {
                     if let Some(fault) = fault {
@@ -160,7 +163,7 @@
                     }
                     present.retain(|known| *known != id);
                     if self.entries.mark_missing(now_us, &id, recovered_us) {
-                        newly_missing = true;
+                        presence_changed = true;
                         changes.push(Change::Missing(id));
                     }
                 }
@@ -173,11 +176,11 @@
             present.sort_unstable();
             let absent = self.entries.absent_from(&present);
             for id in absent {
-                newly_missing |= self.entries.mark_missing(now_us, &id, recovered_us);
+                presence_changed |= self.entries.mark_missing(now_us, &id, recovered_us);
             }
         }
         let dropped = self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, out);
-        if changed || newly_missing {
+        if changed || presence_changed {
             // A snapshot does not show which changes led to it.
             let (from, list) = if snapshot { (next, Vec::new()) } else { (self.change_offset, changes) };
             out.push(Action::Changed(Changes { from, through: next, list }));
@@ -189,7 +192,7 @@
         let state = self.state(feed);
         let is_first = state.next_offset.is_none();
         state.next_offset = Some(next);
-        if changed || dropped || newly_missing || is_first || self.version != version_before {
+        if changed || dropped || presence_changed || is_first || self.version != version_before {
             self.offer(out);
         }
         let state = self.state(feed);
@@ -429,7 +432,9 @@
         let recovered_us = self.endpoints_feed.recovered_us;
         for change in &changes.list {
             match change {
-                Change::Known(endpoint) => changed |= self.entries.upsert(endpoint.clone(), out),
+                Change::Known(endpoint) => {
+                    changed |= self.entries.upsert(endpoint.clone(), out) == EntryChange::Changed;
+                }
                 Change::Missing(id) => {
                     self.entries.mark_missing(now_us, id, recovered_us);
                 }
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -170,6 +170,27 @@
     assert_eq!(world.passed_on.len(), 1);
 }
 
+/// A reader that passed on that an entry is missing must pass on its return as well, also if the endpoint is the same as
+/// before. Otherwise the other gateways remove an endpoint that is alive.
+#[test]
+fn the_return_of_a_missing_entry_is_passed_on() {
+    let missing = || Change::Missing("desk-1".into());
+    let known = || Change::Known(plain_endpoint(1, "a"));
+    for in_one_read in [true, false] {
+        let mut world = World::new();
+        world.answer_endpoints(vec![present(1), present(2)], true);
+        world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable });
+        world.wait_ms(5_000);
+        if in_one_read {
+            world.answer_endpoints(vec![removed(1), present(1)], false);
+        } else {
+            world.answer_endpoints(vec![removed(1)], false);
+            world.answer_endpoints(vec![present(1)], false);
+        }
+        assert_eq!(world.passed_on, [missing(), known()], "in one read: {in_one_read}");
+    }
+}
+
 /// Entries that expire while the store is not available are renewed within two seconds of its return.
 /// Endpoints whose entry is not renewed within the grace period are removed.
 #[test]
