catalog: offer only endpoints that have an entry

Cause: a gateway that finds a gap in its proofs keeps endpoints whose entry it finds removed for a grace period.

The return of an entry is passed on to all.

an_endpoint_whose_entry_is_missing_is_not_offered_to_a_starting_gateway failed before: ["desk-1", "desk-2"] were offered instead of ["desk-2"].

--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -49,9 +49,10 @@
         }
     }
 
-    /// Returns all endpoints as their entries describe them; several may have the same address.
-    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.known.iter().map(|(_, endpoint)| endpoint)
+    /// Returns the endpoints that have an entry, as it describes them; several may have the same address.
+    pub fn present(&self) -> impl Iterator<Item = &Endpoint> {
+        let present = self.known.iter().filter(|(id, _)| !self.missing.contains(id));
+        present.map(|(_, endpoint)| endpoint)
     }
 
     /// Returns the names of the known endpoints that are not in a sorted list.
--- a/crates/banyannotch/src/gateway/catalog/exchange.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange.rs
@@ -62,7 +62,7 @@
 pub struct Snapshot {
     /// The configuration.
     pub configuration: Arc<Configuration>,
-    /// The endpoints; several may have the same address.
+    /// The endpoints that have an entry; several may have the same address.
     pub endpoints: Vec<Endpoint>,
     /// Offset after the last record that changed an endpoint.
     pub change_offset: u64,
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -397,12 +397,13 @@
         self.handle_peer_update(now_us, &update, out);
     }
 
-    /// Offers what this gateway has to peers.
+    /// Offers what this gateway has to peers. Endpoints whose entry is missing are left out: the removal is before the
+    /// offset of the snapshot, so that no later record would tell a peer of it.
     fn offer(&self, out: &mut Vec<Action>) {
         let (Some(next_offset), true) = (self.endpoints_feed.next_offset, self.version > 0) else { return };
         out.push(Action::Offer(Box::new(Snapshot {
             configuration: Arc::clone(&self.configuration),
-            endpoints: self.entries.iter().cloned().collect(),
+            endpoints: self.entries.present().cloned().collect(),
             change_offset: self.change_offset,
             next_offset,
         })));
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -32,6 +32,8 @@
     lines: Vec<String>,
     /// Changes of endpoints that were passed to gossip.
     passed_on: Vec<Change>,
+    /// The snapshot that is offered to peers.
+    offered: Option<Snapshot>,
 }
 
 impl World {
@@ -41,7 +43,7 @@
 
     fn with(settings: CatalogSettings) -> Self {
         let catalog = Catalog::new(settings, 1);
-        Self { catalog, now_us: 10_000_000, next: 0, lines: Vec::new(), passed_on: Vec::new() }
+        Self { catalog, now_us: 10_000_000, next: 0, lines: Vec::new(), passed_on: Vec::new(), offered: None }
     }
 
     fn event(&mut self, event: Event) {
@@ -72,7 +74,11 @@
                     self.passed_on.extend(changes.list);
                     continue;
                 }
-                Action::Decide(_) | Action::Offer(_) => continue,
+                Action::Offer(snapshot) => {
+                    self.offered = Some(*snapshot);
+                    continue;
+                }
+                Action::Decide(_) => continue,
             };
             self.lines.push(format!("{at_ms}: {text}"));
         }
@@ -633,6 +639,36 @@
     insta::assert_snapshot!(world.lines.join("\n"));
 }
 
+/// Returns the names of the endpoints that are offered to peers.
+fn offered_names(world: &World) -> Vec<&str> {
+    let offered = world.offered.iter().flat_map(|snapshot| &snapshot.endpoints);
+    offered.map(|endpoint| &*endpoint.id).collect()
+}
+
+/// A snapshot has the endpoints whose entries exist at its offset. It had those that the offering gateway kept for a grace
+/// period as well, and a starting gateway used them for good, because no later record said that they were gone.
+#[test]
+fn an_endpoint_whose_entry_is_missing_is_not_offered_to_a_starting_gateway() {
+    let mut world = World::new();
+    world.answer_configuration(5);
+    world.answer_endpoints(vec![present(1), present(2)], true);
+    assert_eq!(offered_names(&world), ["desk-1", "desk-2"]);
+    // A gateway that was suspended keeps endpoints whose entry it finds removed, as after an outage.
+    world.wait_ms(4_000);
+    world.answer_endpoints(vec![], false);
+    world.answer_endpoints(vec![removed(1)], false);
+    assert_eq!(world.endpoints_text(), "0: endpoints [\"desk-1\", \"desk-2\"]");
+    assert_eq!(offered_names(&world), ["desk-2"]);
+    // Nor is it offered after it has been removed here.
+    world.wait_ms(3_000);
+    assert!(world.endpoints_text().ends_with("endpoints [\"desk-2\"]"), "{}", world.endpoints_text());
+    assert_eq!(offered_names(&world), ["desk-2"]);
+    // An entry that returns is offered again.
+    world.answer_endpoints(vec![present(1), removed(2)], false);
+    world.answer_endpoints(vec![present(2)], false);
+    assert_eq!(offered_names(&world), ["desk-1", "desk-2"]);
+}
+
 /// A gateway that starts alone reads the store itself, after the time in which a peer would have answered.
 #[test]
 fn a_starting_gateway_without_peers_reads_the_store() {
