forwarding: bodies that are buffered share a limit

A faulty endpoint could take all memory of a gateway, with the requests of its other callers (report of another operator).

Cause: each buffered body was limited to 4 MiB, but nothing limited them together. An endpoint states its own number of slots and can send that much for each of them at a time.

Bodies now share 32 MiB, without the first 64 KiB of each, so that ordinary answers need no share. A body that finds no room ends as a faulty one does and is logged as body_refused.

--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::budget::BodyShare;
 use crate::gateway::dispatch::Refusal;
 use crate::gateway::http1::ResponseHead;
 use crate::gateway::{Dialect, ResponseInfo};
@@ -93,10 +94,12 @@
 }
 
 /// A complete response of an endpoint.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub(super) struct Response {
     pub head: ResponseHead,
     pub body: Bytes,
+    /// The body counts as buffered until the response is dropped.
+    pub _share: BodyShare,
 }
 
 /// Writes a complete response of an endpoint to the caller's output.
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -99,7 +99,7 @@
     let to_reply = |error: HttpError| match error {
         HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => None,
         HttpError::HeadTooLarge(_) => Some((431, error.to_string())),
-        HttpError::BodyTooLarge(_) => Some((413, error.to_string())),
+        HttpError::BodyTooLarge(_) | HttpError::BuffersFull(_) => Some((413, error.to_string())),
         HttpError::Malformed(_) => Some((400, error.to_string())),
     };
     let timed_out =
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
+use super::budget::BodyBudget;
 use super::pool::Pool;
 use super::watch::Abandonment;
 use crate::clock::Clock;
@@ -22,6 +23,8 @@
     pub clock: C,
     pub supervisor: Supervisor,
     pub pool: RefCell<Pool>,
+    /// Limits the response bodies that are buffered together.
+    pub bodies: BodyBudget,
     pub limits: Cell<CallerLimits>,
     /// Time until a configuration has reached all gateways, in milliseconds.
     pub config_apply_ms: u64,
--- a/crates/banyannotch/src/gateway/forwarding/mod.rs
+++ b/crates/banyannotch/src/gateway/forwarding/mod.rs
@@ -6,6 +6,7 @@
 //! when dispatch asks for it. The data of a stream stays on this thread. See `docs/platform.md`.
 
 mod answer;
+mod budget;
 mod caller;
 mod context;
 mod events;
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::TcpStream;
 
+use super::budget::BodyBudget;
 use super::context::{Context, DrainStage};
 use super::pool::Pool;
 use super::{Event, caller, probe};
@@ -98,6 +99,7 @@
             clock,
             supervisor: thread_supervisor.clone(),
             pool: RefCell::new(Pool::new(settings.idle_connections)),
+            bodies: BodyBudget::default(),
             limits: Cell::new(CallerLimits::default()),
             config_apply_ms: settings.config_apply_ms,
             ready: Cell::new(false),
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::answer::{ConnectionUse, ResponseKind, classify, describes_endpoint};
+use super::budget::BodyBudget;
 use super::events::EventSplitter;
 use super::watch::WatchLimits;
 use crate::gateway::ResponseInfo;
-use crate::gateway::http1::ResponseHead;
+use crate::gateway::http1::{BodyQuota, ResponseHead};
 
 fn split(last_id: Option<u64>, pieces: &[&str]) -> String {
     let mut splitter = EventSplitter::new(last_id);
@@ -118,3 +119,35 @@
         .collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Large bodies must not take more memory together than the process can spare, nor displace small ones. What a body took is
+/// free again after it.
+#[test]
+fn large_bodies_share_a_limit_that_small_ones_do_not_need() {
+    const MIB: usize = 1 << 20;
+    let budget = BodyBudget::default();
+    let mut shares = Vec::new();
+    let mut lines = Vec::new();
+    for round in ["empty", "full", "after the drop"] {
+        let large = (0..40).filter(|_| {
+            let mut share = budget.share();
+            let is_accepted = (0..2).all(|_| share.take(MIB / 2).is_ok());
+            shares.push(share);
+            is_accepted
+        });
+        let large = large.count();
+        let mut small = budget.share();
+        let is_small_accepted = small.take(64 << 10).is_ok();
+        lines.push(format!("{round}: {large} of 40 bodies of 1 MiB, one of 64 KiB: {is_small_accepted}"));
+        if round == "full" {
+            shares.clear();
+        }
+    }
+    let mut single = BodyBudget::default().share();
+    let whole = single.take(4 * MIB).map_err(|error| error.to_string());
+    lines.push(format!(
+        "4 MiB: {whole:?}, one byte more: {:?}",
+        single.take(1).map_err(|error| error.to_string())
+    ));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -23,9 +23,6 @@
 
 /// Maximum number of bytes buffered of an incomplete response head.
 const HEAD_LIMIT_BYTES: usize = 65_536;
-/// Maximum size of the body of a response that is not a stream. It is buffered until it is complete, and an instance
-/// with little memory may buffer several.
-const BODY_LIMIT_BYTES: usize = 4 << 20;
 /// Maximum size of the body of a rejection or of a response to another request. It is not used.
 const UNUSED_BODY_LIMIT_BYTES: usize = 65_536;
 /// Time limit for the body of a rejection, in milliseconds. The request waits for it before it is sent elsewhere, and
@@ -255,10 +252,19 @@
         framing: Framing,
         decoder: BodyDecoder,
     ) -> Result<Response, TransferError> {
-        let body = self.upstream.reader.whole_body(decoder, BODY_LIMIT_BYTES).await?;
+        let mut share = self.context.bodies.share();
+        let read = self.upstream.reader.whole_body_within(decoder, &mut share).await;
+        if let Err(error @ (HttpError::BodyTooLarge(_) | HttpError::BuffersFull(_))) = &read {
+            let endpoint = &self.order.forwarding_info.endpoint;
+            log::warn!(
+                "event=body_refused request={} endpoint={endpoint} error=\"{error}\"",
+                self.request.id
+            );
+        }
+        let body = read?;
         self.may_reuse &= framing != Framing::UntilClose && head.keeps_alive();
         self.allow_pooling(&head);
-        Ok(Response { head, body })
+        Ok(Response { head, body, _share: share })
     }
 
     /// Forwards complete events of a stream as they arrive. Only complete events are progress: an endpoint that sends
--- a/crates/banyannotch/src/gateway/http1/body.rs
+++ b/crates/banyannotch/src/gateway/http1/body.rs
@@ -41,6 +41,40 @@
     Done,
 }
 
+/// A limit on the size of a body that is buffered.
+pub trait BodyQuota {
+    /// Accounts for further bytes of the body, before they are buffered.
+    ///
+    /// # Errors
+    /// Returns [`HttpError::BodyTooLarge`] or [`HttpError::BuffersFull`] when there is no room for them.
+    fn take(&mut self, size_bytes: usize) -> Result<()>;
+}
+
+/// A limit on a single body.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FixedQuota {
+    limit_bytes: usize,
+    taken_bytes: usize,
+}
+
+impl FixedQuota {
+    /// Creates the quota of a body that is still empty.
+    pub fn new(limit_bytes: usize) -> Self {
+        Self { limit_bytes, taken_bytes: 0 }
+    }
+}
+
+impl BodyQuota for FixedQuota {
+    fn take(&mut self, size_bytes: usize) -> Result<()> {
+        self.taken_bytes = self.taken_bytes.saturating_add(size_bytes);
+        if self.taken_bytes > self.limit_bytes {
+            Err(HttpError::BodyTooLarge(self.limit_bytes))
+        } else {
+            Ok(())
+        }
+    }
+}
+
 /// Decodes one body from a buffer that is filled incrementally.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyDecoder {
--- a/crates/banyannotch/src/gateway/http1/connection.rs
+++ b/crates/banyannotch/src/gateway/http1/connection.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
-use super::body::{BodyDecoder, Decoded};
+use super::body::{BodyDecoder, BodyQuota, Decoded, FixedQuota};
 use super::{HttpError, RequestHead, ResponseHead, Result, parse_request, parse_response};
 use crate::pipeline::Address;
 
@@ -118,12 +118,22 @@
     ///
     /// # Errors
     /// Returns [`HttpError::BodyTooLarge`] when it is larger than `limit_bytes`.
-    pub async fn whole_body(&mut self, mut decoder: BodyDecoder, limit_bytes: usize) -> Result<Bytes> {
+    pub async fn whole_body(&mut self, decoder: BodyDecoder, limit_bytes: usize) -> Result<Bytes> {
+        self.whole_body_within(decoder, &mut FixedQuota::new(limit_bytes)).await
+    }
+
+    /// Reads a complete body as far as the quota allows.
+    ///
+    /// # Errors
+    /// Returns the error of the quota when it has no room for the body.
+    pub async fn whole_body_within<Q: BodyQuota>(
+        &mut self,
+        mut decoder: BodyDecoder,
+        quota: &mut Q,
+    ) -> Result<Bytes> {
         let mut collected = BytesMut::new();
         while let Some(data) = self.body(&mut decoder).await? {
-            if collected.len() + data.len() > limit_bytes {
-                return Err(HttpError::BodyTooLarge(limit_bytes));
-            }
+            quota.take(data.len())?;
             collected.extend_from_slice(&data);
         }
         Ok(collected.freeze())
--- a/crates/banyannotch/src/gateway/http1/error.rs
+++ b/crates/banyannotch/src/gateway/http1/error.rs
@@ -20,6 +20,9 @@
     /// The body exceeds its size limit, given in bytes.
     #[error("the body is larger than {0} bytes")]
     BodyTooLarge(usize),
+    /// All bodies that are buffered together would exceed their size limit, given in bytes.
+    #[error("the buffered bodies together are larger than {0} bytes")]
+    BuffersFull(usize),
     /// The bytes are not a valid HTTP/1.1 message.
     #[error("not an HTTP message: {0}")]
     Malformed(&'static str),
--- a/crates/banyannotch/src/gateway/http1/mod.rs
+++ b/crates/banyannotch/src/gateway/http1/mod.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use body::{BodyDecoder, Decoded, Framing};
+pub use body::{BodyDecoder, BodyQuota, Decoded, Framing};
 pub use connection::{Reader, connect, split};
 pub use error::{HttpError, Result};
 pub use head::{Headers, RequestHead, ResponseHead, parse_request, parse_response, write_chunk};
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -312,6 +312,39 @@
     assert!(peak_kb < MEMORY_LIMIT_KB, "the gateway used {peak_kb} kB");
 }
 
+/// Bodies without end that arrive for many requests at once must not fill the memory, nor take sound answers with them. Each
+/// was limited by itself, and together they took more memory than a gateway has.
+#[actix_rt::test]
+async fn many_bodies_without_end_share_a_limit() {
+    /// Number of requests that the faulty endpoint accepts at a time.
+    const SLOTS: usize = 96;
+    /// A gateway has 260 MB on the smallest machines of the users, and needs half of them for everything else.
+    const MEMORY_LIMIT_KB: u64 = 130_000;
+    let fleet = Fleet::start();
+    let mut entry = fleet.replicas[0].entry("desk", None, "ready");
+    entry["slots"] = json!(SLOTS);
+    fleet.store.put_endpoint("desk-1", Some(&entry));
+    fleet.store.put_endpoint("desk-2", None);
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    gateway.wait_ready().await;
+    fleet.replicas[0].set_fault(Fault::EndlessUnframed, SLOTS);
+    let callers = gateway.callers;
+    let requests: Vec<_> = (0..SLOTS)
+        .map(|number| {
+            let id = format!("endless-{number}");
+            actix_rt::spawn(async move { call(callers, &id, "/call/x", "secret", "body").await })
+        })
+        .collect();
+    for request in requests {
+        let got = request.await.expect("the task ends");
+        assert!(matches!(got.status, Some(502 | 504)) && got.complete, "{got:?}");
+    }
+    let peak_kb = gateway.peak_memory_kb();
+    assert!(peak_kb < MEMORY_LIMIT_KB, "the gateway used {peak_kb} kB");
+    let after = gateway.call("after", "/call/x").await;
+    assert_eq!(after.body, "answer of after", "{after:?}");
+}
+
 /// Endpoints receive the team and the path that the gateway determined, but never the key.
 #[actix_rt::test]
 async fn endpoints_receive_the_team_but_not_the_key() {
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -82,6 +82,8 @@
     EndlessHead,
     /// Sends a body without end until the connection is closed.
     EndlessBody,
+    /// As `EndlessBody`, without a length and without chunks.
+    EndlessUnframed,
     /// Responds with status 503 and a `Retry-After`, and does not run the request.
     RetryAfter {
         /// Time for which the endpoint wants no requests, in milliseconds.
@@ -465,6 +467,10 @@
         let head = format!("HTTP/1.1 200 Any\r\n{signed}Transfer-Encoding: chunked\r\n\r\n");
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
     }
+    if fault == Fault::EndlessUnframed {
+        let head = format!("HTTP/1.1 200 Any\r\n{signed}\r\n");
+        return write_without_end(head.as_bytes(), &[b'x'; 1_024], writer).await;
+    }
     if let Some((spoiled, last)) = spoiled {
         let out = spoiled_response(spoiled, &signed, last);
         return writer.write_all(&out).await.is_ok()
