gateway: test requests that arrive late in the grace period

Another operator reported that requests accepted late in the grace period of a planned stop were cut at its end without an answer.

The test sends requests on kept and new connections from the signal, which is sent twice, until the process has exited, with endpoints that stay silent.

--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -116,6 +116,56 @@
         .expect("the process ends");
 }
 
+/// Requests that arrive during a shutdown, up to the exit of the process, are answered if they were passed on, and a refusal
+/// is true. At another operator, requests that were accepted late in the grace period were cut at its end.
+#[actix_rt::test]
+async fn requests_that_arrive_late_in_the_grace_period_are_answered() {
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let fleet = Fleet::start();
+    let mut gateway = Gateway::start(fleet.store.address, &[("grace_s", "2")]);
+    gateway.wait_ready().await;
+    let callers = gateway.callers;
+    let mut idle = Vec::new();
+    for number in 0..50 {
+        let mut caller = Caller::default();
+        let first = caller.send(callers, &format!("first-{number}"), "/call/x", "secret").await;
+        assert_eq!((first.status, first.close), (Some(200), false), "{first:?}");
+        idle.push(caller);
+    }
+    for replica in &fleet.replicas {
+        replica.set_fault(Fault::Hang, usize::MAX);
+    }
+    terminate(&gateway);
+    gateway.signal("-TERM");
+    let mut requests = Vec::new();
+    while !matches!(gateway.child.try_wait(), Ok(Some(_))) {
+        for kept in [true, false] {
+            let number = requests.len();
+            let id = format!("late-{number}");
+            let mut caller = idle.pop().filter(|_| kept).unwrap_or_default();
+            requests.push(actix_rt::spawn(async move {
+                let got = caller.send(callers, &id, "/call/x", "secret").await;
+                (id, got)
+            }));
+        }
+        actix_rt::time::sleep(INTERVAL).await;
+    }
+    let mut counts = [0; 3];
+    for request in requests {
+        let (id, got) = request.await.expect("the task ends");
+        let runs = fleet.runs_of(&id);
+        match got.status {
+            Some(504) => counts[0] += 1,
+            Some(503) => counts[1] += 1,
+            _ => counts[2] += 1,
+        }
+        assert!(runs <= 1 && (runs == 0 || got.status != Some(503)), "{id} ran {runs} times: {got:?}");
+        assert!(runs == 0 || got.complete, "{id} was passed on and cut: {got:?} {:#?}", gateway.lines(&id));
+    }
+    let [answered, refused, _unread] = counts;
+    assert!(answered >= 10 && refused >= 10, "{answered} requests were passed on, {refused} refused");
+}
+
 /// Each malformed request gets the appropriate status, and a request sent after it on another connection succeeds.
 #[actix_rt::test]
 async fn malformed_requests_get_the_appropriate_status() {
