gateway: test answers whose head is cut

Another operator reported that an engine which closed in the middle of its answer's head gave callers a 200 with an empty or short body. It was not shown here: a head counts once its end has arrived.

The test cuts the head after each of its first 120 bytes, for both kinds of plain routes, and for streams after each tenth.

--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -104,6 +104,34 @@
     assert_eq!((got.status, got.signature.as_deref()), (Some(502), None), "{got:?}");
 }
 
+/// A head that ends in the middle is no answer, wherever it ends. At another operator it was delivered as a success with an
+/// empty or short body.
+#[actix_rt::test]
+async fn a_head_that_is_cut_is_no_answer() {
+    /// Number of bytes before the end of the shortest head.
+    const HEAD_BYTES: usize = 120;
+    let mut fleet = Fleet::start();
+    let gateway = Gateway::start(fleet.store.address, &[("retry_allowance", "10000")]);
+    fleet.wait_placed().await;
+    gateway.first_stream().await;
+    for size_bytes in 0..HEAD_BYTES {
+        let fault = Fault::CutHead(size_bytes);
+        Endpoint::set_shared_fault(&fleet.replicas, fault, 1);
+        let got = gateway.call(&format!("call-{size_bytes}"), "/call/x").await;
+        assert_eq!((got.status, got.signature.as_deref()), (Some(502), None), "{size_bytes}: {got:?}");
+        Endpoint::set_shared_fault(&fleet.replicas, fault, 1);
+        let id = format!("read-{size_bytes}");
+        let got = gateway.call(&id, "/read/x").await;
+        assert_eq!(got.body, format!("answer of {id}"), "{size_bytes}: {got:?}");
+    }
+    for size_bytes in (0..HEAD_BYTES).step_by(10) {
+        Endpoint::set_shared_fault(&fleet.engines, Fault::CutHead(size_bytes), 1);
+        let got = stream(gateway.callers, &format!("stream-{size_bytes}"), "secret").await;
+        assert!(got.complete && got.status == Some(200), "{size_bytes}: {got:?}");
+        assert_eq!(got.events(), (0..EVENTS).collect::<Vec<_>>(), "{size_bytes}");
+    }
+}
+
 /// A replica that writes an earlier rejection once more, while it runs the next request on the connection, neither makes a
 /// request run twice nor makes the gateway tell that it did not run. The first request of a pair is sent to each replica
 /// more than once; the second one is sent on the connections that the first one left.
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -78,6 +78,8 @@
     /// Sends a stream of events of 60 kB each. A new run pauses for 600 ms after the first three of them, and then sends the
     /// others without delay.
     Flood,
+    /// Runs the request and closes the connection after this many bytes of the head of its response; affects streams too.
+    CutHead(usize),
     /// Sends a head without end until the connection is closed.
     EndlessHead,
     /// Sends a body without end until the connection is closed.
@@ -459,6 +461,14 @@
     if fault == Fault::Hang {
         return std::future::pending().await;
     }
+    if let Fault::CutHead(size_bytes) = fault {
+        let head = format!(
+            "HTTP/1.1 200 Any\r\n{signed}Content-Type: text/event-stream\r\nContent-Length: 80\r\n\r\n"
+        );
+        // The connection is closed whether or not the write succeeds.
+        drop(writer.write_all(head.as_bytes().get(..size_bytes).unwrap_or_default()).await);
+        return false;
+    }
     if fault == Fault::EndlessHead {
         let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
         return write_without_end(head.as_bytes(), b"xxxxxxxxxxxxxxxx", writer).await;
