--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -55,12 +55,6 @@
         present.map(|(_, endpoint)| endpoint)
     }
 
-    /// Returns the names of the known endpoints that are not in a sorted list.
-    pub fn absent_from(&self, present: &[Arc<str>]) -> Vec<Arc<str>> {
-        let is_absent = |id: &&Arc<str>| present.binary_search(id).is_err();
-        self.known.iter().map(|(id, _)| id).filter(is_absent).cloned().collect()
-    }
-
     /// Returns when the next missing endpoint is removed.
     pub fn next_removal_us(&self) -> Option<u64> {
         self.missing.iter().map(|(_, removal_us)| *removal_us).min()
@@ -126,6 +120,24 @@
         true
     }
 
+    /// Marks the endpoints that a snapshot lacks for removal, as [`Self::mark_missing`] does. `present` has the names in the
+    /// snapshot. Returns whether a known endpoint was newly marked.
+    pub fn mark_absent(
+        &mut self,
+        now_us: u64,
+        mut present: Vec<Arc<str>>,
+        recovered_us: Option<u64>,
+    ) -> bool {
+        present.sort_unstable();
+        let is_absent = |id: &&Arc<str>| present.binary_search(id).is_err();
+        let absent: Vec<_> = self.known.iter().map(|(id, _)| id).filter(is_absent).cloned().collect();
+        let mut marked = false;
+        for id in &absent {
+            marked |= self.mark_missing(now_us, id, recovered_us);
+        }
+        marked
+    }
+
     /// Removes the missing endpoints whose grace period is over. Returns whether there were any.
     pub fn drop_missing(&mut self, now_us: u64, recovered_us: Option<u64>, out: &mut Vec<Action>) -> bool {
         let after_outage = recovered_us
--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::exchange::Snapshot;
+use crate::clock::US_PER_MS;
 use crate::gateway::dispatch::Proof;
 use crate::gateway::gossip::Changes;
 use crate::gateway::journal::Excerpt;
@@ -94,6 +95,24 @@
     pub rank: usize,
 }
 
+impl PeerUpdate {
+    /// Returns when the peer's version was proved to be in force, on this gateway's clock; none if the update was
+    /// unsolicited.
+    pub(super) fn version_proof_us(&self) -> Option<u64> {
+        self.proof_us(self.version_proof_age_ms)
+    }
+
+    /// Returns when it was proved that no change follows the peer's offset, on this gateway's clock; none if the update
+    /// was unsolicited.
+    pub(super) fn change_proof_us(&self) -> Option<u64> {
+        self.proof_us(self.change_proof_age_ms)
+    }
+
+    fn proof_us(&self, age_ms: u64) -> Option<u64> {
+        self.asked_us.map(|at_us| at_us.saturating_sub(age_ms.saturating_mul(US_PER_MS)))
+    }
+}
+
 /// Input of the catalog.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -173,11 +173,7 @@
             }
         }
         if snapshot && feed == Feed::Endpoints {
-            present.sort_unstable();
-            let absent = self.entries.absent_from(&present);
-            for id in absent {
-                presence_changed |= self.entries.mark_missing(now_us, &id, recovered_us);
-            }
+            presence_changed |= self.entries.mark_absent(now_us, present, recovered_us);
         }
         let dropped = self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, out);
         if changed || presence_changed {
@@ -270,11 +266,7 @@
         self.last_contact_us = Some(now_us);
         self.rank = Some(update.rank);
         self.put_off_first_reads(now_us);
-        let asked_us = update.asked_us;
-        let proof_us =
-            |age_ms: u64| asked_us.map(|at_us| at_us.saturating_sub(age_ms.saturating_mul(US_PER_MS)));
-        let (version_us, change_us) =
-            (proof_us(update.version_proof_age_ms), proof_us(update.change_proof_age_ms));
+        let (version_us, change_us) = (update.version_proof_us(), update.change_proof_us());
         if let (Some(changes), Some(at_us)) = (&update.changes, change_us) {
             self.apply_changes(now_us, changes, at_us, out);
         }
@@ -376,16 +368,15 @@
     fn handle_fetched(&mut self, now_us: u64, snapshot: Snapshot, out: &mut Vec<Action>) {
         let Some(update) = self.fetching.take() else { return };
         self.apply_configuration(Arc::clone(&snapshot.configuration), out);
-        let lacks_endpoints = self.lacks_endpoints_of(&update) && snapshot.next_offset > 0;
-        if lacks_endpoints {
-            for endpoint in snapshot.endpoints {
-                self.entries.upsert(endpoint, out);
+        if self.lacks_endpoints_of(&update) && snapshot.next_offset > 0 {
+            if snapshot.next_offset >= self.change_offset {
+                self.take_endpoints(now_us, &update, snapshot, out);
+            } else {
+                // The store is read instead.
+                self.next_fetch_us = now_us + FETCH_PAUSE_US;
+                let fault = "the snapshot is earlier than the last known change".to_owned();
+                out.push(Action::Decide(Decision::NotFetched { from: update.from, fault }));
             }
-            self.endpoints_feed.next_offset = Some(snapshot.next_offset);
-            self.change_offset = snapshot.change_offset;
-            let (from, through) = (snapshot.next_offset, snapshot.next_offset);
-            out.push(Action::Changed(Changes { from, through, list: Vec::new() }));
-            self.entries.publish(out);
         }
         self.offer(out);
         let state = &mut self.configuration_feed;
@@ -397,6 +388,33 @@
         self.handle_peer_update(now_us, &update, out);
     }
 
+    /// Replaces the endpoints by those of a peer's snapshot. Those that it lacks have no entry any more, as with a snapshot
+    /// of the store: their removal is before the offset at which reads go on.
+    fn take_endpoints(
+        &mut self,
+        now_us: u64,
+        update: &PeerUpdate,
+        snapshot: Snapshot,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(at_us) = update.change_proof_us() {
+            self.detect_outage(now_us, Feed::Endpoints, at_us);
+        }
+        let recovered_us = self.endpoints_feed.recovered_us;
+        let mut present = Vec::new();
+        for endpoint in snapshot.endpoints {
+            present.push(Arc::clone(&endpoint.id));
+            self.entries.upsert(endpoint, out);
+        }
+        self.entries.mark_absent(now_us, present, recovered_us);
+        self.entries.drop_missing(now_us, recovered_us, out);
+        self.endpoints_feed.next_offset = Some(snapshot.next_offset);
+        self.change_offset = self.change_offset.max(snapshot.change_offset);
+        let (from, through) = (snapshot.next_offset, snapshot.next_offset);
+        out.push(Action::Changed(Changes { from, through, list: Vec::new() }));
+        self.entries.publish(out);
+    }
+
     /// Offers what this gateway has to peers. Endpoints whose entry is missing are left out: the removal is before the
     /// offset of the snapshot, so that no later record would tell a peer of it.
     fn offer(&self, out: &mut Vec<Action>) {
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -639,6 +639,39 @@
     insta::assert_snapshot!(world.lines.join("\n"));
 }
 
+/// A gateway whose records have expired takes the snapshot of a peer instead of one of the store, and endpoints that it lacks
+/// are gone as well. They were kept for good, because the offset of the snapshot is behind their removal.
+#[test]
+fn endpoints_absent_from_the_snapshot_of_a_peer_are_removed() {
+    let mut lines = Vec::new();
+    for (case, change_offset) in [("later", 7), ("earlier", 1)] {
+        let mut world = World::new();
+        world.answer_configuration(5);
+        world.answer_endpoints(vec![present(1), present(2), present(3)], true);
+        world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Expired });
+        let event = Event::PeerUpdate(PeerUpdate {
+            version: 5,
+            version_proof_age_ms: 50,
+            change_offset,
+            change_proof_age_ms: 50,
+            asked_us: Some(world.now_us),
+            ..update_of_peer()
+        });
+        world.event(event);
+        world.lines.clear();
+        let snapshot = Snapshot {
+            configuration: Arc::new(configuration(5)),
+            endpoints: vec![plain_endpoint(2, "a"), plain_endpoint(4, "a")],
+            change_offset,
+            next_offset: change_offset,
+        };
+        world.event(Event::Fetched(Box::new(snapshot)));
+        let changed = world.catalog.change_offset();
+        lines.push(format!("{case} snapshot, change offset {changed}:\n{}", world.endpoints_text()));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// Returns the names of the endpoints that are offered to peers.
 fn offered_names(world: &World) -> Vec<&str> {
     let offered = world.offered.iter().flat_map(|snapshot| &snapshot.endpoints);
