catalog: removals that arrive before their proof get the grace period

After an outage in which entries lapsed, a gateway could remove all engines at once and refuse requests until the entries were back.

Cause: gossip sends changes at once, but the state with the proofs once a round. Whether removals follow an outage was judged by the proof that came with them, which may still be the one from before the outage.

removals_that_arrive_before_the_proof_get_a_grace_period failed before with "endpoints []" at the arrival. The tests of the catalog pass.

--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -267,8 +267,8 @@
         self.rank = Some(update.rank);
         self.put_off_first_reads(now_us);
         let (version_us, change_us) = (update.version_proof_us(), update.change_proof_us());
-        if let (Some(changes), Some(at_us)) = (&update.changes, change_us) {
-            self.apply_changes(now_us, changes, at_us, out);
+        if let (Some(changes), Some(_)) = (&update.changes, change_us) {
+            self.apply_changes(now_us, changes, out);
         }
         let has_version = update.version <= self.version;
         // A gateway that starts takes nothing from a peer whose own proofs are old.
@@ -370,7 +370,7 @@
         self.apply_configuration(Arc::clone(&snapshot.configuration), out);
         if self.lacks_endpoints_of(&update) && snapshot.next_offset > 0 {
             if snapshot.next_offset >= self.change_offset {
-                self.take_endpoints(now_us, &update, snapshot, out);
+                self.take_endpoints(now_us, snapshot, out);
             } else {
                 // The store is read instead.
                 self.next_fetch_us = now_us + FETCH_PAUSE_US;
@@ -390,16 +390,8 @@
 
     /// Replaces the endpoints by those of a peer's snapshot. Those that it lacks have no entry any more, as with a snapshot
     /// of the store: their removal is before the offset at which reads go on.
-    fn take_endpoints(
-        &mut self,
-        now_us: u64,
-        update: &PeerUpdate,
-        snapshot: Snapshot,
-        out: &mut Vec<Action>,
-    ) {
-        if let Some(at_us) = update.change_proof_us() {
-            self.detect_outage(now_us, Feed::Endpoints, at_us);
-        }
+    fn take_endpoints(&mut self, now_us: u64, snapshot: Snapshot, out: &mut Vec<Action>) {
+        self.detect_outage(now_us, Feed::Endpoints, now_us);
         let recovered_us = self.endpoints_feed.recovered_us;
         let mut present = Vec::new();
         for endpoint in snapshot.endpoints {
@@ -441,12 +433,15 @@
     }
 
     /// Applies endpoint changes that a peer has read. Changes that leave a gap or are all known are ignored.
-    fn apply_changes(&mut self, now_us: u64, changes: &Changes, at_us: u64, out: &mut Vec<Action>) {
+    ///
+    /// The proof of the read that returned them may still be on its way, so the time since this gateway's last proof tells
+    /// whether they follow an outage.
+    fn apply_changes(&mut self, now_us: u64, changes: &Changes, out: &mut Vec<Action>) {
         let Some(next) = self.endpoints_feed.next_offset else { return };
         if changes.from > next || changes.through <= next {
             return;
         }
-        self.detect_outage(now_us, Feed::Endpoints, at_us);
+        self.detect_outage(now_us, Feed::Endpoints, now_us);
         let mut changed = false;
         let recovered_us = self.endpoints_feed.recovered_us;
         for change in &changes.list {
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -447,6 +447,30 @@
     assert!(removed_ms.is_some_and(|ms| ms <= 3_000), "removed after {removed_ms:?} ms");
 }
 
+/// Changes can arrive before the proof of the read that returned them, because gossip sends them at once and states once a
+/// round. A gateway that knew only the proof from before the outage removed all endpoints whose entries had lapsed at once.
+#[test]
+fn removals_that_arrive_before_the_proof_get_a_grace_period() {
+    const OUTAGE_MS: u64 = 5_000;
+    let mut world = World::new();
+    world.answer_endpoints(vec![present(1), present(2)], true);
+    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable });
+    world.now_us += OUTAGE_MS * US_PER_MS;
+    world.lines.clear();
+    let list = vec![Change::Missing("desk-1".into()), Change::Missing("desk-2".into())];
+    world.event(Event::PeerUpdate(PeerUpdate {
+        change_offset: 4,
+        change_proof_age_ms: OUTAGE_MS,
+        asked_us: Some(world.now_us),
+        changes: Some(Box::new(Changes { from: 2, through: 4, list })),
+        ..update_of_peer()
+    }));
+    world.now_us += 1_000 * US_PER_MS;
+    let event = peer_update(&world, 4, 5, vec![Change::Known(plain_endpoint(1, "a"))]);
+    world.event(event);
+    assert_eq!(world.endpoints_text(), "");
+}
+
 /// A gateway whose reads are refused keeps its retry pauses although updates of peers announce newer
 /// versions. When each update cut the pause short, gateways on dacd-riga-grown scale-2 made 3,427 refused
 /// calls in nine seconds.
