soak: gateways have a loopback address of their own

Its ports are given by the system, from the range of outgoing connections, and another process took one between its end and its restart. Outgoing connections on loopback use ports of 127.0.0.1, so the gateways of a run now listen on another address, derived from the process id.

--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -1,7 +1,7 @@
 //! Gateway processes behind proxies, and the stand-ins that they work with.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Command;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -322,7 +322,11 @@
             ("grace_s", GRACE.as_secs().to_string()),
             ("seeds", format!("[{}]", seeds.join(","))),
         ];
-        let gateway = launch(store.address, &settings);
+        let mut first_settings = settings.clone();
+        for key in ["callers", "readiness", "metrics", "peers"] {
+            first_settings.push((key, format!("\"{}:0\"", own_loopback())));
+        }
+        let gateway = launch(store.address, &first_settings);
         for (key, address) in [
             ("callers", gateway.callers),
             ("readiness", gateway.readiness),
@@ -396,6 +400,13 @@
     }
 }
 
+/// Returns the loopback address of the gateways of this process. Outgoing connections use ports of 127.0.0.1, so that none of
+/// them takes the port of a gateway between its end and its restart.
+fn own_loopback() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high % 250 + 1, middle, low)
+}
+
 fn launch(store: SocketAddr, settings: &[(&'static str, String)]) -> Gateway {
     let settings: Vec<(&str, &str)> = settings.iter().map(|(key, value)| (*key, value.as_str())).collect();
     Gateway::start(store, &settings)
