--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -152,6 +152,8 @@
     pub lines: Vec<String>,
     pub last_order: Option<SendOrder>,
     pub last_refusal: Option<Refusal>,
+    /// Engines that dispatch has asked for a report.
+    pub inspected: Vec<Address>,
     next_ticket: u64,
 }
 
@@ -174,6 +176,7 @@
             lines: Vec::new(),
             last_order: None,
             last_refusal: None,
+            inspected: Vec::new(),
             next_ticket: 1,
         }
     }
@@ -201,9 +204,15 @@
         world
     }
 
+    /// Changes the settings.
+    pub fn configure(&mut self, change: impl FnOnce(&mut DispatchSettings)) {
+        change(&mut self.dispatch.settings);
+    }
+
     /// Confirms that the configuration is current now.
     pub fn confirm_configuration(&mut self) {
-        self.event(Event::ConfigurationProof(Proof { version: 5, at_us: self.now_us }));
+        let version = self.dispatch.version();
+        self.event(Event::ConfigurationProof(Proof { version, at_us: self.now_us }));
     }
 
     /// Replaces each endpoint by one that was started anew at the same address.
@@ -277,7 +286,10 @@
             }
             Action::Ready(ready) => format!("ready {ready}"),
             Action::Leaving(start) => format!("{} leaves", start.id),
-            Action::Inspect(address) => format!("inspect {}", address.ip()),
+            Action::Inspect(address) => {
+                self.inspected.push(address);
+                format!("inspect {}", address.ip())
+            }
             Action::Decide(decision @ Decision::DecliningChosen { .. }) => panic!("{decision}"),
             Action::PublishState(_) | Action::Decide(_) => return,
         };
@@ -286,7 +298,12 @@
 
     /// Lets the publish interval pass and returns the state that the gateway publishes.
     pub fn publish_state(&mut self) -> PeerState {
-        self.wait_ms(300);
+        self.publish_state_at(self.now_us + 300 * US_PER_MS)
+    }
+
+    /// Returns the state that the gateway publishes at the given time, at least an interval after the last one.
+    pub fn publish_state_at(&mut self, now_us: u64) -> PeerState {
+        self.now_us = now_us;
         let mut actions = Vec::new();
         self.dispatch.on_timer(self.now_us, &mut actions);
         let state = actions.into_iter().find_map(|action| match action {
--- /dev/null
+++ b/crates/banyannotch/src/gateway/gossip/crash_tests.rs
@@ -0,0 +1,227 @@
+//! Guards against requests that crash engines and are sent to more of them, and against sound ones that are refused,
+//! over all gateways of a fleet.
+
+use super::fleet::{Fleet, ROUND_US, round_us};
+use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine, request};
+use crate::gateway::dispatch::{BrokenBy, Ending, Event};
+use crate::gateway::{Endpoint, EngineReport, RequestInfo};
+use crate::random::Random;
+
+/// Number of crashes after which the users count further sends of the same request.
+const CRASH_LIMIT: usize = 3;
+/// Number of further sends that they allow.
+const EXCESS_LIMIT: usize = 3;
+/// Time after the third crash from which further sends count, in rounds: the shortest `contact_ms`, 3 s.
+const CONTACT_ROUNDS: u64 = 12;
+/// Rounds in which the gateways of a new fleet find each other.
+const DISCOVERY_ROUNDS: u64 = 24;
+/// Time for which a crashed engine is down, in microseconds.
+const DOWN_US: u64 = 3_000_000;
+/// Time after a crash at which the entry of the engine has expired, in microseconds.
+const EXPIRED_US: u64 = 1_000_000;
+/// Number of engines, each with a whole model.
+const ENGINE_COUNT: u8 = 24;
+/// Number of the first engine of [`World::with_small_model`].
+const FIRST_ENGINE: u8 = 11;
+/// Digest of the request that crashes engines.
+const DEADLY: u64 = 900_000;
+
+fn deadly_request() -> RequestInfo {
+    RequestInfo { digest: DEADLY, ..request("/write/x") }
+}
+
+#[derive(Clone)]
+struct Engine {
+    crashed_us: Option<u64>,
+    born_ms: u64,
+}
+
+impl Engine {
+    fn is_down(&self, now_us: u64) -> bool {
+        self.crashed_us.is_some_and(|crashed_us| now_us < crashed_us + DOWN_US)
+    }
+
+    /// Returns the start that the engine's entry names, if it has an entry.
+    fn entry_born_ms(&self, now_us: u64) -> Option<u64> {
+        match self.crashed_us {
+            Some(crashed_us) if now_us < crashed_us + EXPIRED_US => Some(self.born_ms - 1),
+            Some(_) if self.is_down(now_us) => None,
+            _ => Some(self.born_ms),
+        }
+    }
+}
+
+/// A fleet before engines that crash when they begin to run a deadly request.
+struct Play {
+    fleet: Fleet,
+    engines: Vec<Engine>,
+    /// Starts in the entries that each gateway has read last.
+    entries: Vec<Vec<Option<u64>>>,
+    round: u64,
+    /// Gateways that neither send nor reply.
+    away: Vec<usize>,
+    /// Times at which engines crashed.
+    crashes_us: Vec<u64>,
+    /// Sends of the deadly request that the users count.
+    excess: usize,
+    random: Random,
+}
+
+impl Play {
+    fn new(gateways: usize) -> Self {
+        let mut play = Self {
+            fleet: Fleet::with_dispatch(gateways, ENGINE_COUNT),
+            engines: vec![Engine { crashed_us: None, born_ms: 1 }; usize::from(ENGINE_COUNT)],
+            entries: vec![vec![Some(1); usize::from(ENGINE_COUNT)]; gateways],
+            round: 0,
+            away: Vec::new(),
+            crashes_us: Vec::new(),
+            excess: 0,
+            random: Random::seeded(3),
+        };
+        play.rounds(DISCOVERY_ROUNDS);
+        play
+    }
+
+    fn rounds(&mut self, count: u64) {
+        for _ in 0..count {
+            self.round += 1;
+            for index in self.present() {
+                self.read_entries(index);
+            }
+            self.fleet.round(self.round, &self.away);
+        }
+    }
+
+    fn present(&self) -> Vec<usize> {
+        (0..self.fleet.gateways.len()).filter(|index| !self.away.contains(index)).collect()
+    }
+
+    /// Brings a gateway's clock, configuration and entries up to date.
+    fn read_entries(&mut self, index: usize) {
+        let now_us = round_us(self.round, index);
+        let entries: Vec<_> = self.engines.iter().map(|engine| engine.entry_born_ms(now_us)).collect();
+        let world = &mut self.fleet.worlds[index];
+        world.now_us = now_us;
+        world.confirm_configuration();
+        world.lines.clear();
+        if entries != self.entries[index] {
+            let endpoint = |(number, born_ms): (u8, &Option<u64>)| {
+                let engine = pipeline_engine(FIRST_ENGINE + number, "a", "fast", 0, 8);
+                born_ms.map(|born_ms| Endpoint { born_ms, ..engine })
+            };
+            let endpoints: Vec<_> = (0..).zip(&entries).filter_map(endpoint).collect();
+            world.event(Event::Endpoints(endpoints.into()));
+            self.entries[index] = entries;
+        }
+    }
+
+    /// Answers the inspections of a gateway.
+    fn answer_inspections(&mut self, index: usize) {
+        let world = &mut self.fleet.worlds[index];
+        for inspected in std::mem::take(&mut world.inspected) {
+            let engine =
+                (FIRST_ENGINE..).zip(&self.engines).find(|(number, _)| address(*number) == inspected);
+            let report = engine.filter(|(_, engine)| !engine.is_down(world.now_us)).map(|(_, engine)| {
+                EngineReport { born_ms: engine.born_ms, pace: 1.0, ..EngineReport::default() }
+            });
+            world.event(Event::Report { address: inspected, report });
+        }
+    }
+
+    /// Sends the deadly request to a gateway. Its caller leaves after the given number of crashes.
+    fn attempt(&mut self, index: usize, crash_limit: usize) {
+        self.read_entries(index);
+        let now_us = round_us(self.round, index);
+        let counts_from_us =
+            self.crashes_us.get(CRASH_LIMIT - 1).map(|third_us| third_us + CONTACT_ROUNDS * ROUND_US);
+        let world = &mut self.fleet.worlds[index];
+        world.last_order = None;
+        let ticket = world.submit_request(deadly_request());
+        let mut crashes = 0;
+        while let Some(order) = self.fleet.worlds[index].last_order.take() {
+            let number = (FIRST_ENGINE..).position(|number| address(number) == order.address);
+            let engine = &mut self.engines[number.expect("the address is that of an engine")];
+            let ending = if engine.is_down(now_us) {
+                Ending::Unsent
+            } else {
+                *engine = Engine { crashed_us: Some(now_us), born_ms: engine.born_ms + 1 };
+                self.excess += usize::from(counts_from_us.is_some_and(|from_us| now_us > from_us));
+                self.crashes_us.push(now_us);
+                crashes += 1;
+                Ending::Broken { by: BrokenBy::Connection }
+            };
+            self.fleet.worlds[index].end(ticket, ending);
+            self.answer_inspections(index);
+            if crashes == crash_limit {
+                self.fleet.worlds[index].end(ticket, Ending::Left);
+                return;
+            }
+        }
+    }
+
+    /// Returns the number of present gateways that would send the deadly request.
+    fn unaware(&mut self) -> usize {
+        let mut count = 0;
+        for index in self.present() {
+            let world = &mut self.fleet.worlds[index];
+            world.confirm_configuration();
+            count += usize::from(!refuses(world, deadly_request()));
+        }
+        count
+    }
+}
+
+/// Returns whether a gateway refuses a request. A request that it would send is withdrawn before that.
+fn refuses(world: &mut World, request: RequestInfo) -> bool {
+    world.last_order = None;
+    let ticket = world.submit_request(request);
+    let is_refused = world.last_order.take().is_none();
+    if !is_refused {
+        world.end(ticket, Ending::Left);
+    }
+    is_refused
+}
+
+/// Most of 83 gateways sent a request on that had crashed three engines, because each counted only the crashes that it had
+/// observed or that their observer had told it.
+#[test]
+fn a_request_that_crashes_engines_is_refused_by_all_gateways_in_time() {
+    let mut text = String::new();
+    let mut most = 0;
+    for gateways in [6, 83, 295] {
+        let mut play = Play::new(gateways);
+        while play.round < DISCOVERY_ROUNDS + 3 * CONTACT_ROUNDS {
+            let index = play.random.below(gateways);
+            play.attempt(index, usize::MAX);
+            play.rounds(1);
+        }
+        most = most.max(play.excess);
+        let (crashes, excess) = (play.crashes_us.len(), play.excess);
+        text.push_str(&format!("{gateways} gateways: {crashes} crashes, {excess} too late\n"));
+    }
+    assert!(most <= EXCESS_LIMIT, "{text}");
+}
+
+/// Three gateways have observed one crash each. The others learn of all three in time, also if the observers are lost.
+#[test]
+fn crashes_under_a_request_are_passed_on_although_their_observers_are_lost() {
+    let mut text = String::new();
+    let mut total = 0;
+    for gateways in [6, 83, 295] {
+        for lost_after in [CONTACT_ROUNDS, 4] {
+            let mut play = Play::new(gateways);
+            let observers = [gateways - 1, gateways / 2, 0];
+            observers.iter().for_each(|observer| play.attempt(*observer, 1));
+            play.rounds(lost_after);
+            play.away = observers.to_vec();
+            play.rounds(CONTACT_ROUNDS - lost_after);
+            let unaware = play.unaware();
+            total += unaware;
+            text.push_str(&format!(
+                "{gateways} gateways, observers lost after {lost_after} rounds: {unaware}\n"
+            ));
+        }
+    }
+    assert_eq!(total, 0, "gateways that do not know the crashes:\n{text}");
+}
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -4,6 +4,10 @@
 //! even after it was suspended. Lost datagrams are not resent; the next exchange replaces them.
 
 mod changes;
+#[cfg(test)]
+mod crash_tests;
+#[cfg(test)]
+mod fleet;
 mod members;
 mod messages;
 mod policy;
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -1,6 +1,7 @@
 //! Guards against proof ages that are too low, gateways that never discover each other, and exchanges that never end.
 
 use super::changes::{ChangeLog, DATAGRAM_CHANGE_LIMIT};
+use super::fleet::{Fleet, fleet_address};
 use super::relays::relays_of;
 use super::runtime::DATAGRAM_LIMIT_BYTES;
 use super::{Action, Change, Changes, Event, Gossip, GossipSettings, Mention, Message, READER_COUNT};
@@ -61,113 +62,6 @@
     assert_eq!(accepted, [false, true, false]);
 }
 
-/// A deployment whose gateways exchange datagrams without delay or loss.
-struct Fleet {
-    gateways: Vec<Gossip>,
-    states: Vec<PeerState>,
-    ranks: Vec<usize>,
-    /// Largest number of gateways that any gateway knew.
-    most_known: usize,
-    /// Age of the best proof of each gateway, in milliseconds.
-    proof_ages_ms: Vec<u64>,
-    /// Datagrams that each gateway sent or received in the last round.
-    handled: Vec<usize>,
-    /// Bytes that each gateway sent in the last round.
-    sent_bytes: Vec<usize>,
-}
-
-/// Interval of the rounds, in microseconds.
-const ROUND_US: u64 = 250_000;
-/// Number of zones of a fleet.
-const ZONES: usize = 5;
-/// Largest age that a proof can have in a simulated round, for a gateway without any proof, in milliseconds.
-const NO_PROOF_MS: u64 = 1_000_000;
-
-fn fleet_address(index: usize) -> Address {
-    Address::from(([10, (index % ZONES) as u8, (index / 200) as u8, (index % 200) as u8], 80))
-}
-
-fn fleet_index(address: Address) -> usize {
-    let std::net::IpAddr::V4(ip) = address.ip() else { panic!("{address} is not in the fleet") };
-    let [_, _, block, host] = ip.octets();
-    usize::from(block) * 200 + usize::from(host)
-}
-
-impl Fleet {
-    fn new(count: usize) -> Self {
-        let seeds: Vec<Address> = (0..3).map(fleet_address).collect();
-        let gossip = |index: usize| {
-            Gossip::new(GossipSettings::default(), fleet_address(index), seeds.clone(), index as u64)
-        };
-        let state = |index: usize| PeerState {
-            instance: format!("g{index}"),
-            zone: Zone::from(&*format!("zone-{}", index % ZONES)),
-            proof_age_ms: NO_PROOF_MS,
-            ..PeerState::default()
-        };
-        Self {
-            gateways: (0..count).map(gossip).collect(),
-            states: (0..count).map(state).collect(),
-            ranks: vec![0; count],
-            most_known: 0,
-            proof_ages_ms: vec![NO_PROOF_MS; count],
-            handled: vec![0; count],
-            sent_bytes: vec![0; count],
-        }
-    }
-
-    /// Runs one round; the gateways start theirs at different times within it. Readers get a new proof at its start.
-    /// Gateways in `dead` neither send nor reply.
-    fn round(&mut self, round: u64, dead: &[usize]) {
-        let count = self.gateways.len();
-        (self.handled, self.sent_bytes) = (vec![0; count], vec![0; count]);
-        for index in (0..count).filter(|index| !dead.contains(index)) {
-            let now_us = 1_000_000 + round * ROUND_US + (index as u64 * 7_919) % ROUND_US;
-            let age_ms = if self.ranks[index] < READER_COUNT && round > 10 { 0 } else { ROUND_US / 1_000 };
-            let aged_ms = self.proof_ages_ms[index].saturating_add(age_ms).min(NO_PROOF_MS);
-            let is_reader = self.ranks[index] < READER_COUNT && round > 10;
-            self.proof_ages_ms[index] = if is_reader { 0 } else { aged_ms };
-            self.states[index].proof_age_ms = self.proof_ages_ms[index];
-            let mut actions = Vec::new();
-            let state = Box::new(self.states[index].clone());
-            self.gateways[index].on_event(now_us, Event::State(state), &mut actions);
-            self.deliver(index, now_us, actions, dead);
-        }
-    }
-
-    fn deliver(&mut self, from: usize, now_us: u64, actions: Vec<Action>, dead: &[usize]) {
-        for action in actions {
-            match action {
-                Action::Rank(rank) => self.ranks[from] = rank,
-                Action::PeerUpdate { state, asked_us, known, .. } => {
-                    self.most_known = self.most_known.max(known);
-                    if asked_us.is_some() {
-                        self.proof_ages_ms[from] = self.proof_ages_ms[from].min(state.proof_age_ms);
-                    }
-                }
-                Action::Send { to, message } => {
-                    self.handled[from] += 1;
-                    self.sent_bytes[from] += postcard::to_allocvec(&message).expect("it serializes").len();
-                    let receiver = fleet_index(to);
-                    if dead.contains(&receiver) {
-                        continue;
-                    }
-                    self.handled[receiver] += 1;
-                    let mut replies = Vec::new();
-                    let event = Event::Received { from: fleet_address(from), message };
-                    self.gateways[receiver].on_event(now_us, event, &mut replies);
-                    self.deliver(receiver, now_us, replies, dead);
-                }
-            }
-        }
-    }
-
-    fn readers(&self, dead: &[usize]) -> Vec<usize> {
-        let reads = |index: &usize| self.ranks[*index] < READER_COUNT && !dead.contains(index);
-        (0..self.gateways.len()).filter(reads).collect()
-    }
-}
-
 /// With 295 gateways, each of which asked both readers in every round, the readers could not answer: proofs came late,
 /// and all gateways read the store for themselves. The cost of a gateway must not depend on their number, and the age of
 /// the proofs must stay far below the shortest fallback of 1.2 s.
