dispatch: log the crashes that a gateway counts and knows

Now crash_counted says which crash was counted and why, the line of a send has the number of crashes that the gateway knows, the line of an ending has the digest that all attempts share, and refusals of requests that crashed endpoints name it. The metric banyannotch_gateway_crashes_total counts them by cause.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -65,9 +65,21 @@
     }
 
     /// Counts the recent breaks of an endpoint, because it was found to be down or to have started anew.
-    pub(super) fn confirm_crash(&mut self, address: Address, now_us: u64) {
-        self.suspects.confirm_breaks(address, now_us);
+    pub(super) fn confirm_crash(
+        &mut self,
+        address: Address,
+        now_us: u64,
+        cause: &'static str,
+        actions: &mut Vec<Action>,
+    ) {
+        let broken = self.suspects.confirm_breaks(address, now_us);
         self.crashes.confirm(address, now_us);
+        for same in broken.chunk_by(|left, right| left == right) {
+            if let Some(crash) = same.first().copied() {
+                let sends = same.len();
+                actions.push(Action::Decide(Decision::CrashCounted { crash, cause, sends }));
+            }
+        }
     }
 
     /// Records the runs that have begun and survived, and decides which features are quarantined.
@@ -182,14 +194,14 @@
         self.inspections.remove(&address);
         match report {
             None => {
-                self.confirm_crash(address, now_us);
+                self.confirm_crash(address, now_us, "no_report", actions);
                 self.exclude(now_us, address, "no_report", actions);
             }
             Some(report) => {
                 let known = self.endpoint_at(address);
                 // A report without a start time says nothing about a restart.
                 if report.born_ms != 0 && known.is_some_and(|endpoint| endpoint.born_ms != report.born_ms) {
-                    self.confirm_crash(address, now_us);
+                    self.confirm_crash(address, now_us, "restarted", actions);
                 }
                 self.health.entry(address).record_slowdown(now_us, report.pace);
                 // The report names an engine once for each request that waits for it.
@@ -263,7 +275,12 @@
         }
     }
 
-    pub(super) fn update_endpoints(&mut self, now_us: u64, endpoints: &[Endpoint]) {
+    pub(super) fn update_endpoints(
+        &mut self,
+        now_us: u64,
+        endpoints: &[Endpoint],
+        actions: &mut Vec<Action>,
+    ) {
         let mut endpoints = endpoints.to_vec();
         endpoints.sort_by_key(|endpoint| endpoint.address);
         let mut ended = Vec::new();
@@ -276,11 +293,11 @@
             }
             // An endpoint that announced its departure did not crash.
             if !known.leaving && (restarted || successor.is_none()) {
-                ended.push(known.address);
+                ended.push((known.address, if restarted { "entry_changed" } else { "entry_removed" }));
             }
         }
-        for address in ended {
-            self.confirm_crash(address, now_us);
+        for (address, cause) in ended {
+            self.confirm_crash(address, now_us, cause, actions);
         }
         self.health
             .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -429,6 +429,8 @@
         hops: usize,
         /// Number of this send within the attempt, from 1.
         send: u32,
+        /// Number of known crashes of endpoints that ran the request.
+        crashes: usize,
         /// Expected cost, in milliseconds.
         cost_ms: u64,
         /// Version of the configuration.
@@ -459,6 +461,17 @@
         ending: Ending,
         /// Time since the request was submitted, in milliseconds.
         age_ms: u64,
+        /// Digest of the request, the same for all attempts at it.
+        digest: u64,
+    },
+    /// An endpoint is known to have ended after connections to it broke while it ran requests.
+    CrashCounted {
+        /// The incarnation that ended.
+        crash: Crash,
+        /// Observation that shows its end.
+        cause: &'static str,
+        /// Number of sends that broke with it.
+        sends: usize,
     },
     /// A send whose answer or next event is late continues or ends.
     Judged {
@@ -524,11 +537,13 @@
 impl fmt::Display for Decision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Sent { id, route, endpoint, hops, send, cost_ms, version, proof_age_ms } => write!(
-                formatter,
-                "event=sent request={id} route={route} endpoint={endpoint} hops={hops} send={send} \
-                 cost_ms={cost_ms} version={version} proof_age_ms={proof_age_ms}"
-            ),
+            Self::Sent { id, route, endpoint, hops, send, crashes, cost_ms, version, proof_age_ms } => {
+                write!(
+                    formatter,
+                    "event=sent request={id} route={route} endpoint={endpoint} hops={hops} send={send} \
+                 crashes={crashes} cost_ms={cost_ms} version={version} proof_age_ms={proof_age_ms}"
+                )
+            }
             Self::Refused { id, refusal, sends, version, proof_age_ms } => write!(
                 formatter,
                 "event=refused request={id} status={} reason=\"{}\" sends={sends} version={version} \
@@ -536,9 +551,14 @@
                 refusal.reason.status(),
                 refusal.reason
             ),
-            Self::Ended { id, endpoint, ending, age_ms } => write!(
+            Self::Ended { id, endpoint, ending, age_ms, digest } => write!(
+                formatter,
+                "event=ended request={id} endpoint={endpoint} ending=\"{ending:?}\" age_ms={age_ms} \
+                 digest={digest:016x}"
+            ),
+            Self::CrashCounted { crash: Crash { address, born_ms }, cause, sends } => write!(
                 formatter,
-                "event=ended request={id} endpoint={endpoint} ending=\"{ending:?}\" age_ms={age_ms}"
+                "event=crash_counted endpoint_address={address} born_ms={born_ms} cause={cause} sends={sends}"
             ),
             Self::Judged { id, address, abandoned, evidence } => write!(
                 formatter,
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -105,6 +105,11 @@
                 self.send(now_us, ticket, actions);
             }
             Err(reason) => {
+                if reason == RefusalReason::Quarantined {
+                    let id = Arc::clone(&request.id);
+                    let refused = Decision::FeatureRefused { id, digest: request.digest, is_trial: false };
+                    actions.push(Action::Decide(refused));
+                }
                 let refusal = self.refusal(now_us, reason);
                 let decision = Decision::Refused {
                     id: request.id,
@@ -220,6 +225,7 @@
         let valid_until_us = self.valid_until_us(ticket_id);
         let (version, proof_age_ms) = (self.version(), self.proof_age_ms(now_us));
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        let crashes = self.suspects.crash_count(ticket.request.digest);
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
         ticket.sends += 1;
         ticket.late_report = 0;
@@ -237,6 +243,7 @@
             endpoint: Arc::clone(&choice.endpoint),
             hops: choice.hops.len(),
             send: ticket.sends,
+            crashes,
             cost_ms: choice.cost_ms as u64,
             version,
             proof_age_ms,
@@ -293,6 +300,7 @@
                 endpoint: Arc::clone(&reservation.endpoint),
                 ending,
                 age_ms: now_us.saturating_sub(ticket.arrived_us) / US_PER_MS,
+                digest: ticket.request.digest,
             }));
         }
         let (digest, retry_mode) = (ticket.request.digest, ticket.retry_mode);
@@ -314,7 +322,7 @@
             }
             Ending::Unsent => {
                 if let Some((first, _)) = reservation.loads.first() {
-                    self.confirm_crash(*first, now_us);
+                    self.confirm_crash(*first, now_us, "no_connection", actions);
                     self.exclude(now_us, *first, "no_connection", actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
@@ -490,7 +498,7 @@
                     self.configuration = Some(configuration);
                 }
             }
-            Event::Endpoints(endpoints) => self.update_endpoints(now_us, &endpoints),
+            Event::Endpoints(endpoints) => self.update_endpoints(now_us, &endpoints, actions),
             Event::ConfigurationProof(proof) => self.update_configuration_proof(proof),
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
             Event::Peer { state, known, zone_known } => {
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -105,7 +105,12 @@
                 )
                 .increment(1);
             }
-            Action::Decide(decision) => log::info!("{decision}"),
+            Action::Decide(decision) => {
+                if let Decision::CrashCounted { cause, .. } = &decision {
+                    metrics::counter!("banyannotch_gateway_crashes_total", "cause" => *cause).increment(1);
+                }
+                log::info!("{decision}");
+            }
         }
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/suspects.rs
+++ b/crates/banyannotch/src/gateway/dispatch/suspects.rs
@@ -70,20 +70,23 @@
     }
 
     /// Counts the recent breaks of an endpoint as its crash, because it was found to be down or to have started anew.
-    pub fn confirm_breaks(&mut self, address: Address, now_us: u64) {
+    /// Returns the crash of each break.
+    pub fn confirm_breaks(&mut self, address: Address, now_us: u64) -> Vec<Crash> {
         let is_confirmed = |unconfirmed: &mut UnconfirmedBreak| unconfirmed.crash.address == address;
-        let confirmed: Vec<_> = self.unconfirmed.extract_if(.., is_confirmed).collect();
+        let mut confirmed: Vec<_> = self.unconfirmed.extract_if(.., is_confirmed).collect();
+        confirmed.retain(|unconfirmed| unconfirmed.at_us + CONFIRMATION_US > now_us);
         self.crashes.retain(|_, crashes| crashes.last_us + RETENTION_US > now_us);
-        for unconfirmed in confirmed {
-            if unconfirmed.at_us + CONFIRMATION_US > now_us
-                && let Some(crashes) = self.entry(unconfirmed.digest)
-            {
+        for unconfirmed in &confirmed {
+            if let Some(crashes) = self.entry(unconfirmed.digest) {
                 crashes.add(unconfirmed.crash, now_us);
                 if crashes.own.len() < KEPT_CRASH_LIMIT {
                     crashes.own.insert(unconfirmed.crash, ());
                 }
             }
         }
+        let mut crashes: Vec<_> = confirmed.iter().map(|unconfirmed| unconfirmed.crash).collect();
+        crashes.sort_unstable();
+        crashes
     }
 
     /// Records a crash that another gateway observed. A repeated report does not prolong the quarantine.
@@ -104,6 +107,11 @@
         self.unconfirmed.retain(|unconfirmed| unconfirmed.digest != digest);
     }
 
+    /// Returns the number of known crashes under a request.
+    pub fn crash_count(&self, digest: u64) -> usize {
+        self.crashes.get(&digest).map_or(0, |crashes| crashes.all.len())
+    }
+
     /// Returns whether new attempts of the request are refused.
     pub fn is_quarantined(&self, digest: u64, now_us: u64) -> bool {
         self.crashes.get(&digest).is_some_and(|crashes| {
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -154,6 +154,8 @@
     pub last_refusal: Option<Refusal>,
     /// Engines that dispatch has asked for a report.
     pub inspected: Vec<Address>,
+    /// Log lines of the decisions.
+    pub decisions: Vec<String>,
     next_ticket: u64,
 }
 
@@ -177,6 +179,7 @@
             last_order: None,
             last_refusal: None,
             inspected: Vec::new(),
+            decisions: Vec::new(),
             next_ticket: 1,
         }
     }
@@ -291,7 +294,8 @@
                 format!("inspect {}", address.ip())
             }
             Action::Decide(decision @ Decision::DecliningChosen { .. }) => panic!("{decision}"),
-            Action::PublishState(_) | Action::Decide(_) => return,
+            Action::Decide(decision) => return self.decisions.push(decision.to_string()),
+            Action::PublishState(_) => return,
         };
         self.lines.push(line);
     }
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -115,6 +115,23 @@
     insta::assert_snapshot!(world.text());
 }
 
+/// From the lines alone an operator can tell whether a crash was counted, why, and what a gateway knew when it sent the
+/// request again. None of this was logged for whole requests.
+#[test]
+fn the_log_tells_which_crashes_a_gateway_knows() {
+    let mut world = World::new();
+    let ticket = world.submit("/write/x");
+    world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    world.event(Event::Report { address: address(11), report: None });
+    world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    world.restart_endpoints(2);
+    let suspects = vec![(7, Crash { address: address(21), born_ms: 1 })];
+    let state = PeerState { instance: "other".to_owned(), suspects, ..PeerState::default() };
+    world.event(Event::Peer { state: Box::new(state), known: 2, zone_known: 1 });
+    world.submit("/write/x");
+    insta::assert_snapshot!(world.decisions.join("\n"));
+}
+
 /// A reset of the connections of endpoints that keep running does not show that a request crashes endpoints. Seed 25 of
 /// the soak found every gateway refusing equal requests for a minute after some resets.
 #[test]
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -37,6 +37,11 @@
         "Version of the configuration that a gateway applies",
     ),
     ("banyannotch_gateway_connections_total", Counter, "Connections opened to endpoints"),
+    (
+        "banyannotch_gateway_crashes_total",
+        Counter,
+        "Ends of endpoints while they ran requests of a gateway, by what showed them",
+    ),
     (
         "banyannotch_gateway_datagrams_lost_total",
         Counter,
