--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -1,9 +1,10 @@
 //! Updates the health of endpoints from answers, time-outs, engine reports and the state of other gateways.
 
-use super::crashes::{Change, Crash, Judgement, SURVIVAL_US, features};
+use super::crashes::{Crash, SURVIVAL_US, features};
 use super::health::Load;
 use super::messages::{Action, BrokenBy, Decision, Ending, PeerState};
 use super::policy::Dispatch;
+use super::quarantine::{Change, Judgement};
 use super::tickets::Reservation;
 use crate::clock::US_PER_MS;
 use crate::gateway::{Endpoint, EngineReport};
--- /dev/null
+++ b/crates/banyannotch/src/gateway/dispatch/findings.rs
@@ -0,0 +1,86 @@
+//! What gateways tell each other of crashes, of runs that clear features, and of quarantines.
+
+use super::crashes::{CRASH_RETENTION_US, Crash, Crashes, INCIDENT_LIMIT, RUN_RETENTION_US, WATCH_US, Watch};
+use super::messages::{CrashFindings, CrashReport, Feature};
+use super::quarantine::{Judgement, Pause, QUARANTINE_LIMIT, QUARANTINE_US};
+use crate::clock::US_PER_MS;
+use crate::random::Random;
+use crate::table::Table;
+
+/// Time for which a crash is reported with features that no other crash has, in microseconds; long enough to reach all
+/// gateways.
+const REPORT_US: u64 = 3_000_000;
+/// Maximum number of features in the crash reports of one state, about 1 KB.
+const REPORTED_FEATURE_LIMIT: usize = 96;
+/// Maximum number of runs in one state, about 1 KB.
+const REPORTED_RUN_LIMIT: usize = 96;
+
+impl Crashes {
+    /// Takes the findings of another gateway.
+    pub fn update(&mut self, findings: &CrashFindings, now_us: u64, gateways: usize, random: &mut Random) {
+        let at_us = |age_ms: u32| now_us.saturating_sub(u64::from(age_ms) * US_PER_MS);
+        for (digest, age_ms) in findings.runs.iter().take(REPORTED_RUN_LIMIT) {
+            if at_us(*age_ms) + RUN_RETENTION_US > now_us {
+                self.last_run_us = self.last_run_us.max(at_us(*age_ms));
+                self.clear(*digest, at_us(*age_ms), now_us);
+            }
+        }
+        for report in findings.crashes.iter().take(REPORTED_FEATURE_LIMIT) {
+            if at_us(report.age_ms) + CRASH_RETENTION_US > now_us {
+                let crash = Crash { address: report.address, born_ms: report.born_ms };
+                self.record_crash(crash, at_us(report.age_ms), &report.features, now_us);
+            }
+        }
+        for (digest, age_ms) in findings.quarantined.iter().take(QUARANTINE_LIMIT) {
+            let last_crash_us = at_us(*age_ms);
+            if self.runs.get(digest).is_some_and(|begun_us| *begun_us >= last_crash_us) {
+                let watch = Watch { crash_us: last_crash_us, until_us: now_us + WATCH_US };
+                self.watched.insert(*digest, watch);
+                continue;
+            }
+            // A gateway that knows enough crashes judges by them.
+            if self.crash_count(*digest) < INCIDENT_LIMIT && last_crash_us + QUARANTINE_US > now_us {
+                self.quarantine(*digest, last_crash_us, Judgement::Peer, (Pause::Long, gateways), random);
+            }
+        }
+    }
+
+    /// Returns the findings that other gateways need.
+    pub fn findings(&self, now_us: u64) -> CrashFindings {
+        let age_ms = |at_us: u64| u32::try_from(now_us.saturating_sub(at_us) / US_PER_MS).unwrap_or(u32::MAX);
+        let mut counts: Table<u64, usize> = Table::default();
+        for (digest, _) in self.crashes.iter().flat_map(|(_, evidence)| evidence.features.iter()) {
+            *counts.entry(*digest) += 1;
+        }
+        let count = |digest: &u64| counts.get(digest).copied().unwrap_or_default();
+        let mut reported: Vec<_> = self
+            .crashes
+            .iter()
+            .flat_map(|(crash, evidence)| {
+                let features = evidence.features.iter();
+                features.map(move |(digest, depth)| (count(digest), evidence.at_us, crash, *digest, *depth))
+            })
+            .filter(|(count, at_us, ..)| *count > 1 || at_us + REPORT_US > now_us)
+            .collect();
+        reported.sort_unstable_by(|left, right| right.cmp(left));
+        let mut crashes: Table<Crash, CrashReport> = Table::default();
+        for (_, at_us, crash, digest, depth) in reported.into_iter().take(REPORTED_FEATURE_LIMIT) {
+            let report = crashes.entry(*crash);
+            (report.address, report.born_ms, report.age_ms) = (crash.address, crash.born_ms, age_ms(at_us));
+            report.features.push(Feature { digest, depth });
+        }
+        let watched = self.watched.iter().filter_map(|(digest, watch)| {
+            let begun_us = self.runs.get(digest).filter(|begun_us| **begun_us >= watch.crash_us)?;
+            Some((*digest, age_ms(*begun_us)))
+        });
+        CrashFindings {
+            crashes: crashes.iter().map(|(_, report)| report.clone()).collect(),
+            runs: watched.take(REPORTED_RUN_LIMIT).collect(),
+            quarantined: self
+                .quarantined
+                .iter()
+                .map(|(digest, quarantine)| (*digest, age_ms(quarantine.last_crash_us)))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/banyannotch/src/gateway/dispatch/quarantine.rs
@@ -0,0 +1,155 @@
+//! Decides which features of requests are quarantined, and when a request with one is tried.
+
+use super::crashes::{CRASH_RETENTION_US, Crashes, INCIDENT_LIMIT, RUN_RETENTION_US, WHOLE_REQUEST_DEPTH};
+use super::messages::Feature;
+use crate::random::Random;
+
+/// Time after the last crash for which a quarantine lasts, in microseconds.
+pub(super) const QUARANTINE_US: u64 = 180_000_000;
+/// Time after the last crash before a gateway may try a quarantined feature once, in microseconds.
+const TRIAL_PAUSE_US: u64 = 60_000_000;
+/// Time over which the trials are spread for each known gateway, in microseconds, so that mostly one gateway tries
+/// before the others learn of the result.
+const TRIAL_SPREAD_US: u64 = 2_000_000;
+/// Time over which the trials of a part are spread for each known gateway if a request explains the same crashes, in
+/// microseconds. The part is probably sound, so that it is tried at once.
+const PROBATION_SPREAD_US: u64 = 250_000;
+/// Maximum number of quarantined features.
+pub(super) const QUARANTINE_LIMIT: usize = 16;
+/// Time after the last required incident in which runs that clear the feature can become known, in microseconds: some
+/// rounds of gossip.
+const SETTLING_US: u64 = 1_000_000;
+
+/// Quarantine of a feature.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Quarantine {
+    pub last_crash_us: u64,
+    /// When this gateway may send one request with the feature.
+    trial_at_us: u64,
+    /// Time until the next trial if the result of one does not become known; it doubles with each trial.
+    trial_pause_us: u64,
+}
+
+/// How long a quarantine lasts before the first trial.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Pause {
+    /// Until gateways have agreed, because a request explains the crashes as well.
+    Probation,
+    /// Until the feature is likely to be sound again.
+    Long,
+}
+
+/// Why a feature is quarantined.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Judgement {
+    /// It explains this number of incidents.
+    Own { incidents: usize, is_whole_request: bool },
+    /// Another gateway has quarantined it.
+    Peer,
+}
+
+/// A change of the quarantined features.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Change {
+    /// A feature was quarantined, by this gateway's judgement or because of another gateway's.
+    Quarantined { digest: u64, by: Judgement },
+    /// A quarantine ended.
+    Released { digest: u64, cause: &'static str },
+}
+
+impl Crashes {
+    pub(super) fn quarantine(
+        &mut self,
+        digest: u64,
+        last_crash_us: u64,
+        by: Judgement,
+        (pause, gateways): (Pause, usize),
+        random: &mut Random,
+    ) {
+        let is_new = !self.quarantined.contains(&digest);
+        if is_new && self.quarantined.len() >= QUARANTINE_LIMIT {
+            return;
+        }
+        let quarantine = self.quarantined.entry(digest);
+        if is_new || last_crash_us > quarantine.last_crash_us {
+            let (pause_us, spread_us) = match pause {
+                Pause::Probation => (SETTLING_US, PROBATION_SPREAD_US),
+                Pause::Long => (TRIAL_PAUSE_US, TRIAL_SPREAD_US),
+            };
+            let spread_us = random.unit() * gateways.max(1) as f64 * spread_us as f64;
+            let last_crash_us = quarantine.last_crash_us.max(last_crash_us);
+            let trial_at_us = (last_crash_us + pause_us + spread_us as u64).max(quarantine.trial_at_us);
+            *quarantine = Quarantine { last_crash_us, trial_at_us, trial_pause_us: pause_us };
+        }
+        if is_new {
+            self.changes.push(Change::Quarantined { digest, by });
+        }
+    }
+
+    /// Decides which features are quarantined, and returns what has changed since the last call.
+    pub fn judge(&mut self, now_us: u64, gateways: usize, random: &mut Random) -> Vec<Change> {
+        self.crashes.retain(|_, crash| crash.at_us + CRASH_RETENTION_US > now_us);
+        self.runs.retain(|_, begun_us| *begun_us + RUN_RETENTION_US > now_us);
+        self.watched.retain(|_, watch| watch.until_us > now_us);
+        let explanations = self.explanations();
+        for found in &explanations {
+            // Without a run that began after the crashes, every engine may have been lost for another reason.
+            let is_settled =
+                found.complete_us + SETTLING_US <= now_us && self.last_run_us >= found.complete_us;
+            if is_settled || self.quarantined.contains(&found.digest) {
+                let is_whole_request = found.depth == WHOLE_REQUEST_DEPTH;
+                let by = Judgement::Own { incidents: found.incidents, is_whole_request };
+                let pause = if found.is_alternative { Pause::Probation } else { Pause::Long };
+                self.quarantine(found.digest, found.last_crash_us, by, (pause, gateways), random);
+            }
+        }
+        let quarantined: Vec<_> = self.quarantined.iter().map(|(digest, known)| (*digest, *known)).collect();
+        for (digest, quarantine) in quarantined {
+            let is_explanation = explanations.iter().any(|found| found.digest == digest);
+            let cause = if quarantine.last_crash_us + QUARANTINE_US <= now_us {
+                "expired"
+            } else if self.crash_count(digest) >= INCIDENT_LIMIT && !is_explanation {
+                "crashes_explained_by_another"
+            } else {
+                // The crash after a trial prolongs the quarantine.
+                if !is_explanation
+                    && let Some(last_crash_us) = self.crashes_with(digest).map(|crash| crash.at_us).max()
+                {
+                    self.quarantine(digest, last_crash_us, Judgement::Peer, (Pause::Long, gateways), random);
+                }
+                continue;
+            };
+            self.quarantined.remove(&digest);
+            self.changes.push(Change::Released { digest, cause });
+        }
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the number of quarantined features.
+    pub fn quarantined_count(&self) -> usize {
+        self.quarantined.len()
+    }
+
+    /// Returns the quarantined feature of a request, if it has one.
+    pub fn quarantined_feature(&self, features: &[Feature]) -> Option<u64> {
+        if self.quarantined.is_empty() {
+            return None;
+        }
+        features.iter().map(|feature| feature.digest).find(|digest| self.quarantined.contains(digest))
+    }
+
+    /// Returns whether a new request is refused. From time to time one request with a quarantined feature is admitted,
+    /// so that a feature that was quarantined wrongly can be cleared.
+    pub fn refuses(&mut self, features: &[Feature], now_us: u64) -> bool {
+        let quarantined = self.quarantined.iter_mut();
+        let mut quarantined =
+            quarantined.filter(|(digest, _)| features.iter().any(|feature| feature.digest == **digest));
+        let Some((_, quarantine)) = quarantined.next() else { return false };
+        let is_trial = now_us >= quarantine.trial_at_us && quarantined.next().is_none();
+        if is_trial {
+            quarantine.trial_at_us = now_us + quarantine.trial_pause_us;
+            quarantine.trial_pause_us = (quarantine.trial_pause_us * 2).min(TRIAL_PAUSE_US);
+        }
+        !is_trial
+    }
+}
--- a/crates/banyannotch/src/gateway/dispatch/tests/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/crashes.rs
@@ -3,7 +3,8 @@
 
 use super::fixtures::{World, address, endpoints, request};
 use crate::gateway::RequestInfo;
-use crate::gateway::dispatch::crashes::{Change, Crash, Crashes, SURVIVAL_US, features};
+use crate::gateway::dispatch::crashes::{Crash, Crashes, SURVIVAL_US, features};
+use crate::gateway::dispatch::quarantine::Change;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event};
 use crate::random::Random;
 
