dispatch, gossip: quarantines end although gateways repeat them

Whatever was quarantined, a request or a part of prompts, stayed refused for as long as gateways exchanged states: a report came up to 250 ms after its ages were computed, the receiver took the later time for a later crash and told the first one, which did the same. A gateway that forgot a finding also learned it again from one that forgot later.

Ages now contain the time since the state was published, a time that is later by less than 250 ms is the same event, and findings are not reported in the last 10 s before they are forgotten.

--- a/crates/banyannotch/src/gateway/dispatch/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/crashes.rs
@@ -23,6 +23,10 @@
 pub(super) const SURVIVAL_US: u64 = 100_000;
 /// Time after a broken connection in which its endpoint must be found down, in microseconds.
 const CONFIRMATION_US: u64 = 6_000_000;
+/// Largest difference between what gateways take for the time of the same event, in microseconds. Ages do not contain the
+/// time for which a datagram is on its way. A later time counts as another event only if it differs by more, so that gateways
+/// that repeat an event to each other do not make it later each time.
+pub(super) const AGE_ERROR_US: u64 = 250_000;
 /// Time for which crashes are retained, in microseconds.
 pub(super) const CRASH_RETENTION_US: u64 = 120_000_000;
 /// Time for which runs are retained, in microseconds. Reports of crashes arrive within it.
--- a/crates/banyannotch/src/gateway/dispatch/findings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/findings.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 
 use super::crashes::{
-    CRASH_RETENTION_US, Crash, Crashes, INCIDENT_LIMIT, RUN_RETENTION_US, WATCH_US, WHOLE_REQUEST_DEPTH,
-    Watch,
+    AGE_ERROR_US, CRASH_RETENTION_US, Crash, Crashes, INCIDENT_LIMIT, RUN_RETENTION_US, WATCH_US,
+    WHOLE_REQUEST_DEPTH, Watch,
 };
 use super::messages::{CrashFindings, CrashReport, Feature, QuarantineReport};
 use super::quarantine::{Judgement, Pause, QUARANTINE_US, Quarantine};
@@ -22,14 +22,32 @@
 /// Maximum number of quarantines in one state, about 1 KB.
 const REPORTED_QUARANTINE_LIMIT: usize = 80;
 
+/// Time before the end of its retention from which on a finding is not reported, in microseconds. Gateways differ in the
+/// end, and would otherwise learn again from each other what they have forgotten.
+const REPORT_MARGIN_US: u64 = 10_000_000;
+
+impl CrashFindings {
+    /// Adds the time that has passed since the findings were made to their ages.
+    pub fn add_age_ms(&mut self, elapsed_ms: u64) {
+        let elapsed_ms = u32::try_from(elapsed_ms).unwrap_or(u32::MAX);
+        let crashes = self.crashes.iter_mut().map(|report| &mut report.age_ms);
+        let runs = self.runs.iter_mut().map(|(_, age_ms)| age_ms);
+        let quarantined = self.quarantined.iter_mut().map(|report| &mut report.age_ms);
+        crashes.chain(runs).chain(quarantined).for_each(|age_ms| *age_ms = age_ms.saturating_add(elapsed_ms));
+    }
+}
+
 impl Crashes {
     /// Takes the findings of another gateway.
     pub fn update(&mut self, findings: &CrashFindings, now_us: u64, gateways: usize, random: &mut Random) {
         let at_us = |age_ms: u32| now_us.saturating_sub(u64::from(age_ms) * US_PER_MS);
         for (digest, age_ms) in findings.runs.iter().take(REPORTED_RUN_LIMIT) {
-            if at_us(*age_ms) + RUN_RETENTION_US > now_us {
-                self.last_run_us = self.last_run_us.max(at_us(*age_ms));
-                self.clear(*digest, at_us(*age_ms), now_us);
+            let begun_us = at_us(*age_ms);
+            if begun_us + RUN_RETENTION_US > now_us {
+                self.last_run_us = self.last_run_us.max(begun_us);
+                let known_us = self.runs.get(digest).copied();
+                let is_known = known_us.is_some_and(|known_us| begun_us < known_us + AGE_ERROR_US);
+                self.clear(*digest, known_us.filter(|_| is_known).unwrap_or(begun_us), now_us);
             }
         }
         for report in findings.crashes.iter().take(REPORTED_FEATURE_LIMIT) {
@@ -71,7 +89,10 @@
                 let features = evidence.features.iter();
                 features.map(move |(digest, depth)| (count(digest), evidence.at_us, crash, *digest, *depth))
             })
-            .filter(|(count, at_us, ..)| *count > 1 || at_us + REPORT_US > now_us)
+            .filter(|(count, at_us, ..)| {
+                let report_us = if *count > 1 { CRASH_RETENTION_US - REPORT_MARGIN_US } else { REPORT_US };
+                at_us + report_us > now_us
+            })
             .collect();
         if reported.len() > REPORTED_FEATURE_LIMIT {
             // What several crashes have in common comes first. The quarantine of a request says all that others need.
@@ -95,7 +116,10 @@
             runs.sort_by_cached_key(|_| random.word());
             runs.truncate(REPORTED_RUN_LIMIT);
         }
-        let mut quarantined: Vec<_> = self.quarantined.iter().collect();
+        let is_reported = |(_, quarantine): &(&u64, &Quarantine)| {
+            quarantine.last_crash_us + QUARANTINE_US - REPORT_MARGIN_US > now_us
+        };
+        let mut quarantined: Vec<_> = self.quarantined.iter().filter(is_reported).collect();
         if quarantined.len() > REPORTED_QUARANTINE_LIMIT {
             quarantined.sort_by_cached_key(|_| random.word());
         }
--- a/crates/banyannotch/src/gateway/dispatch/quarantine.rs
+++ b/crates/banyannotch/src/gateway/dispatch/quarantine.rs
@@ -1,7 +1,8 @@
 //! Decides which features of requests are quarantined, and when a request with one is tried.
 
 use super::crashes::{
-    CRASH_RETENTION_US, Crashes, INCIDENT_LIMIT, REQUEST_CRASH_LIMIT, RUN_RETENTION_US, WHOLE_REQUEST_DEPTH,
+    AGE_ERROR_US, CRASH_RETENTION_US, Crashes, INCIDENT_LIMIT, REQUEST_CRASH_LIMIT, RUN_RETENTION_US,
+    WHOLE_REQUEST_DEPTH,
 };
 use super::messages::Feature;
 use crate::random::Random;
@@ -83,7 +84,7 @@
             return;
         }
         let quarantine = self.quarantined.entry(feature.digest);
-        if is_new || last_crash_us > quarantine.last_crash_us {
+        if is_new || last_crash_us > quarantine.last_crash_us + AGE_ERROR_US {
             let (pause_us, spread_us) = match pause {
                 Pause::Probation => (SETTLING_US, PROBATION_SPREAD_US),
                 Pause::Long => (TRIAL_PAUSE_US, TRIAL_SPREAD_US),
--- a/crates/banyannotch/src/gateway/gossip/crash_tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/crash_tests.rs
@@ -231,3 +231,21 @@
     assert_eq!(total, 0, "{text}");
     insta::assert_snapshot!(text);
 }
+
+/// Gateways tell each other of a quarantine for as long as it lasts. Each took the report of another one for a later crash, by
+/// the time that the report had been on its way, so that no quarantine ended while gateways exchanged states.
+#[test]
+fn a_quarantine_ends_although_gateways_repeat_it() {
+    const GATEWAYS: usize = 6;
+    const QUARANTINE_ROUNDS: u64 = 190 * 4;
+    let mut play = Play::new(GATEWAYS);
+    for observer in 0..CRASH_LIMIT {
+        play.attempt(observer, 1);
+    }
+    play.rounds(CONTACT_ROUNDS);
+    let first = play.unaware();
+    play.rounds(QUARANTINE_ROUNDS);
+    // The first request may be the trial of a quarantine that goes on.
+    let last = [play.unaware(), play.unaware()];
+    assert_eq!((first, last), (0, [GATEWAYS; 2]), "gateways that send the request");
+}
--- a/crates/banyannotch/src/gateway/gossip/policy.rs
+++ b/crates/banyannotch/src/gateway/gossip/policy.rs
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 struct Published {
     state: Box<PeerState>,
+    at_us: u64,
     /// When the version of the configuration was last confirmed to be current, in microseconds.
     version_proof_us: u64,
     /// When it was last confirmed that the endpoints had not changed, in microseconds.
@@ -48,7 +49,7 @@
         let at_us = |age_ms: u64| now_us.saturating_sub(age_ms.saturating_mul(US_PER_MS));
         let (version_proof_us, endpoints_proof_us) =
             (at_us(state.proof_age_ms), at_us(state.endpoints_age_ms));
-        Self { state, version_proof_us, endpoints_proof_us }
+        Self { state, at_us: now_us, version_proof_us, endpoints_proof_us }
     }
 
     /// Takes the later proofs of another state that has the same version or the same offset. Without this, each relay
@@ -62,14 +63,15 @@
         }
     }
 
-    /// Returns the state for a gateway in the given zone, with the current ages of the proofs.
+    /// Returns the state for a gateway in the given zone, with the current ages of the proofs and findings.
     fn state_for(&self, now_us: u64, zone: &Zone) -> PeerState {
-        let state = if self.state.zone == *zone {
+        let mut state = if self.state.zone == *zone {
             PeerState::clone(&self.state)
         } else {
             self.state.for_other_zone()
         };
         let age_ms = |at_us: u64| now_us.saturating_sub(at_us).div_ceil(US_PER_MS);
+        state.crash_findings.add_age_ms(age_ms(self.at_us));
         PeerState {
             proof_age_ms: age_ms(self.version_proof_us),
             endpoints_age_ms: age_ms(self.endpoints_proof_us),
