dispatch: crashes of a restarted endpoint count before its entry names the new start

A request that comes again crashed the same endpoint over and over while the store was away, or within the time that an entry takes to change: the crashes had the same address and the same known start, and counted as one.

Breaks of one known start that are more than 2.5 s apart now belong to two crashes, because a connection to an endpoint that has ended breaks within 2 s. Sends that end with the same crash still count once.

crashes_between_which_no_entry_names_a_new_start_count_each: before, the fourth attempt was sent like the three before.

--- a/crates/banyannotch/src/gateway/dispatch/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/crashes.rs
@@ -27,6 +27,10 @@
 /// time for which a datagram is on its way. A later time counts as another event only if it differs by more, so that gateways
 /// that repeat an event to each other do not make it later each time.
 pub(super) const AGE_ERROR_US: u64 = 250_000;
+/// Time within which breaks of one incarnation belong to one crash, in microseconds. A connection to an endpoint that went
+/// silent breaks up to 2 s later. Breaks that are further apart show that the endpoint started anew in between, although its
+/// entry does not name the new start so far.
+const SAME_CRASH_US: u64 = 2_500_000;
 /// Time for which crashes are retained, in microseconds.
 pub(super) const CRASH_RETENTION_US: u64 = 120_000_000;
 /// Time for which runs are retained, in microseconds. Reports of crashes arrive within it.
@@ -96,7 +100,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Crashes {
     unconfirmed: Vec<Unconfirmed>,
-    pub(super) crashes: Table<Crash, Evidence>,
+    /// Crashes, each with the time at which it was first recorded.
+    pub(super) crashes: Table<(Crash, u64), Evidence>,
     /// Begin of the last run with each feature.
     pub(super) runs: Table<u64, u64>,
     /// Begin of the last run of any request.
@@ -130,13 +135,17 @@
     }
 
     pub(super) fn record_crash(&mut self, crash: Crash, at_us: u64, features: &[Feature], now_us: u64) {
-        if self.crashes.len() >= RETAINED_CRASH_LIMIT && !self.crashes.contains(&crash) {
+        let known = self.crashes.iter().find(|((known, _), evidence)| {
+            *known == crash && evidence.at_us.abs_diff(at_us) <= SAME_CRASH_US
+        });
+        let (key, at_us) =
+            known.map_or(((crash, at_us), at_us), |(key, known)| (*key, known.at_us.min(at_us)));
+        if self.crashes.len() >= RETAINED_CRASH_LIMIT && !self.crashes.contains(&key) {
             let oldest = self.crashes.iter().min_by_key(|(_, evidence)| evidence.at_us);
             let Some(oldest) = oldest.map(|(crash, _)| *crash) else { return };
             self.crashes.remove(&oldest);
         }
-        let at_us = self.crashes.get(&crash).map_or(at_us, |known| known.at_us.min(at_us));
-        let evidence = self.crashes.entry(crash);
+        let evidence = self.crashes.entry(key);
         evidence.at_us = at_us;
         for feature in features.iter().take(CRASH_FEATURE_LIMIT) {
             if self.runs.get(&feature.digest).is_some_and(|begun_us| *begun_us >= at_us) {
@@ -147,7 +156,7 @@
             }
         }
         if evidence.features.is_empty() {
-            self.crashes.remove(&crash);
+            self.crashes.remove(&key);
         }
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/explanations.rs
+++ b/crates/banyannotch/src/gateway/dispatch/explanations.rs
@@ -26,7 +26,8 @@
 impl Crashes {
     /// Returns the features that explain the most incidents, each without the crashes that an earlier one explains.
     pub(super) fn explanations(&self) -> Vec<Explanation> {
-        let mut open: Vec<(&Crash, &Evidence)> = self.crashes.iter().collect();
+        let mut open: Vec<(&Crash, &Evidence)> =
+            self.crashes.iter().map(|((crash, _), evidence)| (crash, evidence)).collect();
         let mut found = Vec::new();
         while open.len() >= INCIDENT_LIMIT {
             let mut suspects: Vec<(u64, u64, Address, u8)> = open
--- a/crates/banyannotch/src/gateway/dispatch/findings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/findings.rs
@@ -85,9 +85,9 @@
         let mut reported: Vec<_> = self
             .crashes
             .iter()
-            .flat_map(|(crash, evidence)| {
+            .flat_map(|(key, evidence)| {
                 let features = evidence.features.iter();
-                features.map(move |(digest, depth)| (count(digest), evidence.at_us, crash, *digest, *depth))
+                features.map(move |(digest, depth)| (count(digest), evidence.at_us, key, *digest, *depth))
             })
             .filter(|(count, at_us, ..)| {
                 let report_us = if *count > 1 { CRASH_RETENTION_US - REPORT_MARGIN_US } else { REPORT_US };
@@ -101,9 +101,10 @@
                 (is_known, Reverse(*count), random.word())
             });
         }
-        let mut crashes: Table<Crash, CrashReport> = Table::default();
-        for (_, at_us, crash, digest, depth) in reported.into_iter().take(REPORTED_FEATURE_LIMIT) {
-            let report = crashes.entry(*crash);
+        let mut crashes: Table<(Crash, u64), CrashReport> = Table::default();
+        for (_, at_us, key, digest, depth) in reported.into_iter().take(REPORTED_FEATURE_LIMIT) {
+            let report = crashes.entry(*key);
+            let (crash, _) = key;
             (report.address, report.born_ms, report.age_ms) = (crash.address, crash.born_ms, age_ms(at_us));
             report.features.push(Feature { digest, depth });
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -130,6 +130,21 @@
     insta::assert_snapshot!(world.decisions.join("\n"));
 }
 
+/// While the store is away, no entry names the new start of an endpoint. Its crashes counted as one then.
+#[test]
+fn crashes_between_which_no_entry_names_a_new_start_count_each() {
+    let mut world = World::with_small_model(1);
+    for _ in 0..4 {
+        let ticket = world.submit("/write/x");
+        world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+        world.event(Event::Report { address: address(11), report: None });
+        world.end(ticket, Ending::Left);
+        world.wait_ms(4_000);
+        world.confirm_configuration();
+    }
+    insta::assert_snapshot!(world.text());
+}
+
 /// A reset of the connections of endpoints that keep running does not show that a request crashes endpoints. Seed 25 of
 /// the soak found every gateway refusing equal requests for a minute after some resets.
 #[test]
