dispatch: a replica is probed after a broken connection

A request that crashed the replicas of a plain service was sent to further ones for some seconds: replicas give no reports, so that a crash was counted only when the entry had expired after three missed heartbeats, or when another send of the same gateway found no listener. That is longer than the time after which the users count repeats.

After a broken connection a replica, or an engine that wants no requests and is therefore not inspected, is now probed by a connection that carries nothing. If it is refused, the crash counts at once. A probe without an answer shows nothing.

Stand-ins refuse connections while they are down, as a process that ended does.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -152,8 +152,11 @@
             BrokenBy::Connection => {
                 self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0);
                 // The report also shows whether an engine that is a path of its own has crashed.
-                if first_load.sequences > 0 {
-                    self.inspect(now_us, *first, actions);
+                let is_engine = first_load.sequences > 0;
+                if is_engine && self.announcements.hold_off_end_us(first, now_us).is_none() {
+                    actions.push(Action::Inspect(*first));
+                } else if self.probes.insert(*first, ()).is_none() {
+                    actions.push(Action::Probe(*first));
                 }
             }
             BrokenBy::Garbled => self.health.entry(*first).record_failure(now_us, half_life_ms, 1.0),
@@ -168,6 +171,22 @@
         }
     }
 
+    /// Counts the breaks of an endpoint at whose address nothing listens any more. Its entry would show that only after
+    /// several missed heartbeats.
+    pub(super) fn on_probe(
+        &mut self,
+        now_us: u64,
+        address: Address,
+        is_refused: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        self.probes.remove(&address);
+        if is_refused {
+            self.confirm_crash(address, now_us, "refused", actions);
+            self.exclude(now_us, address, "refused", actions);
+        }
+    }
+
     pub(super) fn exclude(
         &mut self,
         now_us: u64,
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -259,6 +259,13 @@
         /// State of the engine; none if it did not answer.
         report: Option<EngineReport>,
     },
+    /// An attempt to connect to an endpoint ended.
+    Probed {
+        /// Address of the endpoint.
+        address: Address,
+        /// Whether nothing listens at the address.
+        is_refused: bool,
+    },
     /// The process is stopping.
     Draining,
 }
@@ -417,6 +424,8 @@
     Ready(bool),
     /// Request a report from an engine.
     Inspect(Address),
+    /// Find out whether anything listens at the address of an endpoint that gives no reports.
+    Probe(Address),
     /// Tell the catalog that an endpoint announced its departure.
     Leaving(EndpointStart),
     /// Publish the state to the other gateways.
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -42,6 +42,8 @@
     pub(super) tickets: Table<u64, Ticket>,
     /// Engines that were asked for a report because of late events and have not answered so far.
     pub(super) inspections: Table<Address, ()>,
+    /// Endpoints that are being probed.
+    pub(super) probes: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
     pub(super) crashes: Crashes,
     pub(super) peers: Table<String, Peer>,
@@ -70,6 +72,7 @@
             announcements: Announcements::default(),
             tickets: Table::default(),
             inspections: Table::default(),
+            probes: Table::default(),
             budgets: Table::default(),
             crashes: Crashes::default(),
             peers: Table::default(),
@@ -494,6 +497,9 @@
                 self.update_peer(now_us, *state, known, zone_known);
             }
             Event::Report { address, report } => self.on_report(now_us, address, report.as_ref(), actions),
+            Event::Probed { address, is_refused } => {
+                return self.on_probe(now_us, address, is_refused, actions);
+            }
             Event::Draining => self.draining = true,
         }
         self.update_readiness(now_us, actions);
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -1,7 +1,10 @@
 //! Thread of dispatch: moves events and actions between the rings and the policy, and requests engine
 //! reports. It makes no decisions.
 
-use std::time::Instant;
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpStream;
 
 use super::{Action, Decision, Dispatch, DispatchSettings, Event, PeerState, RefusalReason, Verdict};
 use crate::clock::Clock;
@@ -13,6 +16,9 @@
 /// Timeout of the report of an engine, in milliseconds. A live engine answers within a few milliseconds.
 const REPORT_TIMEOUT_MS: u64 = 400;
 
+/// Time limit of a connection that only shows whether an endpoint listens, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 400;
+
 /// Rings between dispatch and the other duties.
 #[derive(Debug)]
 pub struct Links {
@@ -87,6 +93,19 @@
                     reports.put(Event::Report { address, report });
                 });
             }
+            Action::Probe(address) => {
+                let reports = self.reports.clone();
+                actix_rt::spawn(async move {
+                    let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+                    let result = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+                    // Without an answer the network may be at fault.
+                    let is_refused = matches!(
+                        &result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused
+                    );
+                    log::info!("event=probed endpoint_address={address} refused={is_refused}");
+                    reports.put(Event::Probed { address, is_refused });
+                });
+            }
             Action::Leaving(start) => {
                 let event = catalog::Event::Leaving { id: start.id, born_ms: start.born_ms };
                 self.links.catalog.send_or_fail(event, "dispatch_catalog", &self.supervisor);
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -302,6 +302,7 @@
                 format!("{ticket}: {} {}", refusal.reason.status(), refusal.reason)
             }
             Action::Ready(ready) => format!("ready {ready}"),
+            Action::Probe(address) => format!("probe {}", address.ip()),
             Action::Leaving(start) => format!("{} leaves", start.id),
             Action::Inspect(address) => {
                 self.inspected.push(address);
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -145,6 +145,25 @@
     insta::assert_snapshot!(world.text());
 }
 
+/// Replicas of a plain service give no reports. Their crashes were counted only when their entries had expired, some seconds
+/// later, and until then the request was sent to further ones.
+#[test]
+fn a_crash_of_a_replica_is_counted_before_its_entry_expires() {
+    let mut world = World::new();
+    for round in 0..4 {
+        let ticket = world.submit("/read/x");
+        for _ in 0..2 {
+            let Some(order) = world.last_order.take() else { continue };
+            world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+            // The replica that this round began with runs on.
+            world.event(Event::Probed { address: order.address, is_refused: round > 0 });
+        }
+        world.wait_ms(1_000);
+        world.confirm_configuration();
+    }
+    insta::assert_snapshot!(world.text());
+}
+
 /// A reset of the connections of endpoints that keep running does not show that a request crashes endpoints. Seed 25 of
 /// the soak found every gateway refusing equal requests for a minute after some resets.
 #[test]
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -12,7 +12,9 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::Notify;
 
-use super::{FILLER_CHUNK, encode_response, listen, read_request, split_stream, write_without_end};
+use super::{
+    FILLER_CHUNK, encode_response, listen_between_crashes, read_request, split_stream, write_without_end,
+};
 
 /// A fault of an endpoint in the next requests.
 ///
@@ -180,6 +182,10 @@
     report_fault: ReportFault,
     /// Id of a part of a prompt that crashes the endpoint when it begins to answer.
     deadly_part: Option<String>,
+    /// Target of requests that crash the endpoint.
+    deadly_target: Option<String>,
+    /// Time after a crash in which nothing listens at the address.
+    restart: Duration,
     /// Number of starts, which reports and entries contain as `born`.
     born: u64,
     /// Until when the endpoint is down after a crash.
@@ -222,12 +228,18 @@
             arrivals: 0,
             report_fault: ReportFault::None,
             deadly_part: None,
+            deadly_target: None,
+            restart: RESTART,
             born: 1,
             down_until: None,
             crashed: Rc::default(),
         }));
         let shared = Rc::clone(&state);
-        let address = listen(move |stream| serve(Rc::clone(&shared), stream))?;
+        let crashed = Rc::clone(&state.borrow().crashed);
+        let restarting = Rc::clone(&state);
+        let restart = move || restarting.borrow().restart;
+        let address =
+            listen_between_crashes(crashed, restart, move |stream| serve(Rc::clone(&shared), stream))?;
         Ok(Self { state, address })
     }
 
@@ -269,6 +281,12 @@
         self.state.borrow_mut().deadly_part = Some(id.to_owned());
     }
 
+    /// Sets the target of requests that crash the endpoint as a deadly part does, and how long it is down then.
+    pub fn set_deadly_target(&self, target: &str, restart: Duration) {
+        let mut state = self.state.borrow_mut();
+        (state.deadly_target, state.restart) = (Some(target.to_owned()), restart);
+    }
+
     /// Returns whether the endpoint is down after a crash.
     pub fn is_down(&self) -> bool {
         self.state.borrow().is_down()
@@ -449,10 +467,12 @@
     let is_deadly = |deadly: &String| {
         parts.split(',').any(|part| part.split_once(':').is_some_and(|(id, _)| id == deadly))
     };
-    if state.borrow().deadly_part.as_ref().is_some_and(is_deadly) {
+    let is_deadly = state.borrow().deadly_part.as_ref().is_some_and(is_deadly)
+        || state.borrow().deadly_target.as_ref() == Some(&head.target);
+    if is_deadly {
         let mut state = state.borrow_mut();
         state.born += 1;
-        state.down_until = Some(Instant::now() + RESTART);
+        state.down_until = Some(Instant::now() + state.restart);
         state.crashed.notify_waiters();
         return false;
     }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -17,11 +17,14 @@
 
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 
 use banyannotch::gateway::http1::{BodyDecoder, Reader, RequestHead, split};
 
@@ -29,6 +32,8 @@
 const HEAD_AND_BODY_LIMIT_BYTES: usize = 4 << 20;
 /// A connection is aborted when sent data stays unacknowledged for this long, in milliseconds.
 const TCP_USER_TIMEOUT_MS: u64 = 30_000;
+/// Pause between two attempts to listen again on the port of a crashed endpoint.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
 
 /// Binds a listener to an ephemeral loopback port and serves each connection on the current thread.
 fn listen<F>(serve: impl Fn(TcpStream) -> F + 'static) -> std::io::Result<SocketAddr>
@@ -46,6 +51,42 @@
     Ok(address)
 }
 
+/// Accepts connections on a free port like [`listen`]. After each notification of a crash nothing listens there for a time.
+fn listen_between_crashes<F>(
+    crashed: Rc<Notify>,
+    restart: impl Fn() -> Duration + 'static,
+    serve: impl Fn(TcpStream) -> F + 'static,
+) -> std::io::Result<SocketAddr>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    let mut listener = banyannotch::http::listener_from_std(listener)?;
+    actix_rt::spawn(async move {
+        loop {
+            tokio::select! {
+                biased;
+                () = crashed.notified() => {
+                    drop(listener);
+                    actix_rt::time::sleep(restart()).await;
+                    listener = loop {
+                        match TcpListener::bind(address).and_then(banyannotch::http::listener_from_std) {
+                            Ok(listener) => break listener,
+                            Err(_) => actix_rt::time::sleep(REBIND_PAUSE).await,
+                        }
+                    };
+                }
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    actix_rt::spawn(serve(stream));
+                }
+            }
+        }
+    });
+    Ok(address)
+}
+
 /// Reads one request. Returns `None` when the connection ends, or when the request is malformed or too large.
 async fn read_request(reader: &mut Reader) -> Option<(RequestHead, Bytes)> {
     let head = reader.request_head(HEAD_AND_BODY_LIMIT_BYTES).await.ok()?;
