dispatch: copies of a request that are lost with other endpoints count as one crash

After the loss of many endpoints at the same moment, a sound request that many callers sent was refused for a minute: each copy on a lost endpoint counted as a crash under it, and three are enough. Since all gateways pass crashes on, the copies of different gateways add up as well.

Crashes under a request count once together if an endpoint that did not run it crashed within 0.1 s of them. A request that crashes endpoints by itself is present in all of them, and each counts. Known quarantines end once that shows.

Times of crashes are kept as first recorded unless a report is earlier by more than 250 ms: rounded ages moved them by a millisecond each time, so that after a minute they no longer belonged to the same incident.

--- a/crates/banyannotch/src/gateway/dispatch/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/crashes.rs
@@ -19,13 +19,16 @@
 pub(super) const REQUEST_CRASH_LIMIT: usize = 3;
 /// Number of separate incidents that a part must explain. The users allow five crashes before requests count.
 pub(super) const INCIDENT_LIMIT: usize = 3;
+/// Crashes that are closer than this belong to one incident, in microseconds: engines that are lost together are no
+/// evidence against a feature that many requests have.
+pub(super) const INCIDENT_GAP_US: u64 = 100_000;
 /// Time for which a run must go on after its first event to clear its features, in microseconds.
 pub(super) const SURVIVAL_US: u64 = 100_000;
 /// Time after a broken connection in which its endpoint must be found down, in microseconds.
 const CONFIRMATION_US: u64 = 6_000_000;
 /// Largest difference between what gateways take for the time of the same event, in microseconds. Ages do not contain the
-/// time for which a datagram is on its way. A later time counts as another event only if it differs by more, so that gateways
-/// that repeat an event to each other do not make it later each time.
+/// time for which a datagram is on its way. Another time counts only if it differs by more, so that gateways that repeat an
+/// event to each other do not move it each time.
 pub(super) const AGE_ERROR_US: u64 = 250_000;
 /// Time within which breaks of one incarnation belong to one crash, in microseconds. A connection to an endpoint that went
 /// silent breaks up to 2 s later. Breaks that are further apart show that the endpoint started anew in between, although its
@@ -138,8 +141,11 @@
         let known = self.crashes.iter().find(|((known, _), evidence)| {
             *known == crash && evidence.at_us.abs_diff(at_us) <= SAME_CRASH_US
         });
-        let (key, at_us) =
-            known.map_or(((crash, at_us), at_us), |(key, known)| (*key, known.at_us.min(at_us)));
+        let (key, at_us) = match known {
+            Some((key, known)) if at_us + AGE_ERROR_US <= known.at_us => (*key, at_us),
+            Some((key, known)) => (*key, known.at_us),
+            None => ((crash, at_us), at_us),
+        };
         if self.crashes.len() >= RETAINED_CRASH_LIMIT && !self.crashes.contains(&key) {
             let oldest = self.crashes.iter().min_by_key(|(_, evidence)| evidence.at_us);
             let Some(oldest) = oldest.map(|(crash, _)| *crash) else { return };
@@ -212,4 +218,34 @@
     pub(super) fn crash_count(&self, digest: u64) -> usize {
         self.crashes_with(digest).count()
     }
+
+    /// Returns whether so many endpoints crashed under a request that it is refused.
+    pub(super) fn is_deadly(&self, digest: u64) -> bool {
+        self.crash_count(digest) >= REQUEST_CRASH_LIMIT
+            && self.separate_crash_count(digest) >= REQUEST_CRASH_LIMIT
+    }
+
+    /// Returns the number of crashes under a request. Those in an incident in which endpoints without the request crashed too
+    /// count once together: such a loss has another cause, and a request that many callers send may be lost with it in many
+    /// copies.
+    fn separate_crash_count(&self, digest: u64) -> usize {
+        let mut crashes_us: Vec<u64> = self.crashes_with(digest).map(|evidence| evidence.at_us).collect();
+        crashes_us.sort_unstable();
+        let has_other_cause = |at_us: u64| {
+            let mut others = self.crashes.iter().filter(|(_, evidence)| !evidence.features.contains(&digest));
+            others.any(|(_, evidence)| evidence.at_us.abs_diff(at_us) < INCIDENT_GAP_US)
+        };
+        let (mut count, mut incident_us) = (0, None);
+        for at_us in crashes_us {
+            let is_same = incident_us.is_some_and(|begun_us| at_us - begun_us < INCIDENT_GAP_US);
+            if is_same {
+                continue;
+            }
+            count += 1;
+            if has_other_cause(at_us) {
+                incident_us = Some(at_us);
+            }
+        }
+        count
+    }
 }
--- a/crates/banyannotch/src/gateway/dispatch/explanations.rs
+++ b/crates/banyannotch/src/gateway/dispatch/explanations.rs
@@ -1,11 +1,8 @@
 //! Finds the features that explain crashes best. See "Parts of prompts that crash engines" in `docs/platform.md`.
 
-use super::crashes::{Crash, Crashes, Evidence, INCIDENT_LIMIT, WHOLE_REQUEST_DEPTH};
+use super::crashes::{Crash, Crashes, Evidence, INCIDENT_GAP_US, INCIDENT_LIMIT, WHOLE_REQUEST_DEPTH};
 use crate::pipeline::Address;
 
-/// Crashes that are closer than this belong to one incident, in microseconds: engines that are lost together are no
-/// evidence against a feature that many requests have.
-const INCIDENT_GAP_US: u64 = 100_000;
 /// Number of addresses at which the crashes must have occurred, because an engine that crashes repeatedly may itself be
 /// faulty.
 const ADDRESS_LIMIT: usize = 2;
--- a/crates/banyannotch/src/gateway/dispatch/findings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/findings.rs
@@ -3,8 +3,7 @@
 use std::cmp::Reverse;
 
 use super::crashes::{
-    AGE_ERROR_US, CRASH_RETENTION_US, Crash, Crashes, INCIDENT_LIMIT, RUN_RETENTION_US, WATCH_US,
-    WHOLE_REQUEST_DEPTH, Watch,
+    AGE_ERROR_US, CRASH_RETENTION_US, Crash, Crashes, RUN_RETENTION_US, WATCH_US, WHOLE_REQUEST_DEPTH, Watch,
 };
 use super::messages::{CrashFindings, CrashReport, Feature, QuarantineReport};
 use super::quarantine::{Judgement, Pause, QUARANTINE_US, Quarantine};
@@ -65,9 +64,8 @@
                 self.watched.insert(feature.digest, watch);
                 continue;
             }
-            // A gateway that knows enough crashes judges a part by them.
-            let may_judge = !feature.is_request() && self.crash_count(feature.digest) >= INCIDENT_LIMIT;
-            if !may_judge && last_crash_us + QUARANTINE_US > now_us {
+            if !self.can_judge(feature.digest, feature.is_request()) && last_crash_us + QUARANTINE_US > now_us
+            {
                 self.quarantine(*feature, last_crash_us, Judgement::Peer, (Pause::Long, gateways), random);
             }
         }
--- a/crates/banyannotch/src/gateway/dispatch/quarantine.rs
+++ b/crates/banyannotch/src/gateway/dispatch/quarantine.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns whether this gateway knows so many crashes with a feature that it does not rely on reports.
+    pub(super) fn can_judge(&self, digest: u64, is_request: bool) -> bool {
+        let limit = if is_request { REQUEST_CRASH_LIMIT } else { INCIDENT_LIMIT };
+        self.crash_count(digest) >= limit
+    }
+
     fn has_room_for(&self, feature: Feature) -> bool {
         let requests = self.quarantined.iter().filter(|(_, known)| known.is_request()).count();
         if feature.is_request() {
@@ -120,12 +126,12 @@
         let mut crashes: Vec<_> = features.collect();
         crashes.sort_unstable_by_key(|(feature, at_us)| (feature.digest, *at_us));
         let by_request = crashes.chunk_by(|(left, _), (right, _)| left.digest == right.digest);
-        let deadly = by_request.filter(|crashes| crashes.len() >= REQUEST_CRASH_LIMIT);
         let summary = |crashes: &[(Feature, u64)]| {
             let (feature, last_crash_us) = *crashes.last()?;
-            Some((feature, crashes.len(), last_crash_us))
+            let is_deadly = crashes.len() >= REQUEST_CRASH_LIMIT && self.is_deadly(feature.digest);
+            is_deadly.then_some((feature, crashes.len(), last_crash_us))
         };
-        deadly.filter_map(summary).collect()
+        by_request.filter_map(summary).collect()
     }
 
     /// Decides which features are quarantined, and returns what has changed since the last call.
@@ -154,9 +160,9 @@
             let is_explanation = explanations.iter().any(|found| found.digest == digest);
             let cause = if quarantine.last_crash_us + QUARANTINE_US <= now_us {
                 "expired"
-            } else if !quarantine.is_request()
-                && self.crash_count(digest) >= INCIDENT_LIMIT
+            } else if self.can_judge(digest, quarantine.is_request())
                 && !is_explanation
+                && !(quarantine.is_request() && self.is_deadly(digest))
             {
                 "crashes_explained_by_another"
             } else {
@@ -183,20 +189,22 @@
     /// Returns the quarantined feature of a request, if it has one. A request counts as soon as the last crash that its
     /// quarantine requires is known.
     pub fn quarantined_feature(&self, features: &[Feature]) -> Option<Feature> {
-        let is_quarantined =
-            |feature: &&Feature| self.quarantined.contains(&feature.digest) || self.is_deadly(feature);
+        let is_quarantined = |feature: &&Feature| {
+            self.quarantined.contains(&feature.digest) || self.is_deadly_request(feature)
+        };
         features.iter().find(is_quarantined).copied()
     }
 
-    fn is_deadly(&self, feature: &Feature) -> bool {
-        feature.is_request() && self.crash_count(feature.digest) >= REQUEST_CRASH_LIMIT
+    fn is_deadly_request(&self, feature: &Feature) -> bool {
+        feature.is_request() && self.is_deadly(feature.digest)
     }
 
     /// Returns whether a new request is refused. From time to time one request with a quarantined feature is admitted,
     /// so that a feature that was quarantined wrongly can be cleared.
     pub fn refuses(&mut self, features: &[Feature], now_us: u64) -> bool {
-        let is_new =
-            |feature: &Feature| self.is_deadly(feature) && !self.quarantined.contains(&feature.digest);
+        let is_new = |feature: &Feature| {
+            self.is_deadly_request(feature) && !self.quarantined.contains(&feature.digest)
+        };
         if features.iter().any(is_new) {
             return true;
         }
--- a/crates/banyannotch/src/gateway/gossip/crash_tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/crash_tests.rs
@@ -26,6 +26,9 @@
 /// Digest of the request that crashes engines.
 const DEADLY: u64 = 900_000;
 
+/// Digest of a sound request.
+const SOUND: u64 = 800_000;
+
 fn deadly_request() -> RequestInfo {
     RequestInfo { digest: DEADLY, ..request("/write/x") }
 }
@@ -232,6 +235,51 @@
     insta::assert_snapshot!(text);
 }
 
+/// All engines are lost at the same moment, some of them under copies of a request that many callers send. Every gateway then
+/// counted a crash for each copy, and refused the sound request for a minute.
+#[test]
+fn a_sound_request_is_served_after_its_engines_were_lost_with_others() {
+    const GATEWAYS: usize = 6;
+    const COPIES: usize = 4;
+    let mut play = Play::new(GATEWAYS);
+    let mut lost = Vec::new();
+    for index in 0..GATEWAYS {
+        play.read_entries(index);
+        let world = &mut play.fleet.worlds[index];
+        for number in 0..COPIES * 2 {
+            let digest = if number < COPIES { SOUND } else { (index * COPIES + number) as u64 };
+            let ticket = world.submit_request(RequestInfo { digest, ..request("/write/x") });
+            lost.push((index, ticket, world.last_order.take().expect("the request is sent").address));
+        }
+    }
+    let now_us = round_us(play.round, GATEWAYS);
+    for (number, engine) in (FIRST_ENGINE..).zip(&mut play.engines) {
+        if lost.iter().any(|(.., engine)| *engine == address(number)) {
+            *engine = Engine { crashed_us: Some(now_us), born_ms: engine.born_ms + 1 };
+        }
+    }
+    for (index, ticket, _) in lost {
+        play.fleet.worlds[index].now_us = now_us;
+        play.fleet.worlds[index].end(ticket, Ending::Broken { by: BrokenBy::Connection });
+        play.fleet.worlds[index].end(ticket, Ending::Left);
+        play.answer_inspections(index);
+    }
+    play.rounds(CONTACT_ROUNDS + 4);
+    let mut refused = 0;
+    for _ in 0..240 {
+        let index = play.random.below(GATEWAYS);
+        play.read_entries(index);
+        let is_refused =
+            refuses(&mut play.fleet.worlds[index], RequestInfo { digest: SOUND, ..request("/write/x") });
+        refused += usize::from(is_refused);
+        if is_refused {
+            eprintln!("R {index} {} {:?}", play.round, play.fleet.worlds[index].lines.last());
+        }
+        play.rounds(1);
+    }
+    assert_eq!(refused, 0, "of 240 requests in a minute");
+}
+
 /// Gateways tell each other of a quarantine for as long as it lasts. Each took the report of another one for a later crash, by
 /// the time that the report had been on its way, so that no quarantine ended while gateways exchanged states.
 #[test]
