dispatch: a starting gateway is ready once it has heard of the others

A gateway that starts knows no crashes, and took requests before the first state of another gateway had arrived: one that had crashed three engines could be sent on by each restarted gateway. It is now ready when a gateway with a configuration has sent its state, or after the time for discovery, 1 s, if none answers. A gateway without seeds does not wait.

a_starting_gateway_is_ready_when_it_has_heard_of_the_others fails without the condition (ready at once). In the simulation a gateway that starts and one that returns from a cut know three crashes after their first round, with 6, 83 and 295 gateways, although the observers are lost by then.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -241,6 +241,7 @@
             return;
         }
         self.known_gateways = known;
+        self.has_heard_of_peers |= version > 0;
         self.zone_gateways.insert(zone.clone(), zone_known);
         self.crashes.update(&crash_findings, now_us, known, &mut self.random);
         for address in down {
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -53,6 +53,8 @@
     pub(super) zone_gateways: Table<Zone, usize>,
     pub(super) endpoints_proof: Proof,
     pub(super) publish_at_us: u64,
+    /// Whether another gateway that has a configuration has sent its state.
+    pub(super) has_heard_of_peers: bool,
     /// When the first timer was handled.
     pub(super) started_us: Option<u64>,
     pub(super) ready: bool,
@@ -80,6 +82,7 @@
             zone_gateways: Table::default(),
             endpoints_proof: Proof::default(),
             publish_at_us: 0,
+            has_heard_of_peers: false,
             started_us: None,
             ready: false,
             draining: false,
@@ -460,7 +463,11 @@
         let fresh = !self.settings.strict_revocation
             || self.proof_age_ms(now_us) + margin_ms < self.settings.max_proof_age_ms;
         let has_endpoints = self.endpoints_proof.at_us > 0;
-        let ready = self.configuration.is_some() && has_endpoints && fresh && !self.draining;
+        let ready = self.configuration.is_some()
+            && has_endpoints
+            && fresh
+            && self.knows_what_peers_know(now_us)
+            && !self.draining;
         if ready != self.ready {
             self.ready = ready;
             actions.push(Action::Ready(ready));
@@ -468,6 +475,16 @@
     }
 }
 
+impl Dispatch {
+    /// Returns whether the findings of other gateways are known, or none of them answers. A gateway that takes requests
+    /// before may send one that has crashed endpoints.
+    fn knows_what_peers_know(&self, now_us: u64) -> bool {
+        let discovery_us = self.settings.discovery_ms * US_PER_MS;
+        let has_waited = self.started_us.is_some_and(|started_us| now_us >= started_us + discovery_us);
+        !self.settings.expects_peers || self.has_heard_of_peers || has_waited
+    }
+}
+
 impl Duty for Dispatch {
     type Event = Event;
     type Action = Action;
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -74,6 +74,8 @@
     pub cheapest_path_gateways: usize,
     /// Time after the start in which a gateway that has heard of no other assumes that there are many.
     pub discovery_ms: u64,
+    /// Whether there are other gateways to hear of before this one is ready.
+    pub expects_peers: bool,
     /// Interval at which the state is published to other gateways.
     pub publish_interval_ms: u64,
     /// Time without contact after which another gateway's load is dropped.
@@ -114,6 +116,7 @@
             retry_elsewhere_after_ms: 20,
             cheapest_path_gateways: 128,
             discovery_ms: 1_000,
+            expects_peers: false,
             publish_interval_ms: 250,
             peer_timeout_ms: 1_500,
         }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -246,7 +246,8 @@
         };
         let crashes = hosts.iter().map(report).collect();
         let crash_findings = CrashFindings { crashes, ..CrashFindings::default() };
-        let state = PeerState { instance: "other".to_owned(), crash_findings, ..PeerState::default() };
+        let instance = "other".to_owned();
+        let state = PeerState { instance, version: 5, crash_findings, ..PeerState::default() };
         self.event(Event::Peer { state: Box::new(state), known: 2, zone_known: 1 });
     }
 
@@ -325,10 +326,13 @@
         self.now_us = now_us;
         let mut actions = Vec::new();
         self.dispatch.on_timer(self.now_us, &mut actions);
-        let state = actions.into_iter().find_map(|action| match action {
-            Action::PublishState(state) => Some(*state),
-            _ => None,
-        });
+        let mut state = None;
+        for action in actions {
+            match action {
+                Action::PublishState(published) => state = Some(*published),
+                action => self.record(action),
+            }
+        }
         state.expect("dispatch publishes its state after the interval")
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use super::fixtures::{World, address, configuration, request};
+use super::fixtures::{World, address, configuration, endpoints, request};
 use crate::gateway::EngineReport;
 use crate::gateway::dispatch::{BrokenBy, CrashFindings, Ending, Event, PeerState, Proof};
 
@@ -267,6 +267,35 @@
     assert_eq!((before.as_str(), world.text().as_str()), ("", "ready true"));
 }
 
+/// A gateway that took requests from its start on sent those that were known to crash endpoints. If no other one answers,
+/// it takes requests after the time for discovery.
+#[test]
+fn a_starting_gateway_is_ready_when_it_has_heard_of_the_others() {
+    let started = || {
+        let mut world = World::unconfigured();
+        world.configure(|settings| settings.expects_peers = true);
+        world.publish_state();
+        world.event(Event::Configuration(Arc::new(configuration(5))));
+        world.event(Event::Endpoints(endpoints().into()));
+        world.event(Event::EndpointsProof(Proof { version: 1, at_us: world.now_us }));
+        world.confirm_configuration();
+        world
+    };
+    let mut hearing = started();
+    hearing.hear_of_crashes(7, &[1, 2, 3], 20);
+    hearing.submit("/read/x");
+    let mut alone = started();
+    for _ in 0..3 {
+        alone.publish_state();
+    }
+    assert_eq!(alone.text(), "", "0.9 s after the start");
+    alone.publish_state();
+    let [hearing, alone] = [hearing, alone].map(|world| world.text());
+    insta::assert_snapshot!(format!(
+        "another gateway answers\n{hearing}\n\nnone answers within a second\n{alone}"
+    ));
+}
+
 /// A caller that is refused because of an outdated configuration may retry at once if another gateway may
 /// have a newer one. It must wait if all gateways have the same version, because the store is then
 /// unavailable to all of them. A wait of half a second in both cases made every such answer late.
--- a/crates/banyannotch/src/gateway/gossip/crash_tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/crash_tests.rs
@@ -235,6 +235,25 @@
     insta::assert_snapshot!(text);
 }
 
+/// A gateway that was cut off during the crashes, and one that starts after them, know them after their first round, although
+/// the observers are lost.
+#[test]
+fn gateways_that_start_or_return_know_the_crashes_after_one_round() {
+    let mut unaware = Vec::new();
+    for gateways in [6, 83, 295] {
+        let mut play = Play::new(gateways);
+        play.away = vec![1];
+        let observers = [gateways - 1, gateways / 2, 0];
+        observers.iter().for_each(|observer| play.attempt(*observer, 1));
+        play.rounds(CONTACT_ROUNDS);
+        play.away = observers.to_vec();
+        play.fleet.restart(2, ENGINE_COUNT);
+        play.rounds(1);
+        unaware.push((gateways, play.unaware()));
+    }
+    assert_eq!(unaware, [(6, 0), (83, 0), (295, 0)]);
+}
+
 /// All engines are lost at the same moment, some of them under copies of a request that many callers send. Every gateway then
 /// counted a crash for each copy, and refused the sound request for a minute.
 #[test]
--- a/crates/banyannotch/src/gateway/gossip/fleet.rs
+++ b/crates/banyannotch/src/gateway/gossip/fleet.rs
@@ -81,6 +81,12 @@
         Self { worlds, ..Self::new(count) }
     }
 
+    /// Starts a gateway anew, which forgets everything.
+    pub fn restart(&mut self, index: usize, engine_count: u8) {
+        self.gateways[index] = gossip(index);
+        self.worlds[index] = new_world(index, engine_count);
+    }
+
     pub fn new(count: usize) -> Self {
         let state = |index: usize| PeerState {
             instance: instance(index),
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -139,7 +139,7 @@
                 catalog: dispatch_to_catalog,
                 gossip: dispatch_to_gossip,
             },
-            dispatch_settings(settings),
+            dispatch_settings(settings, peers),
             seed,
             move || control().1,
         )?;
@@ -216,7 +216,7 @@
     }
 }
 
-fn dispatch_settings(settings: &GatewaySettings) -> DispatchSettings {
+fn dispatch_settings(settings: &GatewaySettings, own: Address) -> DispatchSettings {
     let defaults = DispatchSettings::default();
     DispatchSettings {
         zone: settings.zone.clone(),
@@ -226,6 +226,7 @@
         retry_ratio: settings.retry_ratio,
         retry_window_ms: (settings.retry_window_s * MS_PER_S) as u64,
         retry_allowance: settings.retry_allowance,
+        expects_peers: settings.seeds.iter().any(|seed| *seed != own),
         // The gateway must detect a stall well before the engine itself aborts the work.
         stall_limit_min_ms: defaults.stall_limit_min_ms.min(settings.stall_ms / 2),
         // A request that waits for a connection is sent well before an endpoint that leaves may refuse it.
