dispatch: failed trials lengthen a quarantine fourfold

With doubled pauses a fourth send came within ten minutes in one order of the simulated rounds: two gateways may try within the moment that the result of a trial takes to reach the others. a_request_that_keeps_coming_crashes_few_engines found 4 sends with 6 gateways, 3 are allowed, now 3 and 2.

--- a/crates/banyannotch/src/gateway/dispatch/quarantine.rs
+++ b/crates/banyannotch/src/gateway/dispatch/quarantine.rs
@@ -7,13 +7,15 @@
 use super::messages::Feature;
 use crate::random::Random;
 
-/// Time after the last crash for which a quarantine lasts, in microseconds. It doubles with each trial that fails.
+/// Time after the last crash for which a quarantine lasts, in microseconds. It grows with each trial that fails.
 const QUARANTINE_US: u64 = 180_000_000;
-/// Time after the last crash before a gateway may try a quarantined feature once, in microseconds. It doubles with each trial
+/// Time after the last crash before a gateway may try a quarantined feature once, in microseconds. It grows with each trial
 /// that fails.
 const TRIAL_PAUSE_US: u64 = 60_000_000;
-/// Maximum number of these doublings. The longest pause is about an hour.
-const DOUBLING_LIMIT: u8 = 6;
+/// Factor by which the pause and the quarantine grow with each failed trial.
+const FAILED_TRIAL_FACTOR: u64 = 4;
+/// Number of failed trials after which they grow no further. The longest pause is about an hour.
+const GROWTH_LIMIT: u8 = 3;
 /// Shortest time between two crashes of which the later one is a failed trial, in microseconds. Sends that were under way at the
 /// first crash end before.
 const FAILED_TRIAL_GAP_US: u64 = TRIAL_PAUSE_US / 2;
@@ -74,7 +76,11 @@
 
 /// Returns the time after the last crash for which a quarantine lasts, in microseconds.
 pub(super) fn quarantine_us(failed_trials: u8) -> u64 {
-    QUARANTINE_US << failed_trials.min(DOUBLING_LIMIT)
+    QUARANTINE_US * growth(failed_trials)
+}
+
+fn growth(failed_trials: u8) -> u64 {
+    FAILED_TRIAL_FACTOR.pow(u32::from(failed_trials.min(GROWTH_LIMIT)))
 }
 
 impl Quarantine {
@@ -107,7 +113,7 @@
             let failed_trials = quarantine.failed_trials.saturating_add(u8::from(has_failed_trial));
             let (pause_us, spread_us) = match pause {
                 Pause::Probation => (SETTLING_US, PROBATION_SPREAD_US),
-                Pause::Long => (TRIAL_PAUSE_US << failed_trials.min(DOUBLING_LIMIT), TRIAL_SPREAD_US),
+                Pause::Long => (TRIAL_PAUSE_US * growth(failed_trials), TRIAL_SPREAD_US),
             };
             let spread_us = random.unit() * gateways.max(1) as f64 * spread_us as f64;
             let last_crash_us = quarantine.last_crash_us.max(last_crash_us);
@@ -249,7 +255,7 @@
         let is_trial = now_us >= quarantine.trial_at_us && quarantined.next().is_none();
         if is_trial {
             quarantine.trial_at_us = now_us + quarantine.trial_pause_us;
-            let longest_us = TRIAL_PAUSE_US << quarantine.failed_trials.min(DOUBLING_LIMIT);
+            let longest_us = TRIAL_PAUSE_US * growth(quarantine.failed_trials);
             quarantine.trial_pause_us = (quarantine.trial_pause_us * 2).min(longest_us);
         }
         !is_trial
