gossip: show that a deadly request is found beside a loss of many engines

The simulated fleet runs the rounds of its gateways in the order of their times. Before, a state could reach a gateway before it was made, and one of 295 gateways took two crashes for one incident.

--- a/crates/banyannotch/src/gateway/gossip/crash_tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/crash_tests.rs
@@ -5,6 +5,7 @@
 use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine, request};
 use crate::gateway::dispatch::{BrokenBy, Ending, Event};
 use crate::gateway::{Endpoint, EngineReport, RequestInfo};
+use crate::pipeline::Address;
 use crate::random::Random;
 
 /// Number of crashes after which the users count further sends of the same request.
@@ -88,21 +89,26 @@
 
     fn rounds(&mut self, count: u64) {
         for _ in 0..count {
-            self.round += 1;
             for index in self.present() {
                 self.read_entries(index);
             }
             self.fleet.round(self.round, &self.away);
+            self.round += 1;
         }
     }
 
+    /// Returns the time between the last round and the next one.
+    fn now_us(&self) -> u64 {
+        round_us(self.round, 0)
+    }
+
     fn present(&self) -> Vec<usize> {
         (0..self.fleet.gateways.len()).filter(|index| !self.away.contains(index)).collect()
     }
 
     /// Brings a gateway's clock, configuration and entries up to date.
     fn read_entries(&mut self, index: usize) {
-        let now_us = round_us(self.round, index);
+        let now_us = self.now_us();
         let entries: Vec<_> = self.engines.iter().map(|engine| engine.entry_born_ms(now_us)).collect();
         let world = &mut self.fleet.worlds[index];
         world.now_us = now_us;
@@ -135,7 +141,7 @@
     /// Sends the deadly request to a gateway. Its caller leaves after the given number of crashes.
     fn attempt(&mut self, index: usize, crash_limit: usize) {
         self.read_entries(index);
-        let now_us = round_us(self.round, index);
+        let now_us = self.now_us();
         let counts_from_us =
             self.crashes_us.get(CRASH_LIMIT - 1).map(|third_us| third_us + CONTACT_ROUNDS * ROUND_US);
         let world = &mut self.fleet.worlds[index];
@@ -271,7 +277,7 @@
             lost.push((index, ticket, world.last_order.take().expect("the request is sent").address));
         }
     }
-    let now_us = round_us(play.round, GATEWAYS);
+    let now_us = play.now_us();
     for (number, engine) in (FIRST_ENGINE..).zip(&mut play.engines) {
         if lost.iter().any(|(.., engine)| *engine == address(number)) {
             *engine = Engine { crashed_us: Some(now_us), born_ms: engine.born_ms + 1 };
@@ -341,3 +347,62 @@
     assert!(most <= EXCESS_LIMIT, "{text}");
     insta::assert_snapshot!(text);
 }
+
+/// Half of the engines are lost under hundreds of requests, between the first and the second crash under one request. The
+/// states must stay small, and the crashes under that request must not be lost among the others.
+#[test]
+fn a_deadly_request_is_found_beside_a_loss_under_hundreds_of_requests() {
+    const IN_FLIGHT: u64 = 6;
+    let mut text = String::new();
+    let mut total = 0;
+    for gateways in [6, 83, 295] {
+        let mut play = Play::new(gateways);
+        let quiet_bytes = play.fleet.sent_bytes.iter().max().copied().unwrap_or_default();
+        play.attempt(gateways - 1, 1);
+        let mut sent = Vec::new();
+        for index in 0..gateways {
+            play.read_entries(index);
+            for number in 0..IN_FLIGHT {
+                let (unique, part) = (index as u64 * IN_FLIGHT + number, 1_000 + number);
+                let request = RequestInfo { digest: unique, shared_parts: vec![part], ..request("/write/x") };
+                let world = &mut play.fleet.worlds[index];
+                let ticket = world.submit_request(request);
+                sent.extend(world.last_order.take().map(|order| (index, ticket, order.address)));
+            }
+        }
+        let lost = FIRST_ENGINE..FIRST_ENGINE + ENGINE_COUNT / 2;
+        let is_lost = |engine: &Address| lost.clone().any(|number| address(number) == *engine);
+        let now_us = play.now_us();
+        for engine in &mut play.engines[..usize::from(ENGINE_COUNT / 2)] {
+            *engine = Engine { crashed_us: Some(now_us), born_ms: engine.born_ms + 1 };
+        }
+        for (index, ticket, engine) in &sent {
+            if is_lost(engine) {
+                play.fleet.worlds[*index].end(*ticket, Ending::Broken { by: BrokenBy::Connection });
+            }
+            play.fleet.worlds[*index].end(*ticket, Ending::Left);
+            play.answer_inspections(*index);
+        }
+        let mut most_bytes = 0;
+        for (observer, crashes) in [(gateways / 2, 2), (0, CRASH_LIMIT)] {
+            // Sends to engines of which a gateway does not know that they are down end without a crash.
+            while play.crashes_us.len() < crashes {
+                play.rounds(1);
+                play.attempt(observer, 1);
+            }
+        }
+        for _ in 0..CONTACT_ROUNDS {
+            play.rounds(1);
+            most_bytes = play.fleet.sent_bytes.iter().max().copied().unwrap_or_default().max(most_bytes);
+        }
+        let unaware = play.unaware();
+        total += unaware;
+        text.push_str(&format!(
+            "{gateways} gateways: {} requests lost, {unaware} do not know the crashes in 3 s, at most {most_bytes} bytes \
+             sent in a round, {quiet_bytes} before\n",
+            sent.iter().filter(|(.., engine)| is_lost(engine)).count()
+        ));
+    }
+    assert_eq!(total, 0, "{text}");
+    insta::assert_snapshot!(text);
+}
--- a/crates/banyannotch/src/gateway/gossip/fleet.rs
+++ b/crates/banyannotch/src/gateway/gossip/fleet.rs
@@ -111,7 +111,9 @@
     pub fn round(&mut self, round: u64, dead: &[usize]) {
         let count = self.gateways.len();
         (self.handled, self.sent_bytes) = (vec![0; count], vec![0; count]);
-        for index in (0..count).filter(|index| !dead.contains(index)) {
+        let mut order: Vec<usize> = (0..count).filter(|index| !dead.contains(index)).collect();
+        order.sort_by_key(|index| round_us(round, *index));
+        for index in order {
             let now_us = round_us(round, index);
             if let Some(world) = self.worlds.get_mut(index) {
                 self.states[index] = world.publish_state_at(now_us);
