--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -1,4 +1,5 @@
 //! Guards against requests that crash one endpoint after the other.
+#![allow(clippy::expect_used, reason = "a failure here fails the test")]
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
@@ -23,8 +24,7 @@
 /// Sends the same request again and again, each time once the endpoints are back, and returns the last status.
 async fn repeat(gateways: &[&Gateway], endpoints: &[Endpoint], path: &str) -> Option<u16> {
     let mut status = None;
-    for number in 0..SEND_COUNT {
-        let gateway = gateways[number % gateways.len()];
+    for (number, gateway) in (0..SEND_COUNT).zip(gateways.iter().cycle()) {
         status = call(gateway.callers, &format!("deadly-{number}"), path, "secret", "body").await.status;
         wait_until(LIMIT, async || endpoints.iter().all(|endpoint| !endpoint.is_down()))
             .await
