dispatch: show that crashes after other endings do not count

An endpoint that answers a request with garbage or an error, or not at all, before it ends is not charged to the request, so that the request is sent to a fourth one.

--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -225,6 +225,13 @@
         self.event(Event::Endpoints(restarted.into()));
     }
 
+    /// Replaces the engines of [`Self::with_small_model`] by ones that were started anew.
+    pub fn restart_engines(&mut self, engine_count: u8, born_ms: u64) {
+        let engines = (0..engine_count).map(|number| pipeline_engine(11 + number, "a", "fast", 0, 8));
+        let restarted: Vec<Endpoint> = engines.map(|engine| Endpoint { born_ms, ..engine }).collect();
+        self.event(Event::Endpoints(restarted.into()));
+    }
+
     /// Returns the known start of the endpoint at an address.
     pub fn start_at(&self, address: Address) -> EndpointStart {
         let endpoint = self.dispatch.endpoint_at(address).expect("an endpoint has the address");
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -5,7 +5,7 @@
 
 use super::fixtures::{World, address, configuration, endpoints, request};
 use crate::gateway::EngineReport;
-use crate::gateway::dispatch::{BrokenBy, CrashFindings, Ending, Event, PeerState, Proof};
+use crate::gateway::dispatch::{BrokenBy, CrashFindings, Ending, Event, PeerState, Proof, RefusalReason};
 
 /// Ends the first send and all further ones with each ending in turn, for each kind of route.
 #[test]
@@ -164,6 +164,31 @@
     insta::assert_snapshot!(world.text());
 }
 
+/// An endpoint may answer with an error or garbage, or say nothing, before it ends under a request.
+#[test]
+fn a_crash_counts_however_the_send_ended() {
+    let endings = [
+        Ending::Broken { by: BrokenBy::Connection },
+        Ending::Broken { by: BrokenBy::Garbled },
+        Ending::Broken { by: BrokenBy::Silence },
+        Ending::Failed { status: 500 },
+    ];
+    let mut counted = Vec::new();
+    for ending in endings {
+        let mut world = World::with_small_model(2);
+        for born_ms in 2..5 {
+            let ticket = world.submit("/write/x");
+            world.end(ticket, ending);
+            world.end(ticket, Ending::Left);
+            world.restart_engines(2, born_ms);
+        }
+        world.submit("/write/x");
+        counted.push((ending, world.last_refusal.map(|refusal| refusal.reason)));
+    }
+    let is_refused = |(_, reason): &(Ending, _)| *reason == Some(RefusalReason::Quarantined);
+    assert!(counted.iter().all(is_refused), "{counted:?}");
+}
+
 /// A reset of the connections of endpoints that keep running does not show that a request crashes endpoints. Seed 25 of
 /// the soak found every gateway refusing equal requests for a minute after some resets.
 #[test]
