--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -244,6 +244,17 @@
         self.write_entries();
     }
 
+    /// Starts two gateways that know each other, and waits until both serve streams.
+    pub async fn start_pair(&mut self) -> [Gateway; 2] {
+        let first = Gateway::start(self.store.address, &[]);
+        let seeds = format!("[\"{}\"]", first.peers);
+        let second = Gateway::start(self.store.address, &[("seeds", &seeds)]);
+        self.wait_placed().await;
+        first.first_stream().await;
+        second.first_stream().await;
+        [first, second]
+    }
+
     /// Returns how many times the endpoints together have run the attempt.
     pub fn runs_of(&self, id: &str) -> usize {
         let all = self.engines.iter().chain(&self.replicas);
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -52,12 +52,7 @@
 #[actix_rt::test]
 async fn a_request_that_crashes_engines_is_refused_by_both_gateways() {
     let mut fleet = Fleet::start();
-    let gateway = Gateway::start(fleet.store.address, &[]);
-    let seeds = format!("[\"{}\"]", gateway.peers);
-    let other = Gateway::start(fleet.store.address, &[("seeds", &seeds)]);
-    fleet.wait_placed().await;
-    gateway.first_stream().await;
-    other.first_stream().await;
+    let [gateway, other] = fleet.start_pair().await;
     fleet.engines.iter().for_each(|engine| engine.set_deadly_target("/write/dead", RESTART));
     let status = repeat(&[&gateway, &other], &fleet.engines, "/write/dead").await;
     let crashes = crashes(&fleet.engines);
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -26,12 +26,7 @@
 #[actix_rt::test]
 async fn a_part_that_crashes_engines_is_refused_by_all_gateways() {
     let mut fleet = Fleet::start();
-    let gateway = Gateway::start(fleet.store.address, &[]);
-    let seeds = format!("[\"{}\"]", gateway.peers);
-    let other = Gateway::start(fleet.store.address, &[("seeds", &seeds)]);
-    fleet.wait_placed().await;
-    gateway.first_stream().await;
-    other.first_stream().await;
+    let [gateway, other] = fleet.start_pair().await;
     for engine in &fleet.engines {
         engine.set_deadly_part("dead");
     }
