gossip: datagrams carry optional sections that earlier versions ignore

Datagrams had no room for anything new: a field more in the state, and gateways of two versions no longer read each other's datagrams during an update. What comes after the encoded message is ignored by earlier versions, so the demand for services and the era of the store go there. The test reads a datagram of each version with the decoder of the other.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -2,7 +2,7 @@
 
 use super::crashes::{Crash, SURVIVAL_US, features};
 use super::health::Load;
-use super::messages::{Action, BrokenBy, Decision, Ending, PeerState};
+use super::messages::{Action, BrokenBy, Decision, Ending, PeerState, Sections};
 use super::policy::Dispatch;
 use super::quarantine::{Change, Judgement};
 use super::tickets::Reservation;
@@ -340,6 +340,7 @@
             proof_age_ms: self.proof_age_ms(now_us),
             endpoints_change: self.endpoints_proof.version,
             endpoints_age_ms: now_us.saturating_sub(self.endpoints_proof.at_us) / US_PER_MS,
+            sections: Sections::default(),
         })));
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -8,6 +8,7 @@
 
 use super::crashes::Crash;
 use super::health::Load;
+use crate::gateway::demand::DemandReport;
 use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo};
 use crate::ids::Zone;
 use crate::pipeline::Address;
@@ -135,6 +136,15 @@
     pub failed_trials: u8,
 }
 
+/// Part of a gateway's state that datagrams carry in optional sections, because gateways of earlier versions do not know it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sections {
+    /// Era of the store that the positions in the state belong to; none from a gateway that does not know eras.
+    pub store_era: Option<u64>,
+    /// Demand for services.
+    pub demand: DemandReport,
+}
+
 /// State that a gateway publishes to the other gateways.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct PeerState {
@@ -158,6 +168,9 @@
     pub endpoints_change: u64,
     /// Time since it was last confirmed that there is no later change, in milliseconds.
     pub endpoints_age_ms: u64,
+    /// What gateways of earlier versions do not send.
+    #[serde(skip)]
+    pub sections: Sections,
 }
 
 impl PeerState {
@@ -171,6 +184,7 @@
             other_loads: self.other_loads.clone(),
             down: self.down.clone(),
             crash_findings: self.crash_findings.clone(),
+            sections: self.sections.clone(),
             ..*self
         }
     }
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -29,7 +29,7 @@
 pub use health::Load;
 pub use messages::{
     Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, Event, Feature, PeerState,
-    Proof, QuarantineReport, Refusal, RefusalReason, SendOrder, Submission, Verdict,
+    Proof, QuarantineReport, Refusal, RefusalReason, Sections, SendOrder, Submission, Verdict,
 };
 pub use policy::Dispatch;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/gossip/fleet.rs
+++ b/crates/banyannotch/src/gateway/gossip/fleet.rs
@@ -1,5 +1,6 @@
 //! A simulated fleet of gateways for the tests of gossip.
 
+use super::sections::encode_datagram;
 use super::{Action, Event, Gossip, GossipSettings, READER_COUNT};
 use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::World;
@@ -146,7 +147,7 @@
                 }
                 Action::Send { to, message } => {
                     self.handled[from] += 1;
-                    self.sent_bytes[from] += postcard::to_allocvec(&message).expect("it serializes").len();
+                    self.sent_bytes[from] += encode_datagram(&message).expect("it serializes").len();
                     let receiver = fleet_index(to);
                     if dead.contains(&receiver) {
                         continue;
--- a/crates/banyannotch/src/gateway/gossip/messages.rs
+++ b/crates/banyannotch/src/gateway/gossip/messages.rs
@@ -67,6 +67,22 @@
     },
 }
 
+impl Message {
+    /// Returns the state of the sender.
+    pub fn state(&self) -> &PeerState {
+        match self {
+            Self::Ask { state, .. } | Self::Tell { state, .. } => state,
+        }
+    }
+
+    /// Returns the state of the sender for changes.
+    pub(super) fn state_mut(&mut self) -> &mut PeerState {
+        match self {
+            Self::Ask { state, .. } | Self::Tell { state, .. } => state,
+        }
+    }
+}
+
 /// Input of the policy.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -13,6 +13,7 @@
 mod policy;
 mod relays;
 mod runtime;
+mod sections;
 #[cfg(test)]
 mod tests;
 
--- a/crates/banyannotch/src/gateway/gossip/runtime.rs
+++ b/crates/banyannotch/src/gateway/gossip/runtime.rs
@@ -5,7 +5,8 @@
 
 use tokio::net::UdpSocket;
 
-use super::{Action, Changes, Event, Gossip, GossipSettings, Message};
+use super::sections::{decode_datagram, encode_datagram};
+use super::{Action, Changes, Event, Gossip, GossipSettings};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::gateway::dispatch::{self, PeerState};
@@ -67,8 +68,7 @@
     let mut buffer = vec![0; DATAGRAM_LIMIT_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((size, from)) => match postcard::from_bytes::<Message>(buffer.get(..size).unwrap_or_default())
-            {
+            Ok((size, from)) => match decode_datagram(buffer.get(..size).unwrap_or_default()) {
                 Ok(message) => mailbox.put(Event::Received { from, message: Box::new(message) }),
                 Err(error) => {
                     log::warn!("event=datagram_unreadable from={from} bytes={size} error=\"{error}\"");
@@ -104,7 +104,7 @@
     fn perform(&mut self, _now_us: u64, action: Action) {
         match action {
             Action::Send { to, message } => {
-                let result = match postcard::to_allocvec(&message) {
+                let result = match encode_datagram(&message) {
                     Ok(bytes) => self.socket.try_send_to(&bytes, to).map_err(|error| error.to_string()),
                     Err(error) => Err(error.to_string()),
                 };
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -4,10 +4,14 @@
 use super::fleet::{Fleet, fleet_address};
 use super::relays::relays_of;
 use super::runtime::DATAGRAM_LIMIT_BYTES;
+use super::sections::{decode_datagram, encode_datagram};
 use super::{Action, Change, Changes, Event, Gossip, GossipSettings, Mention, Message, READER_COUNT};
 use crate::duty::Duty;
+use crate::gateway::demand::{DemandReport, SERVICE_LIMIT, ServiceDemand};
 use crate::gateway::dispatch::fixtures::{World, address, pipeline_engine, request};
-use crate::gateway::dispatch::{CrashFindings, CrashReport, Feature, Load, PeerState, QuarantineReport};
+use crate::gateway::dispatch::{
+    CrashFindings, CrashReport, Feature, Load, PeerState, QuarantineReport, Sections,
+};
 use crate::gateway::mutation::mutate;
 use crate::gateway::{Endpoint, NAME_LIMIT_BYTES, RequestInfo};
 use crate::ids::{ServiceId, Zone};
@@ -242,6 +246,7 @@
             }],
         },
         endpoints_change: 5,
+        sections: sections(),
         ..state(2, 30)
     };
     let known = vec![Mention { address: address(4), zone: Zone::from("b"), contact_age_ms: 7 }];
@@ -255,11 +260,11 @@
             known,
         },
     ];
-    let valid = valid.map(|message| postcard::to_allocvec(&message).expect("it serializes"));
+    let valid = valid.map(|message| encode_datagram(&message).expect("it serializes"));
     let (mut own, mut world, mut decoded) = (gossip(1, &[2], 8), World::new(), 0);
     for round in 0..30_000_u64 {
         let bytes = mutate(&valid[random.below(2)], &mut random);
-        let Ok(message) = postcard::from_bytes::<Message>(&bytes) else { continue };
+        let Ok(message) = decode_datagram(&bytes) else { continue };
         decoded += 1;
         let now_us = 1_000_000 + round * 100;
         let mut actions = Vec::new();
@@ -303,10 +308,47 @@
     let known = Mention { address: address(1), zone: Zone::new(name.as_str()), contact_age_ms: u32::MAX };
     let tell = Message::Tell {
         asked_us: u64::MAX,
-        state: state(2, 0),
+        state: PeerState { sections: sections(), ..state(2, 0) },
         changes: Some(Changes { from: 0, through: u64::MAX, list }),
         known: vec![known; GossipSettings::default().mention_limit],
     };
-    let bytes = postcard::to_allocvec(&tell).unwrap().len();
+    let bytes = encode_datagram(&tell).unwrap().len();
     assert!(bytes <= DATAGRAM_LIMIT_BYTES, "{bytes}");
 }
+
+fn sections() -> Sections {
+    let demand = |service| ServiceDemand {
+        service,
+        requests: u32::MAX,
+        retries: u32::MAX,
+        denied_retries: u32::MAX,
+        waiting: u32::MAX,
+        refused: u32::MAX,
+    };
+    let services = (0..SERVICE_LIMIT as u64).map(|service| demand(u64::MAX - service)).collect();
+    Sections { store_era: Some(u64::MAX), demand: DemandReport::new(services) }
+}
+
+/// Gateways of the version before sections and of later ones run beside each other during an update, so each must read what
+/// the other sends.
+#[test]
+fn gateways_of_several_versions_read_each_others_datagrams() {
+    let state = PeerState { sections: sections(), ..state(2, 30) };
+    let message = Message::Ask { asked_us: 1, state, known: Vec::new() };
+    let mut bytes = encode_datagram(&message).expect("it serializes");
+    assert_eq!(decode_datagram(&bytes), Ok(message.clone()));
+    let old: Message = postcard::from_bytes(&bytes).expect("an old gateway reads it");
+    assert_eq!(old.state().sections, Sections::default());
+    let without = decode_datagram(&postcard::to_allocvec(&message).expect("it serializes"));
+    assert_eq!(without, Ok(old));
+    // A section of a later version is skipped, and one whose content cannot be read counts as absent.
+    let later = postcard::to_allocvec(&(200_u8, b"unknown".as_slice())).expect("it serializes");
+    bytes.extend(later);
+    assert_eq!(decode_datagram(&bytes), Ok(message.clone()));
+    let mut unreadable = postcard::to_allocvec(&message).expect("it serializes");
+    unreadable.extend(postcard::to_allocvec(&(2_u8, [0xff; 3].as_slice())).expect("it serializes"));
+    assert_eq!(
+        decode_datagram(&unreadable),
+        Ok(decode_datagram(&postcard::to_allocvec(&message).unwrap()).unwrap())
+    );
+}
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod adapter;
 pub mod catalog;
 mod chain;
+pub mod demand;
 pub mod dispatch;
 mod error;
 pub mod forwarding;
