gateway: a response with an invalid status is no answer

Callers got responses with the statuses 600 to 999 as they were, on all routes, and after a 101 that no request had asked for they got whatever looked like a response. Both passed because a head was only refused below 100, and 101 counted as an interim response. Statuses of fewer or more than three digits, with a sign or with letters were refused already; the tests now say so.

RFC 9110, section 15, calls values above 599 invalid and lets a client treat them as 5xx. A router must not change the status of a signed failure that it passes on, and libraries of callers each make something else of such a value. So the head is no answer, like one with 000: an idempotent request goes to another endpoint, others get this gateway's own 502, unsigned. It may have run, even if the head states the contrary. After 101 the bytes are not HTTP, so the connection is closed in the same way.

a_status_that_http_does_not_have_is_rejected replaces a_status_below_100_is_rejected, which took 999 for valid; it has all values of the old one. Status(600), Status(999) and Interim(101) in each_fault_of_a_plain_service..., Interim(101) in nothing_but_the_rest_of_the_stream... and 101 in response_is_classified... failed before.

--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -12,7 +12,7 @@
 pub(super) enum ResponseKind {
     /// It belongs to another attempt and is skipped.
     Foreign,
-    /// An interim response (status 1xx).
+    /// An interim response (status 1xx, but not 101).
     Interim,
     /// A success that is signed by the endpoint.
     Success,
@@ -24,7 +24,7 @@
     /// not state this. The request may have run.
     Ambiguous,
     /// A response that cannot be trusted: without a required id or signature, with a content encoding, a
-    /// redirection, or a success that is marked as not run. The request may have run.
+    /// redirection, a change of the protocol, or a success that is marked as not run. The request may have run.
     Invalid,
 }
 
@@ -42,6 +42,9 @@
 /// Status "Misdirected Request" of an endpoint that is not the expected one. It never runs the request.
 const MISDIRECTED_STATUS: u16 = 421;
 
+/// Status "Switching Protocols".
+const SWITCHING_PROTOCOLS_STATUS: u16 = 101;
+
 /// Classifies a response to the attempt with the given id.
 pub(super) fn classify(
     head: &ResponseHead,
@@ -49,9 +52,13 @@
     id: &str,
     connection_use: ConnectionUse,
 ) -> ResponseKind {
-    if (100..200).contains(&head.status) {
+    if is_interim(head) {
         return ResponseKind::Interim;
     }
+    // No request asks for another protocol. What follows is not HTTP, even if it looks like a response.
+    if head.status == SWITCHING_PROTOCOLS_STATUS {
+        return ResponseKind::Invalid;
+    }
     match &response_info.id {
         Some(found) if **found != *id => return ResponseKind::Foreign,
         // Only rejections may have no id, since an endpoint may write them before it has read the request. One that may
@@ -73,6 +80,11 @@
     }
 }
 
+/// Returns whether a response is followed by another one to the same request.
+pub(super) fn is_interim(head: &ResponseHead) -> bool {
+    (100..200).contains(&head.status) && head.status != SWITCHING_PROTOCOLS_STATUS
+}
+
 /// Returns whether what a response head says about the endpoint itself is used. A head that names another attempt, or none
 /// although only rejections may do so, is not passed on and may be a copy of another endpoint's answer.
 pub(super) fn describes_endpoint(kind: ResponseKind, response_info: &ResponseInfo) -> bool {
--- a/crates/banyannotch/src/gateway/http1/head.rs
+++ b/crates/banyannotch/src/gateway/http1/head.rs
@@ -7,8 +7,8 @@
 
 /// Maximum number of headers in a head.
 const HEADER_COUNT_LIMIT: usize = 64;
-/// Lowest status code of HTTP.
-const LOWEST_STATUS: u16 = 100;
+/// Status codes that HTTP has. RFC 9110, section 15, calls all other values invalid and lets a client treat them as server errors.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 
 /// Header names and values in the order in which they were received.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -181,9 +181,9 @@
         }
         Ok(httparse::Status::Partial) => return Ok(None),
         Ok(httparse::Status::Complete(size)) => {
-            let status = response.code.filter(|status| *status >= LOWEST_STATUS);
+            let status = response.code.filter(|status| STATUSES.contains(status));
             let head = ResponseHead {
-                status: status.ok_or(HttpError::Malformed("status below 100"))?,
+                status: status.ok_or(HttpError::Malformed("status that HTTP does not have"))?,
                 reason: response.reason.unwrap_or_default().to_owned(),
                 persistent: response.version == Some(1),
                 headers: Headers::parse(response.headers)?,
--- a/crates/banyannotch/src/gateway/http1/tests.rs
+++ b/crates/banyannotch/src/gateway/http1/tests.rs
@@ -70,14 +70,27 @@
     insta::assert_snapshot!(results.join("\n"));
 }
 
-/// A status below 100 would reach the caller in a status line with fewer than three digits.
+/// A status that HTTP does not have would reach the caller in a status line that it cannot read, or as a response whose meaning
+/// it has to guess.
 #[test]
-fn a_status_below_100_is_rejected() {
-    for (status, is_valid) in [("000", false), ("001", false), ("099", false), ("100", true), ("999", true)] {
-        let mut buffer = BytesMut::from(&*format!("HTTP/1.1 {status} Any\r\n\r\n"));
-        let parsed = parse_response(&mut buffer, 256);
-        assert_eq!(matches!(parsed, Ok(Some(_))), is_valid, "{status}: {parsed:?}");
-        assert_eq!(matches!(parsed, Err(HttpError::Malformed(_))), !is_valid, "{status}: {parsed:?}");
+fn a_status_that_http_does_not_have_is_rejected() {
+    let invalid = [
+        "000", "001", "099", "600", "999", "1000", "2000", "0200", "20", "2", "", "+200", "-200", "+20",
+        "2O0", "abc", " 200", "20 0", "2.0", "0x2", "\t200",
+    ];
+    let valid = ["100", "101", "200", "503", "599"];
+    let cases = invalid.map(|status| (status, false)).into_iter().chain(valid.map(|status| (status, true)));
+    for (status, is_valid) in cases {
+        for reason in [" Any", " ", ""] {
+            let mut buffer = BytesMut::from(&*format!("HTTP/1.1 {status}{reason}\r\n\r\n"));
+            let parsed = parse_response(&mut buffer, 256);
+            assert_eq!(matches!(parsed, Ok(Some(_))), is_valid, "{status:?}{reason:?}: {parsed:?}");
+            assert_eq!(
+                matches!(parsed, Err(HttpError::Malformed(_))),
+                !is_valid,
+                "{status:?}{reason:?}: {parsed:?}"
+            );
+        }
     }
 }
 
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -50,7 +50,18 @@
         // HTTP has no status below 100. 000 reached callers as a status line with one digit.
         Fault::Status(0),
         Fault::Status(99),
+        Fault::StatusText("20"),
+        Fault::StatusText("2000"),
+        Fault::StatusText("+200"),
+        Fault::StatusText("2O0"),
         Fault::Status(599),
+        // Values above 599 are invalid, too; the callers' libraries would each make something else of them.
+        Fault::Status(600),
+        Fault::Status(999),
+        Fault::Interim(100),
+        Fault::Interim(103),
+        // No request asks for another protocol, so what follows 101 is no response.
+        Fault::Interim(101),
     ];
     let mut lines = Vec::new();
     for fault in faults {
@@ -414,6 +425,11 @@
     let mut lines = Vec::new();
     for spoiled in [
         Spoiled::Failure,
+        Spoiled::Status(0),
+        Spoiled::Status(99),
+        Spoiled::Status(600),
+        Spoiled::Interim(103),
+        Spoiled::Interim(101),
         Spoiled::Ambiguous,
         Spoiled::NotRun,
         Spoiled::Foreign,
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -57,6 +57,10 @@
     Fail,
     /// Runs the request and responds with this status, of three digits.
     Status(u16),
+    /// Runs the request and responds with this text in place of the status.
+    StatusText(&'static str),
+    /// Sends the head of an interim response with this status, of three digits, before the response; affects streams too.
+    Interim(u16),
     /// Closes the connection of a new run after this many events, and responds to a resumed run without the rest of the
     /// stream.
     SpoilResumed(u64, Spoiled),
@@ -111,6 +115,10 @@
 pub enum Spoiled {
     /// Status 500 with the engine's signature.
     Failure,
+    /// The rest of the stream with this status, of three digits.
+    Status(u16),
+    /// The rest of the stream after the head of an interim response with this status, of three digits.
+    Interim(u16),
     /// Status 503 without a statement that the request was not executed.
     Ambiguous,
     /// The statement that the request was not executed, with a body. The request is not run.
@@ -508,7 +516,9 @@
         return writer.write_all(&out).await.is_ok()
             && !matches!(spoiled, Spoiled::Foreign | Spoiled::EmptyUnframed);
     }
-    if head.target.starts_with("/write/") && fault != Fault::Fail {
+    if head.target.starts_with("/write/")
+        && !matches!(fault, Fault::Fail | Fault::Status(_) | Fault::StatusText(_))
+    {
         return write_stream(state, &signed, resumed_after, events, fault, writer).await;
     }
     write_response(&attempt, &unsigned, &signed, fault, writer).await
@@ -518,6 +528,10 @@
     let stream = format!("{signed}Content-Type: text/event-stream\r\n");
     let event = |id: u64| format!("id: {id}\ndata: token {id}\n\n");
     match spoiled {
+        Spoiled::Status(status) => encode_response(status, &stream, event(last + 1).as_bytes()),
+        Spoiled::Interim(status) => {
+            [interim_head(status), encode_response(200, &stream, event(last + 1).as_bytes())].concat()
+        }
         Spoiled::Failure => encode_response(500, &stream, event(last + 1).as_bytes()),
         Spoiled::Ambiguous => encode_response(503, &stream, event(last + 1).as_bytes()),
         Spoiled::NotRun => Vec::new(),
@@ -564,6 +578,12 @@
         Fault::Ambiguous => build_response(503, signed),
         Fault::Fail => build_response(500, signed),
         Fault::Status(status) => build_response(status, signed),
+        Fault::StatusText(status) => {
+            let length = format!("answer of {attempt}").len();
+            format!("HTTP/1.1 {status} Any\r\n{signed}Content-Length: {length}\r\n\r\nanswer of {attempt}")
+                .into_bytes()
+        }
+        Fault::Interim(status) => [interim_head(status), build_response(200, signed)].concat(),
         Fault::Unframed => format!("HTTP/1.1 200 Any\r\n{signed}\r\nanswer of {attempt}").into_bytes(),
         Fault::UnframedOld => format!("HTTP/1.0 200 Any\r\n{signed}\r\nanswer of {attempt}").into_bytes(),
         Fault::UnframedResetAfter(_) => format!("HTTP/1.1 200 Any\r\n{signed}\r\nanswer").into_bytes(),
@@ -589,6 +609,11 @@
     written && !closes
 }
 
+/// Encodes the head of an interim response, which has no body.
+fn interim_head(status: u16) -> Vec<u8> {
+    format!("HTTP/1.1 {status:03} Any\r\n\r\n").into_bytes()
+}
+
 /// Makes the operating system reset the connection when it is closed.
 fn reset_on_close(writer: &OwnedWriteHalf) {
     // Without the option the connection is closed in order, and the test that needs the reset fails.
@@ -612,6 +637,9 @@
     let mut out =
         format!("HTTP/{version} 200 Any\r\n{signed}Content-Type: text/event-stream\r\n{framing}\r\n")
             .into_bytes();
+    if let Fault::Interim(status) = fault {
+        out.splice(..0, interim_head(status));
+    }
     let first = resumed_after.map_or(0, |last| last + 1);
     if fault == Fault::Flood {
         return write_flood(out, first, writer).await;
