forwarding: an interim response does not end the write of a request

An endpoint that answered 100 or 103 while a long body was on its way did not get the rest of it, and waited until the deadline of the request. Any response head ended the write, because an early final response does. The gateway now writes on after interim ones.

--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use super::answer::{
-    ConnectionUse, Response, ResponseKind, classify, describes_endpoint, requested_hold_off_ms,
+    ConnectionUse, Response, ResponseKind, classify, describes_endpoint, is_interim, requested_hold_off_ms,
     write_response, write_stream_head,
 };
 use super::context::Context;
@@ -193,12 +193,22 @@
         let mut write_failed = false;
         {
             let (reader, writer) = (&mut self.upstream.reader, &mut self.upstream.writer);
-            let write = std::pin::pin!(writer.write_all(request_bytes));
-            tokio::select! {
-                biased;
-                // An endpoint may respond and then reset the connection; the response is still read.
-                write_result = write => write_failed = write_result.is_err(),
-                head = reader.response_head(HEAD_LIMIT_BYTES) => early_head = Some(head?),
+            let mut write = std::pin::pin!(writer.write_all(request_bytes));
+            loop {
+                tokio::select! {
+                    biased;
+                    // An endpoint may respond and then reset the connection; the response is still read.
+                    write_result = &mut write => write_failed = write_result.is_err(),
+                    head = reader.response_head(HEAD_LIMIT_BYTES) => {
+                        let head = head?;
+                        // After an interim response the endpoint still expects the rest of the request.
+                        if is_interim(&head) {
+                            continue;
+                        }
+                        early_head = Some(head);
+                    }
+                }
+                break;
             }
         }
         if write_failed {
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -119,6 +119,66 @@
     assert_eq!((got.status, got.signature.as_deref()), (Some(502), None), "{got:?}");
 }
 
+/// What an endpoint responds before it has read the whole request follows the same rules. An interim response ended the write of the
+/// request, so that the endpoint waited for the rest of the body until the deadline; 101 did the same, and 600 was passed on.
+#[actix_rt::test]
+async fn a_response_before_the_end_of_a_long_body_needs_a_valid_status() {
+    /// Size of a request, in bytes, that the buffers of the sockets do not hold.
+    const LONG_BODY_BYTES: usize = 4 << 20;
+    let mut fleet = Fleet::start();
+    let mut allowing = configuration(2, &["secret"]);
+    allowing["limits"]["max_body_bytes"] = json!(LONG_BODY_BYTES);
+    fleet.store.put_configuration(&allowing);
+    let socket = TcpSocket::new_v4().expect("a socket is created");
+    socket.set_recv_buffer_size(4_096).expect("the size of the buffer is set");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("the socket is bound");
+    let listener = socket.listen(8).expect("the socket listens");
+    fleet.proxies = fleet.engines.iter().map(|engine| engine.address).collect();
+    fleet.proxies.push(listener.local_addr().expect("the socket has an address"));
+    fleet.write_entries();
+    fleet.store.put_endpoint("desk-2", None);
+    let gateway = Gateway::start(fleet.store.address, &[]);
+    gateway.wait_ready().await;
+    let mut lines = Vec::new();
+    for status in ["000", "600", "20", "2000", "101", "100", "103"] {
+        let (callers, id) = (gateway.callers, format!("early-{status}"));
+        let head = format!("HTTP/1.1 {status} Any\r\nAttempt-Id: {id}\r\nServer-Signature: desk-1.{id}\r\n");
+        let request = actix_rt::spawn({
+            let id = id.clone();
+            async move { call(callers, &id, "/call/x", "secret", &"x".repeat(LONG_BODY_BYTES)).await }
+        });
+        let (connection, _) = listener.accept().await.expect("the gateway connects");
+        let (mut reader, mut writer) = split(connection, 30_000).expect("the options of the socket are set");
+        let request_head = reader.request_head(65_536).await.expect("the head of the request arrives");
+        if status == "100" || status == "103" {
+            writer.write_all(format!("{head}\r\n").as_bytes()).await.expect("the response is written");
+            // The gateway reads the interim response before it can write on.
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            let decoder = BodyDecoder::new(request_head.framing().expect("the framing is valid"));
+            let body =
+                tokio::time::timeout(Duration::from_secs(2), reader.whole_body(decoder, LONG_BODY_BYTES))
+                    .await;
+            let whole = matches!(body, Ok(Ok(body)) if body.len() == LONG_BODY_BYTES);
+            lines.push(format!("{status}: the whole body arrives: {whole}"));
+            let answer = format!(
+                "HTTP/1.1 200 Any\r\nAttempt-Id: {id}\r\nServer-Signature: desk-1.{id}\r\nContent-Length: 2\r\n\r\nok"
+            );
+            drop(writer.write_all(answer.as_bytes()).await);
+        } else {
+            let answer = format!("{head}Content-Length: 2\r\n\r\nno");
+            writer.write_all(answer.as_bytes()).await.expect("the response is written");
+        }
+        let got = request.await.expect("the task ends");
+        lines.push(format!(
+            "{status}: {:?} signed {} {:?}",
+            got.status,
+            got.signature.is_some(),
+            got.body.trim()
+        ));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// A head that ends in the middle is no answer, wherever it ends. At another operator it was delivered as a success with an
 /// empty or short body.
 #[actix_rt::test]
