http: a response without a final status is no answer

The client of the native entry, of the store and of reports and orders returned responses with the statuses 100 to 199 and 600 to 999 as answers: an order that an engine answered with 103 or 600 counted as refused, although it may have taken effect. After an interim response awc also keeps the connection, so that the final response was taken for that to the next request: the test got the body of the first request for the second one. Statuses of one, two or four digits, with letters or a sign, and below 100 were refused by awc already.

Such responses are CallError::BadAnswer now. As awc has pooled the connection by then, requests to a server that sent an interim response use connections of their own until the pool discards that one.

a_response_without_a_final_status_is_no_answer failed for 600, 999, 100, 101 and 103, and a_response_after_an_interim_one_does_not_answer_the_next_request for the second request.

--- a/crates/banyannotch/src/http/client.rs
+++ b/crates/banyannotch/src/http/client.rs
@@ -1,19 +1,27 @@
 //! HTTP calls to other processes with a timeout and typed errors.
 
+use std::cell::RefCell;
 use std::io::ErrorKind;
-use std::time::Duration;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::Method;
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::CallError;
 use crate::pipeline::Address;
+use crate::table::Table;
 
 /// Result of a call.
 type CallResult<T> = std::result::Result<T, CallError>;
 
+/// Statuses of final responses. RFC 9110, section 15, calls values above 599 invalid; a response with one is no answer.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClientSettings {
@@ -62,23 +70,23 @@
 #[derive(Clone)]
 pub struct Client {
     inner: awc::Client,
+    /// Client for servers that sent an interim response. It keeps no connections.
+    unpooled: awc::Client,
     settings: ClientSettings,
+    /// Servers that have sent an interim response, and when they last did so. `awc` takes such a response for the final one
+    /// and keeps the connection, on which the final one may arrive as the answer to the next request.
+    interim_senders: Rc<RefCell<Table<Address, Instant>>>,
 }
 
 impl Client {
     /// Creates a client. The thread's `actix_rt` system must be running.
     pub fn new(settings: ClientSettings) -> Self {
-        let connector = awc::Connector::new()
-            .timeout(Duration::from_millis(settings.connect_timeout_ms))
-            .conn_keep_alive(Duration::from_millis(settings.keep_alive_ms))
-            .limit(settings.connection_limit);
-        let inner = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        Self { inner, settings }
+        Self {
+            inner: new_client(settings),
+            unpooled: new_client(settings),
+            settings,
+            interim_senders: Rc::default(),
+        }
     }
 
     /// Sends a JSON body with POST and waits for the answer.
@@ -107,12 +115,9 @@
         body: Bytes,
         limit_ms: u64,
     ) -> CallResult<Answer> {
-        let request = self
-            .inner
-            .post(format!("http://{address}{path}"))
-            .content_type("application/json")
-            .send_body(body);
-        self.finish(request, limit_ms).await
+        let request = self.request(Method::POST, address, path);
+        let request = request.content_type("application/json").send_body(body);
+        self.finish(address, request, limit_ms).await
     }
 
     /// Fetches a path with GET.
@@ -120,15 +125,47 @@
     /// # Errors
     /// Returns [`CallError`] when there is no answer in time.
     pub async fn get(&self, address: Address, path: &str, limit_ms: u64) -> CallResult<Answer> {
-        let request = self.inner.get(format!("http://{address}{path}")).send();
-        self.finish(request, limit_ms).await
+        let request = self.request(Method::GET, address, path).send();
+        self.finish(address, request, limit_ms).await
+    }
+
+    fn request(&self, method: Method, address: Address, path: &str) -> awc::ClientRequest {
+        let url = format!("http://{address}{path}");
+        let sent_at = self.interim_senders.borrow().get(&address).copied();
+        if sent_at.is_some_and(|sent_at| sent_at.elapsed() <= self.connection_lifetime()) {
+            self.unpooled.request(method, url).force_close()
+        } else {
+            self.inner.request(method, url)
+        }
+    }
+
+    /// Returns the time after which an idle connection is not used again.
+    fn connection_lifetime(&self) -> Duration {
+        Duration::from_millis(self.settings.keep_alive_ms)
     }
 
-    async fn finish(&self, request: awc::SendClientRequest, limit_ms: u64) -> CallResult<Answer> {
+    fn record_interim_response(&self, address: Address) {
+        let mut senders = self.interim_senders.borrow_mut();
+        senders.retain(|_, sent_at| sent_at.elapsed() <= self.connection_lifetime());
+        senders.insert(address, Instant::now());
+    }
+
+    async fn finish(
+        &self,
+        address: Address,
+        request: awc::SendClientRequest,
+        limit_ms: u64,
+    ) -> CallResult<Answer> {
         let limit_bytes = self.settings.body_limit_bytes;
         let exchange = async move {
             let mut response = request.await.map_err(classify)?;
             let status = response.status().as_u16();
+            if status < *FINAL_STATUSES.start() {
+                self.record_interim_response(address);
+            }
+            if !FINAL_STATUSES.contains(&status) {
+                return Err(CallError::BadAnswer(format!("status {status} is none of a final response")));
+            }
             let body = response
                 .body()
                 .limit(limit_bytes)
@@ -142,6 +179,19 @@
     }
 }
 
+fn new_client(settings: ClientSettings) -> awc::Client {
+    let connector = awc::Connector::new()
+        .timeout(Duration::from_millis(settings.connect_timeout_ms))
+        .conn_keep_alive(Duration::from_millis(settings.keep_alive_ms))
+        .limit(settings.connection_limit);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
+
 /// Distinguishes errors before anything was sent from later ones. `awc` reports a connection that the server closes
 /// after the request as a connect error, too, so only errors of establishing a connection count as not sent.
 fn classify(error: SendRequestError) -> CallError {
--- a/crates/banyannotch/src/http/error.rs
+++ b/crates/banyannotch/src/http/error.rs
@@ -55,7 +55,7 @@
         /// Timeout of the call.
         limit_ms: u64,
     },
-    /// The body of the answer could not be decoded.
+    /// The status of the answer is none of a final response, or its body could not be decoded.
     #[error("the answer is not valid: {0}")]
     BadAnswer(String),
 }
--- a/crates/banyannotch/src/http/tests.rs
+++ b/crates/banyannotch/src/http/tests.rs
@@ -104,3 +104,82 @@
         assert!(matches!(broken, Err(CallError::Broken(_))), "expected Broken: {broken:?}");
     });
 }
+
+/// Answers the requests of each connection in turn with the given bytes. Those after a `|` are written when the next request
+/// has arrived.
+async fn listen_with(answers: &'static [&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let mut buffer = [0; 1_024];
+                let mut late = "";
+                for answer in answers {
+                    if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
+                        return;
+                    }
+                    let (early, rest) = answer.split_once('|').unwrap_or((answer, ""));
+                    if stream.write_all(format!("{late}{early}").as_bytes()).await.is_err() {
+                        return;
+                    }
+                    late = rest;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A status that no final response has was taken for an answer: an order to which an engine answered 103 or 600 counted as
+/// refused.
+#[test]
+fn a_response_without_a_final_status_is_no_answer() {
+    const RESPONSES: [&[&str]; 12] = [
+        &["HTTP/1.1 000 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 099 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 20 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 2 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 1000 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 abc Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 +200 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 600 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 999 Any\r\nContent-Length: 2\r\n\r\n{}"],
+        &["HTTP/1.1 100 Any\r\n\r\n"],
+        &["HTTP/1.1 101 Any\r\n\r\n"],
+        &["HTTP/1.1 103 Any\r\n\r\n"],
+    ];
+    actix_rt::System::new().block_on(async {
+        let client = Client::new(ClientSettings::default());
+        let mut accepted = Vec::new();
+        for responses in RESPONSES {
+            let answer = client.post(listen_with(responses).await, "/", &json!({}), 1_000).await;
+            if !matches!(answer, Err(CallError::BadAnswer(_) | CallError::Broken(_))) {
+                accepted.push((responses, answer));
+            }
+        }
+        assert!(accepted.is_empty(), "{accepted:#?}");
+    });
+}
+
+/// The final response that follows an interim one is not taken for that to the next request on the same connection.
+#[test]
+fn a_response_after_an_interim_one_does_not_answer_the_next_request() {
+    const RESPONSES: &[&str] = &[
+        "HTTP/1.1 103 Any\r\n\r\n|HTTP/1.1 200 Any\r\nContent-Length: 1\r\n\r\n1",
+        "HTTP/1.1 200 Any\r\nContent-Length: 1\r\n\r\n2",
+    ];
+    actix_rt::System::new().block_on(async {
+        let client = Client::new(ClientSettings::default());
+        let address = listen_with(RESPONSES).await;
+        let mut bodies = Vec::new();
+        for _ in 0..2 {
+            let answer = client.post(address, "/", &json!({}), 1_000).await;
+            bodies.extend(answer.ok().map(|answer| (answer.status, answer.body)));
+        }
+        assert!(
+            bodies.is_empty(),
+            "the response to the first request was taken for one to the second: {bodies:?}"
+        );
+    });
+}
