http: a client can keep one header of its answers

The platform's store states its era in a response header, and the client passed on the status and the body only. A client made with Client::keeping also returns the value of one header; several values are joined by commas, so that they do not look like one. Other clients copy nothing more than before.

--- a/crates/banyannotch/src/http/client.rs
+++ b/crates/banyannotch/src/http/client.rs
@@ -46,6 +46,8 @@
     pub status: u16,
     /// Body of the answer.
     pub body: Bytes,
+    /// Value of the header that the client keeps, see [`Client::keeping`]; several values are separated by commas.
+    pub kept_header: Option<Bytes>,
 }
 
 impl Answer {
@@ -63,6 +65,7 @@
 pub struct Client {
     inner: awc::Client,
     settings: ClientSettings,
+    kept_header: Option<&'static str>,
 }
 
 impl Client {
@@ -78,7 +81,13 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Self { inner, settings }
+        Self { inner, settings, kept_header: None }
+    }
+
+    /// Returns a client with the same connections whose answers also have the value of one header, named in lower case.
+    #[must_use]
+    pub fn keeping(self, header: &'static str) -> Self {
+        Self { kept_header: Some(header), ..self }
     }
 
     /// Sends a JSON body with POST and waits for the answer.
@@ -125,16 +134,21 @@
     }
 
     async fn finish(&self, request: awc::SendClientRequest, limit_ms: u64) -> CallResult<Answer> {
-        let limit_bytes = self.settings.body_limit_bytes;
+        let (limit_bytes, kept_header) = (self.settings.body_limit_bytes, self.kept_header);
         let exchange = async move {
             let mut response = request.await.map_err(classify)?;
             let status = response.status().as_u16();
+            let kept_header = kept_header.and_then(|name| {
+                let values: Vec<&[u8]> =
+                    response.headers().get_all(name).map(|value| value.as_bytes()).collect();
+                (!values.is_empty()).then(|| Bytes::from(values.join(b",".as_slice())))
+            });
             let body = response
                 .body()
                 .limit(limit_bytes)
                 .await
                 .map_err(|error| CallError::Broken(error.to_string()))?;
-            Ok(Answer { status, body })
+            Ok(Answer { status, body, kept_header })
         };
         actix_rt::time::timeout(Duration::from_millis(limit_ms), exchange)
             .await
