standins: the store can be rewound to a copy some seconds old

Store::rewind drops the records written since the copy, frees their offsets, empties the consumer group and raises the header Store-Era by one; set_era sets the header to any value or none, for stores that do not send it or send nonsense. A read from an offset beyond the end is answered with 410, as the platform answers it; it got an empty batch before. Members of the group get the generation of the group instead of a constant 1.

--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
@@ -39,6 +39,8 @@
 #[derive(Default)]
 struct Topic {
     records: Vec<(String, Option<Vec<u8>>)>,
+    /// When each record was written.
+    written: Vec<Instant>,
     /// Offset of the first record that can still be read.
     first_offset: usize,
 }
@@ -47,8 +49,14 @@
 struct State {
     topics: BTreeMap<String, Topic>,
     fault: StoreFault,
+    /// Value of the header `Store-Era` of all responses; none for a store that does not send it.
+    era: Option<String>,
     /// Member of the consumer group that owns the partition.
     owner: Option<String>,
+    /// Generation of the consumer group, which grows with each new owner.
+    generation: u64,
+    /// Generations that members stated in requests to join the group.
+    joins: Vec<u64>,
     /// Number of executed `log-read` requests.
     reads: usize,
     /// Maximum number of records in a page of `log-newest`; none for all records in one page.
@@ -107,6 +115,34 @@
         }
     }
 
+    /// Makes all responses carry this value as the header `Store-Era`; none for no header.
+    pub fn set_era(&self, era: Option<&str>) {
+        self.state.borrow_mut().era = era.map(str::to_owned);
+    }
+
+    /// Replaces the content by a copy that is this old, as a return from a backup does: later records are lost, their
+    /// offsets are assigned again, the consumer group has no members, and the era in `Store-Era` rises by one.
+    pub fn rewind(&self, age: Duration) {
+        let mut state = self.state.borrow_mut();
+        let copied_at = Instant::now().checked_sub(age);
+        for topic in state.topics.values_mut() {
+            let kept = copied_at.map_or(0, |at| topic.written.partition_point(|written| *written <= at));
+            topic.records.truncate(kept);
+            topic.written.truncate(kept);
+            topic.first_offset = topic.first_offset.min(kept);
+        }
+        let era = state.era.as_deref().and_then(|era| era.parse::<u64>().ok()).unwrap_or_default();
+        state.era = Some((era + 1).to_string());
+        (state.owner, state.generation) = (None, 0);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the generations that members stated in requests to join the group.
+    pub fn joins(&self) -> Vec<u64> {
+        self.state.borrow().joins.clone()
+    }
+
     /// Limits the number of records in a page of `log-newest`.
     pub fn set_page_limit(&self, records: usize) {
         self.state.borrow_mut().page_limit = Some(records);
@@ -123,13 +159,11 @@
     }
 
     fn put(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
-        self.state
-            .borrow_mut()
-            .topics
-            .entry(topic.to_owned())
-            .or_default()
-            .records
-            .push((key.to_owned(), value));
+        let mut state = self.state.borrow_mut();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value));
+        topic.written.push(Instant::now());
+        drop(state);
         self.changed.notify_waiters();
     }
 }
@@ -140,8 +174,8 @@
         let fault = state.borrow().fault;
         let out = match fault {
             StoreFault::None => respond(&state, &changed, &head.target, &body).await,
-            StoreFault::Down => encode_response(503, "", b""),
-            StoreFault::RateExceeded => encode_response(429, "", b""),
+            StoreFault::Down => encode_response(503, &era_header(&state.borrow()), b""),
+            StoreFault::RateExceeded => encode_response(429, &era_header(&state.borrow()), b""),
             StoreFault::Reset => return,
             StoreFault::EndlessHead => {
                 let head = b"HTTP/1.1 200 Any\r\nX-Filler: ";
@@ -182,7 +216,8 @@
     match path {
         "/-/log-newest" => {
             let page = newest(&state.borrow(), &topic, &percent_decoded(&parameter("after")));
-            encode_response(200, "", page.to_string().as_bytes())
+            let page = page.to_string();
+            encode_response(200, &era_header(&state.borrow()), page.as_bytes())
         }
         "/-/log-read" => {
             let from = parameter("from").parse().unwrap_or_default();
@@ -197,9 +232,9 @@
         "/-/log-join" => join(&mut state.borrow_mut(), body),
         "/-/log-leave" => {
             state.borrow_mut().owner = None;
-            encode_response(200, "", b"{}")
+            encode_response(200, &era_header(&state.borrow()), b"{}")
         }
-        _ => encode_response(404, "", b""),
+        _ => encode_response(404, &era_header(&state.borrow()), b""),
     }
 }
 
@@ -240,8 +275,12 @@
 fn read(state: &State, topic: &str, from: usize) -> Vec<u8> {
     let empty = Topic::default();
     let topic = state.topics.get(topic).unwrap_or(&empty);
-    if from < topic.first_offset {
-        return encode_response(410, "", json!({"start_offset": topic.first_offset}).to_string().as_bytes());
+    if from < topic.first_offset || from > topic.records.len() {
+        return encode_response(
+            410,
+            &era_header(state),
+            json!({"start_offset": topic.first_offset}).to_string().as_bytes(),
+        );
     }
     let mut out = Vec::new();
     out.extend_from_slice(&(topic.records.len() as u64).to_be_bytes());
@@ -253,15 +292,25 @@
         out.extend_from_slice(key.as_bytes());
         out.extend_from_slice(value);
     }
-    encode_response(200, "", &out)
+    encode_response(200, &era_header(state), &out)
 }
 
 fn join(state: &mut State, body: &[u8]) -> Vec<u8> {
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
     let member = body.get("member_id").and_then(Value::as_str).unwrap_or_default().to_owned();
-    let owner = state.owner.get_or_insert_with(|| member.clone());
-    let parts = if *owner == member { json!([["layers", 0, 0]]) } else { json!([]) };
-    encode_response(200, "", json!({"group_epoch": 1, "ttl_ms": 3000, "parts": parts}).to_string().as_bytes())
+    state.joins.push(body.get("group_epoch").and_then(Value::as_u64).unwrap_or_default());
+    if state.owner.is_none() {
+        state.owner = Some(member.clone());
+        state.generation += 1;
+    }
+    let parts = if state.owner.as_ref() == Some(&member) { json!([["layers", 0, 0]]) } else { json!([]) };
+    let group = json!({"group_epoch": state.generation, "ttl_ms": 3000, "parts": parts});
+    encode_response(200, &era_header(state), group.to_string().as_bytes())
+}
+
+/// Returns the header line with the era, if the store sends it.
+fn era_header(state: &State) -> String {
+    state.era.as_ref().map(|era| format!("Store-Era: {era}\r\n")).unwrap_or_default()
 }
 
 /// Encodes bytes in standard Base64, as the store's protocol requires.
