--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::http1::{RequestHead, ResponseHead};
-use super::{Configuration, Endpoint};
+use super::{Configuration, Endpoint, StorePosition};
 use crate::ids::TeamId;
 use crate::pipeline::{Address, LayerRange};
 
@@ -147,19 +147,44 @@
     },
 }
 
-/// Records from one read, and the offset of the next read.
+/// Records from one read, and the position of the next read.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
     /// Records, oldest first.
     pub records: Vec<Record>,
     /// Offset to continue reading from.
     pub next: u64,
+    /// Era of the store that answered.
+    pub era: u64,
     /// Size of the response data, in bytes.
     pub bytes: usize,
 }
 
+impl Batch {
+    /// Returns the position to continue reading from.
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.next)
+    }
+}
+
 /// Result of a call to the store.
-pub type StoreResult<T> = std::result::Result<T, StoreError>;
+pub type StoreResult<T> = std::result::Result<T, StoreFailure>;
+
+/// A failed call to the store.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{error}")]
+pub struct StoreFailure {
+    /// Why the call failed.
+    pub error: StoreError,
+    /// Era of the store that answered; none if there was no answer or its era cannot be read.
+    pub era: Option<u64>,
+}
+
+impl From<StoreError> for StoreFailure {
+    fn from(error: StoreError) -> Self {
+        Self { error, era: None }
+    }
+}
 
 /// Error of a call to the store.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -173,6 +198,17 @@
     /// The requested records have expired. The caller has to start again from the newest records.
     #[error("the records have expired")]
     Expired,
+    /// The response states an era that cannot be read, so it is not known what its offsets mean.
+    #[error("the response states an era that cannot be read: {0}")]
+    UnreadableEra(String),
+    /// The response is of an era that has ended, or states none although the store has stated one before.
+    #[error("the response is of era {era}, although the store was in era {known} before")]
+    EarlierEra {
+        /// Era of the response.
+        era: u64,
+        /// Latest era that is known.
+        known: u64,
+    },
     /// There was no usable response, so the store may have executed the call.
     #[error("no usable response from the store: {0}")]
     Unknown(String),
@@ -181,6 +217,8 @@
 /// Membership in a group that the store coordinates.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Group {
+    /// Era of the store that answered; the group of an earlier one does not exist any more.
+    pub era: u64,
     /// Generation of the group as of the last join.
     pub generation: u64,
     /// Partitions that this member owns, sorted. Each entitles it to give orders to a part of the engines.
@@ -188,6 +226,9 @@
 }
 
 /// Access to the platform's store. `limit_ms` is the timeout of each HTTP call that a method makes.
+///
+/// A store that comes back from a backup has lost the latest writes and assigns their offsets again. Its era, a number that
+/// grows with each such return, shows that. The era of a store that states none is 0.
 pub trait Store: Clone + 'static {
     /// Returns the newest record of each key, and the offset for the following call of [`Store::follow`].
     fn newest(&self, feed: Feed, limit_ms: u64) -> impl Future<Output = StoreResult<Batch>>;
--- a/crates/banyannotch/src/gateway/catalog/departures.rs
+++ b/crates/banyannotch/src/gateway/catalog/departures.rs
@@ -39,3 +39,35 @@
         self.positions.contains(start)
     }
 }
+
+/// The latest start of each endpoint that was removed, for as many endpoints as [`Departures`] keeps.
+#[derive(Debug, Default)]
+pub(super) struct Removals {
+    /// Unix time of the start in milliseconds, and the position in the order of removals.
+    starts: Table<Arc<str>, (u64, u64)>,
+    count: u64,
+}
+
+impl Removals {
+    /// Records the removal of an endpoint, in place of the oldest one if too many are kept.
+    pub fn record(&mut self, (id, born_ms): Start) {
+        if self.starts.len() >= DEPARTURE_LIMIT && !self.starts.contains(&id) {
+            let oldest = self.starts.iter().min_by_key(|(_, (_, position))| *position);
+            if let Some(oldest) = oldest.map(|(id, _)| Arc::clone(id)) {
+                self.starts.remove(&oldest);
+            }
+        }
+        self.count += 1;
+        self.starts.insert(id, (born_ms, self.count));
+    }
+
+    /// Returns whether this start of an endpoint was removed, or a later one.
+    pub fn covers(&self, id: &Arc<str>, born_ms: u64) -> bool {
+        self.starts.get(id).is_some_and(|(removed_ms, _)| born_ms <= *removed_ms)
+    }
+
+    /// Forgets the removal of an endpoint that is in use again.
+    pub fn forget(&mut self, id: &Arc<str>) {
+        self.starts.remove(id);
+    }
+}
--- a/crates/banyannotch/src/gateway/catalog/entries.rs
+++ b/crates/banyannotch/src/gateway/catalog/entries.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use super::departures::{Departures, Start};
+use super::departures::{Departures, Removals, Start};
 use super::{Action, Decision};
 use crate::clock::US_PER_MS;
 use crate::gateway::Endpoint;
@@ -31,6 +31,11 @@
     known: Table<Arc<str>, Endpoint>,
     /// Endpoints whose entry is missing, and when they are removed.
     missing: Table<Arc<str>, u64>,
+    /// Endpoints that were removed, whose entries may come back with a copy of the store.
+    removed: Removals,
+    /// Entries in a copy of the store of endpoints that had been removed, and when they count all the same. An endpoint that
+    /// is alive writes its entry again before, and the entry of another one lapses.
+    withheld: Table<Arc<str>, (Endpoint, u64)>,
     /// Departures that entries reported. They prevent a late record from reviving an endpoint that is leaving.
     reported: Departures,
     /// Departures that endpoints announced in their answers.
@@ -44,20 +49,51 @@
             return_grace_ms,
             known: Table::default(),
             missing: Table::default(),
+            removed: Removals::default(),
+            withheld: Table::default(),
             reported: Departures::default(),
             announced: Departures::default(),
         }
     }
 
-    /// Returns the endpoints that have an entry, as it describes them; several may have the same address.
+    /// Returns the endpoints that have an entry, as it describes them; several may have the same address. Withheld ones are
+    /// among them, because a gateway that never knew such an endpoint learns of it only so.
     pub fn present(&self) -> impl Iterator<Item = &Endpoint> {
         let present = self.known.iter().filter(|(id, _)| !self.missing.contains(id));
-        present.map(|(_, endpoint)| endpoint)
+        let withheld = self.withheld.iter().map(|(_, (endpoint, _))| endpoint);
+        present.map(|(_, endpoint)| endpoint).chain(withheld)
     }
 
-    /// Returns when the next missing endpoint is removed.
+    /// Returns when the next missing endpoint is removed, or the next withheld entry counts.
     pub fn next_removal_us(&self) -> Option<u64> {
-        self.missing.iter().map(|(_, removal_us)| *removal_us).min()
+        let withheld = self.withheld.iter().map(|(_, (_, until_us))| *until_us);
+        self.missing.iter().map(|(_, removal_us)| *removal_us).chain(withheld).min()
+    }
+
+    /// Returns whether the entry in a copy of the store does not count yet, because its endpoint had been removed before
+    /// the store came back. It counts from the next record that has it, or after a grace period.
+    pub fn withhold(&mut self, now_us: u64, endpoint: &Endpoint) -> bool {
+        let is_removed = self.removed.covers(&endpoint.id, endpoint.born_ms);
+        if is_removed && !self.known.contains(&endpoint.id) {
+            let until_us = now_us + self.return_grace_ms * US_PER_MS;
+            self.withheld.insert(Arc::clone(&endpoint.id), (endpoint.clone(), until_us));
+        }
+        is_removed
+    }
+
+    /// Takes the withheld entries that count now.
+    pub fn take_due_withheld(&mut self, now_us: u64) -> Vec<Endpoint> {
+        let due = self.withheld.iter().filter(|(_, (_, until_us))| *until_us <= now_us);
+        let due: Vec<Endpoint> = due.map(|(_, (endpoint, _))| endpoint.clone()).collect();
+        for endpoint in &due {
+            self.withheld.remove(&endpoint.id);
+        }
+        due
+    }
+
+    /// Drops the withheld entries, which are those of an earlier copy of the store.
+    pub fn drop_withheld(&mut self) {
+        self.withheld = Table::default();
     }
 
     /// Keeps missing endpoints for a further grace period, because an entry may return unnoticed while reads fail.
@@ -70,6 +106,7 @@
 
     /// Adds or updates an endpoint from its entry.
     pub fn upsert(&mut self, mut endpoint: Endpoint, out: &mut Vec<Action>) -> EntryChange {
+        self.withheld.remove(&endpoint.id);
         let known = self.known.get(&endpoint.id);
         if known.is_some_and(|known| known.born_ms > endpoint.born_ms) {
             // The record is late and belongs to an earlier start of the endpoint.
@@ -96,6 +133,7 @@
             endpoint.layers.map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
         );
         out.push(Action::Decide(Decision::Known { id: Arc::clone(&endpoint.id), state }));
+        self.removed.forget(&endpoint.id);
         self.known.insert(Arc::clone(&endpoint.id), endpoint);
         EntryChange::Changed
     }
@@ -109,8 +147,12 @@
 
     /// Marks an endpoint whose entry is missing for removal. After an outage, in which the entry may have expired, the
     /// endpoint is kept for a grace period. `recovered_us` is when the last outage ended. Returns whether a known
-    /// endpoint was newly marked.
+    /// endpoint was newly marked, or a withheld entry was dropped.
     pub fn mark_missing(&mut self, now_us: u64, id: &Arc<str>, recovered_us: Option<u64>) -> bool {
+        // Others may withhold the entry as well.
+        if self.withheld.remove(id).is_some() {
+            return true;
+        }
         if !self.known.contains(id) || self.missing.contains(id) {
             return false;
         }
@@ -150,7 +192,9 @@
             .collect();
         for id in &due {
             self.missing.remove(id);
-            self.known.remove(id);
+            if let Some(endpoint) = self.known.remove(id) {
+                self.removed.record(start_of(&endpoint));
+            }
             out.push(Action::Decide(Decision::Gone { id: Arc::clone(id), after_outage }));
         }
         !due.is_empty()
--- a/crates/banyannotch/src/gateway/catalog/exchange.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange.rs
@@ -16,7 +16,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::gateway::{Configuration, Endpoint};
+use crate::gateway::dispatch::Sections;
+use crate::gateway::gossip::{decode_sections, encode_sections};
+use crate::gateway::{Configuration, Endpoint, StorePosition};
 use crate::pipeline::Address;
 
 /// Maximum size of an encoded snapshot, in bytes; some thousand routes or endpoints take a few hundred kilobytes.
@@ -64,10 +66,41 @@
     pub configuration: Arc<Configuration>,
     /// The endpoints that have an entry; several may have the same address.
     pub endpoints: Vec<Endpoint>,
-    /// Offset after the last record that changed an endpoint.
-    pub change_offset: u64,
-    /// Offset up to which the records of the endpoints are complete.
-    pub next_offset: u64,
+    /// Position after the last record that changed an endpoint.
+    pub change: StorePosition,
+    /// Position up to which the records of the endpoints are complete.
+    pub next: StorePosition,
+    /// Era of the store in which the endpoints were read; none if the gateway that sent them does not know eras.
+    #[serde(skip)]
+    pub store_era: Option<u64>,
+}
+
+impl Snapshot {
+    /// Encodes the snapshot, followed by its era as a section, which gateways of earlier versions do not read.
+    ///
+    /// # Errors
+    /// Returns the error of the encoder.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_allocvec(self)?;
+        encode_sections(&Sections { store_era: self.store_era, ..Sections::default() }, &mut bytes)?;
+        Ok(bytes)
+    }
+
+    /// Decodes a snapshot and its era.
+    ///
+    /// # Errors
+    /// Returns the error of the decoder if the snapshot cannot be read.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let (snapshot, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let store_era = decode_sections(rest).store_era;
+        Ok(Self { store_era, ..snapshot }.in_era(store_era.unwrap_or_default()))
+    }
+
+    /// Returns the snapshot with its positions in the given era.
+    #[must_use]
+    pub fn in_era(self, era: u64) -> Self {
+        Self { change: self.change.in_era(era), next: self.next.in_era(era), ..self }
+    }
 }
 
 /// The snapshot that is sent to other gateways.
@@ -91,7 +124,7 @@
     fn encoded(&self) -> Bytes {
         let mut offered = self.0.borrow_mut();
         if offered.encoded.is_none() {
-            offered.encoded = match offered.snapshot.as_ref().map(postcard::to_allocvec) {
+            offered.encoded = match offered.snapshot.as_ref().map(Snapshot::encode) {
                 None => None,
                 Some(Ok(encoded)) => Some(encoded.into()),
                 Some(Err(error)) => {
@@ -149,6 +182,6 @@
     if encoded.len() > SNAPSHOT_LIMIT_BYTES {
         return Err(ExchangeError::TooLarge);
     }
-    postcard::from_bytes(&encoded)
+    Snapshot::decode(&encoded)
         .map_err(|error| ExchangeError::Unreadable { bytes: encoded.len(), detail: error.to_string() })
 }
--- a/crates/banyannotch/src/gateway/catalog/exchange_tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/exchange_tests.rs
@@ -13,7 +13,7 @@
 use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::{configuration, endpoints};
 use crate::gateway::mutation::mutate;
-use crate::gateway::{Batch, Feed, Record};
+use crate::gateway::{Batch, Feed, Record, StorePosition};
 use crate::pipeline::Address;
 use crate::random::Random;
 
@@ -24,8 +24,9 @@
     Snapshot {
         configuration: Arc::new(configuration(6)),
         endpoints: endpoints(),
-        change_offset: 7,
-        next_offset: 9,
+        change: StorePosition::new(3, 7),
+        next: StorePosition::new(3, 9),
+        store_era: Some(3),
     }
 }
 
@@ -47,7 +48,7 @@
 
 async fn send_faulty(listener: TcpListener, fault: Fault) {
     let (mut stream, _) = listener.accept().await.expect("a connection");
-    let encoded = postcard::to_allocvec(&snapshot()).expect("it serializes");
+    let encoded = snapshot().encode().expect("it serializes");
     let bytes = match fault {
         Fault::ClosesAtOnce => Vec::new(),
         Fault::Silent => {
@@ -96,20 +97,25 @@
 #[test]
 fn gateways_withstand_any_snapshot() {
     let mut random = Random::seeded(12);
-    let valid = postcard::to_allocvec(&snapshot()).expect("it serializes");
+    let valid = snapshot().encode().expect("it serializes");
     let mut decoded = 0;
     for _ in 0..5_000 {
         let bytes = mutate(&valid, &mut random);
-        let Ok(received) = postcard::from_bytes::<Snapshot>(&bytes) else { continue };
+        let Ok(received) = Snapshot::decode(&bytes) else { continue };
         decoded += 1;
         let mut catalog = Catalog::new(CatalogSettings::default(), 1);
         let (sent_us, mut actions) = (1_000_000, Vec::new());
         let record = Record::Configuration(Arc::new(configuration(6)));
-        let batch = Batch { records: vec![record], next: 1, bytes: 0 };
+        let batch = Batch { records: vec![record], next: 1, ..Batch::default() };
         let feed = Feed::Configuration;
         catalog.on_event(sent_us, Event::Read { feed, batch, snapshot: true, sent_us }, &mut actions);
         actions.clear();
-        let update = PeerUpdate { version: 7, change_offset: 7, asked_us: Some(sent_us), ..update_of_peer() };
+        let update = PeerUpdate {
+            version: 7,
+            change: StorePosition::new(0, 7),
+            asked_us: Some(sent_us),
+            ..update_of_peer()
+        };
         catalog.on_event(sent_us, Event::PeerUpdate(update), &mut actions);
         catalog.on_event(sent_us, Event::Fetched(Box::new(received)), &mut actions);
         catalog.on_timer(sent_us + 1_000_000, &mut actions);
@@ -118,3 +124,15 @@
     }
     assert!(decoded > 100, "only {decoded} mutated snapshots were valid");
 }
+
+/// Gateways of the version before read the snapshots of this one, and the other way round. The era follows the snapshot, so
+/// that they find what they expect where they expect it.
+#[test]
+fn gateways_of_several_versions_read_each_others_snapshots() {
+    let bytes = snapshot().encode().expect("it serializes");
+    assert_eq!(Snapshot::decode(&bytes), Ok(snapshot()));
+    let old: Snapshot = postcard::from_bytes(&bytes).expect("an old gateway reads it");
+    assert_eq!(old, Snapshot { store_era: None, ..snapshot().in_era(0) });
+    let from_old = postcard::to_allocvec(&snapshot()).expect("it serializes");
+    assert_eq!(Snapshot::decode(&from_old), Ok(old));
+}
--- a/crates/banyannotch/src/gateway/catalog/messages.rs
+++ b/crates/banyannotch/src/gateway/catalog/messages.rs
@@ -5,10 +5,10 @@
 
 use super::exchange::Snapshot;
 use crate::clock::US_PER_MS;
-use crate::gateway::dispatch::Proof;
+use crate::gateway::dispatch::{EndpointsProof, Proof};
 use crate::gateway::gossip::Changes;
 use crate::gateway::journal::Excerpt;
-use crate::gateway::{Batch, Configuration, Endpoint, Feed, StoreError};
+use crate::gateway::{Batch, Configuration, Endpoint, Feed, StoreError, StorePosition};
 use crate::pipeline::Address;
 
 /// Settings of the catalog, in milliseconds. The reader is the gateway that reads the store for the others, and the
@@ -82,8 +82,10 @@
     pub version: u64,
     /// Age of the peer's proof that this version is in force, in milliseconds.
     pub version_proof_age_ms: u64,
-    /// Offset after the last endpoint change that the peer has read.
-    pub change_offset: u64,
+    /// Era of the store that the peer has read; none if the peer does not know eras.
+    pub store_era: Option<u64>,
+    /// Position after the last endpoint change that the peer has read.
+    pub change: StorePosition,
     /// Age of the peer's proof that there was no later change, in milliseconds.
     pub change_proof_age_ms: u64,
     /// When the state was requested, on this gateway's clock; none if the peer sent it unsolicited.
@@ -102,7 +104,7 @@
         self.proof_us(self.version_proof_age_ms)
     }
 
-    /// Returns when it was proved that no change follows the peer's offset, on this gateway's clock; none if the update
+    /// Returns when it was proved that no change follows the peer's position, on this gateway's clock; none if the update
     /// was unsolicited.
     pub(super) fn change_proof_us(&self) -> Option<u64> {
         self.proof_us(self.change_proof_age_ms)
@@ -151,7 +153,11 @@
         feed: Feed,
         /// Error of the read.
         error: StoreError,
+        /// Era of the store that answered; none if there was no answer that states it.
+        era: Option<u64>,
     },
+    /// Layout received a response of the store, which was in the given era.
+    StoreEra(u64),
 }
 
 /// Output of the catalog.
@@ -165,14 +171,16 @@
     Changed(Changes),
     /// Publish a proof that a version of the configuration was in force at a given time.
     ConfigurationProof(Proof),
-    /// Publish a proof that, at a given time, no endpoint had changed after an offset.
-    EndpointsProof(Proof),
+    /// Publish a proof that, at a given time, no endpoint had changed after a position.
+    EndpointsProof(EndpointsProof),
+    /// Publish the era of the store, before the first proof in it.
+    StoreEra(u64),
     /// Read a feed from the store now.
     Read {
         /// Feed to read.
         feed: Feed,
-        /// Offset to read from; none for a snapshot of the newest records.
-        from: Option<u64>,
+        /// Position to read from; none for a snapshot of the newest records.
+        from: Option<StorePosition>,
         /// How long the read waits in the store for a record, in milliseconds.
         wait_ms: u64,
     },
@@ -196,6 +204,15 @@
     Peer,
 }
 
+/// What told a gateway that the store has come back from a backup.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EraSource {
+    /// A response of the store to this gateway.
+    Store,
+    /// A peer.
+    Peer,
+}
+
 /// A decision that is logged as one line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -238,6 +255,15 @@
         /// Whether the removal follows an outage of the store, in which the entry may have expired.
         after_outage: bool,
     },
+    /// The store has come back from a backup.
+    StoreRestored {
+        /// Era of the store.
+        era: u64,
+        /// Era that was known before.
+        before: u64,
+        /// How this gateway learned of it.
+        by: EraSource,
+    },
     /// Reads of a feed began to fail.
     Lost {
         /// Feed that was read.
@@ -274,6 +300,9 @@
             Self::Gone { id, after_outage } => {
                 write!(formatter, "event=endpoint_gone endpoint={id} after_outage={after_outage}")
             }
+            Self::StoreRestored { era, before, by } => {
+                write!(formatter, "event=store_restored era={era} before={before} by={by:?}")
+            }
             Self::Lost { feed, error } => {
                 write!(formatter, "event=dependency_lost dependency=store feed={feed:?} error=\"{error}\"")
             }
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -4,12 +4,12 @@
 
 use super::entries::{Entries, EntryChange};
 use super::exchange::Snapshot;
-use super::{Action, CatalogSettings, Decision, Event, PeerUpdate, ProofSource};
+use super::{Action, CatalogSettings, Decision, EraSource, Event, PeerUpdate, ProofSource};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::dispatch::Proof;
+use crate::gateway::dispatch::{EndpointsProof, Proof};
 use crate::gateway::gossip::{Change, Changes};
-use crate::gateway::{Batch, Configuration, Feed, Record, StoreError};
+use crate::gateway::{Batch, Configuration, Feed, Record, StoreError, StorePosition};
 use crate::pipeline::Address;
 use crate::random::Random;
 
@@ -43,32 +43,34 @@
 
 /// State of reading one feed.
 #[derive(Clone, Copy, Debug, Default)]
-struct FeedState {
-    /// Offset of the next read; none before the first read and after records have expired, when a snapshot is
-    /// read.
-    next_offset: Option<u64>,
-    in_flight: bool,
-    due_us: u64,
-    /// Time of the latest proof that nothing has changed, from an own read or from a peer.
-    proof_us: Option<u64>,
+pub(super) struct FeedState {
+    /// Position of the next read; none before the first read, and after records have expired or the store has come back
+    /// from a backup, when a snapshot is read.
+    pub next: Option<StorePosition>,
+    pub in_flight: bool,
+    pub due_us: u64,
+    /// Time of the latest proof that nothing has changed, from an own read or from a peer, in the era of the store.
+    pub proof_us: Option<u64>,
     /// When the last outage of the store ended.
-    recovered_us: Option<u64>,
+    pub recovered_us: Option<u64>,
     /// When the latest read was sent.
-    sent_us: u64,
+    pub sent_us: u64,
+    /// Position from which the latest read was sent; none for a snapshot.
+    pub sent_from: Option<StorePosition>,
     /// When the latest read was sent if it failed.
-    failed_us: Option<u64>,
+    pub failed_us: Option<u64>,
     /// Whether the standby reads, because the reader's proofs were late, and no later one has arrived since.
-    standby_reads: bool,
+    pub standby_reads: bool,
     /// When to read what a peer has read and this gateway lacks, unless gossip delivers it first.
-    catch_up_us: Option<u64>,
-    /// Consecutive failed reads.
-    failures: u32,
+    pub catch_up_us: Option<u64>,
+    /// Consecutive failed reads, and reads that did not confirm the version in force.
+    pub failures: u32,
 }
 
 impl FeedState {
     /// Returns whether the latest read failed and nobody has read the feed since it was sent. A proof of a peer ends the
     /// failure as an own read does, because reads are put off while peers send proofs.
-    fn is_failing(&self) -> bool {
+    pub fn is_failing(&self) -> bool {
         self.failed_us.is_some_and(|failed_us| self.proof_us < Some(failed_us))
     }
 }
@@ -76,29 +78,40 @@
 /// Follows the configuration and the endpoints in the store and in updates of peers.
 #[derive(Debug)]
 pub struct Catalog {
-    settings: CatalogSettings,
-    version: u64,
-    entries: Entries,
-    /// Offset after the last read or update that changed an endpoint.
-    change_offset: u64,
-    configuration_feed: FeedState,
-    endpoints_feed: FeedState,
+    pub(super) settings: CatalogSettings,
+    pub(super) version: u64,
+    pub(super) entries: Entries,
+    /// Position after the last read or update that changed an endpoint.
+    pub(super) change: StorePosition,
+    /// Era of the store; none before the first response of the store or update of a peer that states one.
+    pub(super) era: Option<u64>,
+    /// The first era that was known.
+    pub(super) first_era: Option<u64>,
+    /// When the current era was first known.
+    pub(super) era_us: u64,
+    /// Latest version of the configuration that the store had in this era, as far as is known. Versions only grow, so a
+    /// store that came back with an earlier one proves nothing about the version in force.
+    pub(super) confirmed_version: u64,
+    pub(super) configuration_feed: FeedState,
+    pub(super) endpoints_feed: FeedState,
     /// The update that led to the request of a peer's snapshot, while the request is in progress.
-    fetching: Option<PeerUpdate>,
+    pub(super) fetching: Option<PeerUpdate>,
     /// Configuration in force.
     configuration: Arc<Configuration>,
-    /// Whether the first reads have been scheduled.
-    started: bool,
+    /// When the first timer was handled.
+    pub(super) started_us: Option<u64>,
+    /// Whether a peer has sent its state.
+    pub(super) has_heard_of_peers: bool,
     /// Whether they were put off, because peers answer.
     put_off: bool,
     /// Time before which no peer is asked for its snapshot.
     next_fetch_us: u64,
     /// Number of gateways before this one in the order that all gateways share; none before the first update of a
     /// peer.
-    rank: Option<usize>,
+    pub(super) rank: Option<usize>,
     /// When a peer's update was last received, or when the first read ended if there was none.
     last_contact_us: Option<u64>,
-    random: Random,
+    pub(super) random: Random,
 }
 
 impl Catalog {
@@ -108,12 +121,17 @@
             settings,
             version: 0,
             entries: Entries::new(settings.return_grace_ms),
-            change_offset: 0,
+            change: StorePosition::default(),
+            era: None,
+            first_era: None,
+            era_us: 0,
+            confirmed_version: 0,
             configuration_feed: FeedState::default(),
             endpoints_feed: FeedState::default(),
             fetching: None,
             configuration: Arc::default(),
-            started: false,
+            started_us: None,
+            has_heard_of_peers: false,
             put_off: false,
             next_fetch_us: 0,
             rank: None,
@@ -131,15 +149,19 @@
         sent_us: u64,
         out: &mut Vec<Action>,
     ) {
+        if !self.accepts_read(now_us, feed, batch.era, snapshot, sent_us, out) {
+            return;
+        }
         let version_before = self.version;
         self.record_success(now_us, feed, sent_us, out);
         self.last_contact_us.get_or_insert(now_us);
         let mut batch = batch;
-        if !snapshot && self.state(feed).next_offset > Some(batch.next) {
+        let mut next = batch.position();
+        if !snapshot && let Some(later) = self.state(feed).next.filter(|known| known.is_after(next)) {
             // A peer delivered later changes while the read was in progress, so its records are outdated.
-            batch = Batch { next: self.state(feed).next_offset.unwrap_or(batch.next), ..Batch::default() };
+            batch.records.clear();
+            next = later;
         }
-        let next = batch.next;
         // Whether an endpoint is new or has changed, and whether an entry went missing or returned.
         let (mut changed, mut presence_changed) = (false, false);
         let recovered_us = self.endpoints_feed.recovered_us;
@@ -147,8 +169,15 @@
         let mut changes = Vec::new();
         for record in batch.records {
             match record {
-                Record::Configuration(configuration) => self.apply_configuration(configuration, out),
+                Record::Configuration(configuration) => {
+                    self.confirmed_version = self.confirmed_version.max(configuration.version);
+                    self.apply_configuration(configuration, out);
+                }
                 Record::Endpoint(endpoint) => {
+                    if snapshot && self.is_first_read_of_era(feed) && self.entries.withhold(now_us, &endpoint)
+                    {
+                        continue;
+                    }
                     present.push(Arc::clone(&endpoint.id));
                     match self.entries.upsert(endpoint.clone(), out) {
                         EntryChange::Unchanged => continue,
@@ -176,43 +205,51 @@
             presence_changed |= self.entries.mark_absent(now_us, present, recovered_us);
         }
         let dropped = self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, out);
-        if changed || presence_changed {
+        // Others fetch the endpoints of a new era from this gateway only if its position shows that it has read them.
+        let is_anew = feed == Feed::Endpoints && self.known_era() > 0 && !self.change.is_read();
+        if changed || presence_changed || is_anew {
             // A snapshot does not show which changes led to it.
-            let (from, list) = if snapshot { (next, Vec::new()) } else { (self.change_offset, changes) };
+            let (from, list) = if snapshot { (next, Vec::new()) } else { (self.change, changes) };
             out.push(Action::Changed(Changes { from, through: next, list }));
-            self.change_offset = next;
+            self.change = next;
         }
         if changed || dropped {
             self.entries.publish(out);
         }
         let state = self.state(feed);
-        let is_first = state.next_offset.is_none();
-        state.next_offset = Some(next);
+        let is_first = state.next.is_none();
+        state.next = Some(next);
         if changed || dropped || presence_changed || is_first || self.version != version_before {
             self.offer(out);
         }
         let state = self.state(feed);
         state.in_flight = false;
         state.catch_up_us = None;
+        let is_unconfirmed = self.is_unconfirmed(feed);
+        let state = self.state(feed);
+        state.failures = if is_unconfirmed { state.failures.saturating_add(1) } else { 0 };
         self.publish_proof(feed, sent_us, out);
         self.schedule_read(now_us, feed, sent_us);
     }
 
     /// Records a proof that a feed had not changed at the given time, and publishes it.
     fn publish_proof(&mut self, feed: Feed, at_us: u64, out: &mut Vec<Action>) {
+        let is_confirmed = self.is_confirmed();
         let state = self.state(feed);
         state.proof_us = state.proof_us.max(Some(at_us));
         match feed {
-            Feed::Configuration if self.version > 0 => {
+            Feed::Configuration if is_confirmed && !self.holds_back_proof(at_us) => {
                 out.push(Action::ConfigurationProof(Proof { version: self.version, at_us }));
             }
             Feed::Configuration => {}
-            Feed::Endpoints => out.push(Action::EndpointsProof(Proof { version: self.change_offset, at_us })),
+            Feed::Endpoints => {
+                out.push(Action::EndpointsProof(EndpointsProof { position: self.change, at_us }));
+            }
         }
     }
 
     /// Schedules the next read of a feed after one that was sent at the given time.
-    fn schedule_read(&mut self, now_us: u64, feed: Feed, sent_us: u64) {
+    pub(super) fn schedule_read(&mut self, now_us: u64, feed: Feed, sent_us: u64) {
         let jitter_us = self.random.below(READ_JITTER_US as usize) as u64;
         let settings = self.settings;
         let reads_as_reader = self.reads_as_reader(now_us, feed);
@@ -221,14 +258,15 @@
             Feed::Configuration => (settings.configuration_wait_ms, settings.configuration_fallback_age_ms),
             Feed::Endpoints => (settings.endpoints_interval_ms, settings.endpoints_fallback_age_ms),
         };
+        let unconfirmed_us = self.unconfirmed_pause_us(feed, sent_us);
+        let reference_us = self.reference_us(feed);
         let state = self.state(feed);
-        let proof_us = state.proof_us.unwrap_or(0);
         state.due_us = match feed {
             // The read waits in the store.
             Feed::Configuration if reads_as_reader => now_us,
             Feed::Endpoints if reads_as_reader => sent_us + interval_ms * US_PER_MS,
-            _ if is_standby => proof_us + (interval_ms + settings.standby_delay_ms) * US_PER_MS,
-            _ => proof_us + fallback_age_ms * US_PER_MS + jitter_us,
+            _ if is_standby => reference_us + (interval_ms + settings.standby_delay_ms) * US_PER_MS,
+            _ => unconfirmed_us.unwrap_or(reference_us + fallback_age_ms * US_PER_MS) + jitter_us,
         };
     }
 
@@ -242,31 +280,40 @@
             Feed::Configuration => (&self.configuration_feed, self.settings.configuration_fallback_age_ms),
             Feed::Endpoints => (&self.endpoints_feed, self.settings.endpoints_fallback_age_ms),
         };
-        let latest_us = state.proof_us? + fallback_age_ms * US_PER_MS + LATER_FALLBACK_US;
+        let known_us = state.proof_us.or(self.first_era.filter(|_| self.version > 0).map(|_| self.era_us))?;
+        let latest_us = known_us + fallback_age_ms * US_PER_MS + LATER_FALLBACK_US;
         let waits = is_later && in_contact && state.catch_up_us.is_none() && now_us < latest_us;
         waits.then_some(now_us + FALLBACK_CHECK_US)
     }
 
     /// Returns whether this gateway reads the store at the pace of the reader.
-    fn reads_as_reader(&mut self, now_us: u64, feed: Feed) -> bool {
+    pub(super) fn reads_as_reader(&mut self, now_us: u64, feed: Feed) -> bool {
         let is_alone =
             self.last_contact_us.is_some_and(|contact_us| now_us >= contact_us + PEER_SILENCE_LIMIT_US);
         let replaces_reader = self.rank == Some(STANDBY_RANK) && self.state(feed).standby_reads;
         self.rank == Some(READER_RANK) || is_alone || replaces_reader
     }
 
-    /// Returns the offset after the last read or update that changed an endpoint.
+    /// Returns the position after the last read or update that changed an endpoint.
     #[cfg(test)]
-    pub(super) fn change_offset(&self) -> u64 {
-        self.change_offset
+    pub(super) fn change(&self) -> StorePosition {
+        self.change
     }
 
     /// Applies the changes and proofs of a peer's update, and schedules reads of what only the peer has.
     fn handle_peer_update(&mut self, now_us: u64, update: &PeerUpdate, out: &mut Vec<Action>) {
         self.last_contact_us = Some(now_us);
+        self.has_heard_of_peers = true;
         self.rank = Some(update.rank);
         self.put_off_first_reads(now_us);
-        let (version_us, change_us) = (update.version_proof_us(), update.change_proof_us());
+        if let Some(era) = update.store_era {
+            self.enter_era(now_us, era, EraSource::Peer, out);
+        }
+        let update = &self.in_own_era(update);
+        let is_current = update.change.era() == self.known_era();
+        // A peer without a proof states the largest age.
+        let version_us = update.version_proof_us().filter(|at_us| *at_us > 0);
+        let change_us = update.change_proof_us();
         if let (Some(changes), Some(_)) = (&update.changes, change_us) {
             self.apply_changes(now_us, changes, out);
         }
@@ -277,10 +324,20 @@
             out.push(Action::Fetch { from: update.from });
             self.fetching = Some(PeerUpdate { changes: None, ..update.clone() });
         }
-        let proves_version = update.version == self.version;
+        let proves_version = is_current && update.version == self.version && self.version > 0;
+        if proves_version && version_us.is_some() {
+            self.confirmed_version = self.confirmed_version.max(update.version);
+        }
         self.reconcile(now_us, Feed::Configuration, has_version, version_us.filter(|_| proves_version), out);
-        let has_change = self.endpoints_feed.next_offset.is_some_and(|next| update.change_offset <= next);
-        let proves_change = update.change_offset > 0;
+        if !is_current {
+            return;
+        }
+        let has_change = self.endpoints_feed.next.is_some_and(|next| next.reaches(update.change));
+        let proves_change = update.change.is_read();
+        if !has_change && !proves_change && self.first_era != self.era {
+            // The peer has not read the endpoints since the store came back either.
+            return;
+        }
         self.reconcile(now_us, Feed::Endpoints, has_change, change_us.filter(|_| proves_change), out);
     }
 
@@ -317,7 +374,7 @@
         state.catch_up_us = None;
         let has_read = match feed {
             Feed::Configuration => self.version > 0,
-            Feed::Endpoints => self.endpoints_feed.next_offset.is_some(),
+            Feed::Endpoints => self.endpoints_feed.next.is_some(),
         };
         let state = self.state(feed);
         let Some(at_us) = proof_us.filter(|at_us| has_read && state.proof_us < Some(*at_us)) else {
@@ -337,8 +394,8 @@
     }
 
     /// Returns whether this gateway waits for the snapshot of a peer before it reads the store.
-    fn is_starting(&self) -> bool {
-        self.settings.start_wait_ms > 0 && self.version == 0 && self.endpoints_feed.next_offset.is_none()
+    pub(super) fn is_starting(&self) -> bool {
+        self.settings.start_wait_ms > 0 && self.version == 0 && self.endpoints_feed.next.is_none()
     }
 
     /// Puts off the first reads once, if peers answer. They may be starting as well, and hundreds of gateways that read
@@ -358,23 +415,30 @@
 
     /// Returns whether this gateway has no endpoints yet, and the peer has some that were confirmed recently.
     fn lacks_endpoints_of(&self, update: &PeerUpdate) -> bool {
+        // Nobody can confirm the version after the store has come back with an earlier one, which must not make all gateways
+        // read the endpoints from the store.
         let is_confirmed = update.asked_us.is_some()
             && update.change_proof_age_ms < self.settings.endpoints_fallback_age_ms
-            && update.version_proof_age_ms < self.settings.configuration_fallback_age_ms;
-        self.endpoints_feed.next_offset.is_none() && update.change_offset > 0 && is_confirmed
+            && (self.version > 0
+                || update.store_era > Some(0)
+                || update.version_proof_age_ms < self.settings.configuration_fallback_age_ms);
+        let is_current = update.change.is_read() && update.change.era() == self.known_era();
+        self.endpoints_feed.next.is_none() && is_current && is_confirmed
     }
 
     /// Takes the configuration of a peer if it is newer, and its endpoints if this gateway has none yet.
     fn handle_fetched(&mut self, now_us: u64, snapshot: Snapshot, out: &mut Vec<Action>) {
         let Some(update) = self.fetching.take() else { return };
+        let snapshot = self.snapshot_in_own_era(now_us, snapshot, out);
         self.apply_configuration(Arc::clone(&snapshot.configuration), out);
-        if self.lacks_endpoints_of(&update) && snapshot.next_offset > 0 {
-            if snapshot.next_offset >= self.change_offset {
+        if self.lacks_endpoints_of(&update) && snapshot.next.is_read() {
+            if snapshot.next.reaches(self.change) {
                 self.take_endpoints(now_us, snapshot, out);
             } else {
                 // The store is read instead.
                 self.next_fetch_us = now_us + FETCH_PAUSE_US;
-                let fault = "the snapshot is earlier than the last known change".to_owned();
+                let fault =
+                    "the snapshot is not of this era or earlier than the last known change".to_owned();
                 out.push(Action::Decide(Decision::NotFetched { from: update.from, fault }));
             }
         }
@@ -395,14 +459,17 @@
         let recovered_us = self.endpoints_feed.recovered_us;
         let mut present = Vec::new();
         for endpoint in snapshot.endpoints {
+            if self.is_first_read_of_era(Feed::Endpoints) && self.entries.withhold(now_us, &endpoint) {
+                continue;
+            }
             present.push(Arc::clone(&endpoint.id));
             self.entries.upsert(endpoint, out);
         }
         self.entries.mark_absent(now_us, present, recovered_us);
         self.entries.drop_missing(now_us, recovered_us, out);
-        self.endpoints_feed.next_offset = Some(snapshot.next_offset);
-        self.change_offset = self.change_offset.max(snapshot.change_offset);
-        let (from, through) = (snapshot.next_offset, snapshot.next_offset);
+        self.endpoints_feed.next = Some(snapshot.next);
+        self.change = self.change.advanced_to(snapshot.change);
+        let (from, through) = (snapshot.next, snapshot.next);
         out.push(Action::Changed(Changes { from, through, list: Vec::new() }));
         self.entries.publish(out);
     }
@@ -410,12 +477,13 @@
     /// Offers what this gateway has to peers. Endpoints whose entry is missing are left out: the removal is before the
     /// offset of the snapshot, so that no later record would tell a peer of it.
     fn offer(&self, out: &mut Vec<Action>) {
-        let (Some(next_offset), true) = (self.endpoints_feed.next_offset, self.version > 0) else { return };
+        let (Some(next), true) = (self.endpoints_feed.next, self.version > 0) else { return };
         out.push(Action::Offer(Box::new(Snapshot {
             configuration: Arc::clone(&self.configuration),
             endpoints: self.entries.present().cloned().collect(),
-            change_offset: self.change_offset,
-            next_offset,
+            change: self.change,
+            next,
+            store_era: self.era,
         })));
     }
 
@@ -437,8 +505,8 @@
     /// The proof of the read that returned them may still be on its way, so the time since this gateway's last proof tells
     /// whether they follow an outage.
     fn apply_changes(&mut self, now_us: u64, changes: &Changes, out: &mut Vec<Action>) {
-        let Some(next) = self.endpoints_feed.next_offset else { return };
-        if changes.from > next || changes.through <= next {
+        let Some(next) = self.endpoints_feed.next else { return };
+        if !next.reaches(changes.from) || !changes.through.is_after(next) {
             return;
         }
         self.detect_outage(now_us, Feed::Endpoints, now_us);
@@ -455,8 +523,8 @@
             }
         }
         let dropped = self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, out);
-        self.endpoints_feed.next_offset = Some(changes.through);
-        self.change_offset = changes.through;
+        self.endpoints_feed.next = Some(changes.through);
+        self.change = changes.through;
         out.push(Action::Changed(changes.clone()));
         if changed || dropped {
             self.entries.publish(out);
@@ -464,7 +532,13 @@
         self.offer(out);
     }
 
-    fn handle_failure(&mut self, now_us: u64, feed: Feed, error: StoreError, out: &mut Vec<Action>) {
+    pub(super) fn handle_failure(
+        &mut self,
+        now_us: u64,
+        feed: Feed,
+        error: StoreError,
+        out: &mut Vec<Action>,
+    ) {
         let settings = self.settings;
         let relies_on_peers =
             self.rank.is_some_and(|rank| rank > STANDBY_RANK) && !self.reads_as_reader(now_us, feed);
@@ -481,7 +555,7 @@
         // A read to catch up with peers also waits for the end of the pause.
         state.catch_up_us = state.catch_up_us.map(|catch_up_us| catch_up_us.max(state.due_us));
         if error == StoreError::Expired {
-            state.next_offset = None;
+            state.next = None;
         }
         let was_failing = state.is_failing();
         state.failed_us = Some(state.sent_us);
@@ -504,11 +578,12 @@
             let state = self.state(feed);
             state.in_flight = true;
             state.sent_us = now_us;
+            state.sent_from = state.next;
             state.standby_reads |= is_standby;
             let waits = feed == Feed::Configuration && self.reads_as_reader(now_us, feed);
             let wait_ms = if waits { self.settings.configuration_wait_ms } else { 0 };
             let state = self.state(feed);
-            out.push(Action::Read { feed, from: state.next_offset, wait_ms });
+            out.push(Action::Read { feed, from: state.next, wait_ms });
         }
     }
 
@@ -530,28 +605,33 @@
     /// Records a successful read: ends the state of failure and resets the pause.
     fn record_success(&mut self, now_us: u64, feed: Feed, sent_us: u64, out: &mut Vec<Action>) {
         let gap_us = self.detect_outage(now_us, feed, sent_us);
+        let is_unconfirmed = self.is_unconfirmed(feed);
         let state = self.state(feed);
         if state.is_failing() {
             let gap_ms = gap_us / US_PER_MS;
             out.push(Action::Decide(Decision::Regained { feed, gap_ms, by: ProofSource::OwnRead }));
         }
         state.failed_us = None;
-        state.failures = 0;
+        // Reads that do not confirm the version in force are counted, so that a fleet does not repeat them at once.
+        if !is_unconfirmed {
+            state.failures = 0;
+        }
     }
 
     /// Records the end of an outage if the given proof is long after the previous one. Returns the gap
     /// between them.
     fn detect_outage(&mut self, now_us: u64, feed: Feed, at_us: u64) -> u64 {
         let outage_us = self.settings.outage_gap_ms * US_PER_MS;
+        let is_restored = self.era != self.first_era;
         let state = self.state(feed);
         let gap_us = state.proof_us.map_or(0, |proof_us| at_us.saturating_sub(proof_us));
-        if gap_us > outage_us {
+        if gap_us > outage_us || (is_restored && state.proof_us.is_none()) {
             state.recovered_us = Some(now_us);
         }
         gap_us
     }
 
-    fn state(&mut self, feed: Feed) -> &mut FeedState {
+    pub(super) fn state(&mut self, feed: Feed) -> &mut FeedState {
         match feed {
             Feed::Configuration => &mut self.configuration_feed,
             Feed::Endpoints => &mut self.endpoints_feed,
@@ -570,7 +650,10 @@
             }
             Event::Fetched(snapshot) => self.handle_fetched(now_us, *snapshot, actions),
             Event::NotFetched { from, fault } => self.handle_failed_fetch(now_us, from, fault, actions),
-            Event::Failed { feed, error } => self.handle_failure(now_us, feed, error, actions),
+            Event::Failed { feed, error, era } => {
+                self.handle_failed_read(now_us, feed, error, era, actions);
+            }
+            Event::StoreEra(era) => self.enter_era(now_us, era, EraSource::Store, actions),
             Event::Leaving { id, born_ms } => {
                 if self.entries.mark_leaving(id, born_ms) {
                     self.entries.publish(actions);
@@ -588,8 +671,8 @@
     }
 
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        if !self.started {
-            self.started = true;
+        if self.started_us.is_none() {
+            self.started_us = Some(now_us);
             let wait_us = self.settings.start_wait_ms * US_PER_MS;
             let jitter_us = if wait_us > 0 { self.random.below(READ_JITTER_US as usize) as u64 } else { 0 };
             self.configuration_feed.due_us = now_us + wait_us + jitter_us;
@@ -598,8 +681,11 @@
         self.start_reads(now_us, actions);
         if self.endpoints_feed.is_failing() {
             self.entries.extend_grace(now_us);
-        } else if self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, actions) {
-            self.entries.publish(actions);
+        } else {
+            let is_changed = self.release_withheld(now_us, actions);
+            if self.entries.drop_missing(now_us, self.endpoints_feed.recovered_us, actions) || is_changed {
+                self.entries.publish(actions);
+            }
         }
     }
 }
--- a/crates/banyannotch/src/gateway/catalog/runtime.rs
+++ b/crates/banyannotch/src/gateway/catalog/runtime.rs
@@ -7,11 +7,11 @@
 use tokio::net::TcpListener;
 
 use super::exchange::{self, Offer};
-use super::{Action, Catalog, CatalogSettings, Event};
+use super::{Action, Catalog, CatalogSettings, Decision, Event};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::gateway::gossip::Changes;
-use crate::gateway::{Store, StoreError, dispatch, forwarding, layout};
+use crate::gateway::{Store, StoreError, StoreResult, dispatch, forwarding, layout};
 use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 
 /// Rings between the catalog and the other duties.
@@ -19,7 +19,7 @@
 pub struct Links {
     /// Wakes the thread of the catalog.
     pub bell: Doorbell,
-    /// Updates of peers from gossip, and departures of endpoints from dispatch.
+    /// Updates of peers from gossip, departures of endpoints from dispatch, and eras of the store from layout.
     pub inbound: Vec<Receiver<Event>>,
     /// Configuration, endpoints and proofs for dispatch.
     pub dispatch: Sender<dispatch::Event>,
@@ -73,12 +73,13 @@
 }
 
 /// Returns the `result` label of the counter of store reads.
-fn read_label<T>(read: &Result<T, StoreError>) -> &'static str {
-    match read {
+fn read_label<T>(read: &StoreResult<T>) -> &'static str {
+    match read.as_ref().map_err(|failure| &failure.error) {
         Ok(_) => "ok",
         Err(StoreError::RateExceeded) => "rate_exceeded",
         Err(StoreError::Unavailable) => "unavailable",
         Err(StoreError::Expired) => "expired",
+        Err(StoreError::UnreadableEra(_) | StoreError::EarlierEra { .. }) => "wrong_era",
         Err(StoreError::Unknown(_)) => "unknown",
     }
 }
@@ -137,13 +138,13 @@
                     let sent_us = clock.now_us();
                     let read = match from {
                         None => store.newest(feed, timeout_ms).await,
-                        Some(from) => store.follow(feed, from, wait_ms, timeout_ms).await,
+                        Some(from) => store.follow(feed, from.offset(), wait_ms, timeout_ms).await,
                     };
                     metrics::counter!("banyannotch_gateway_store_reads_total", "result" => read_label(&read))
                         .increment(1);
                     mailbox.put(match read {
                         Ok(batch) => Event::Read { feed, batch, snapshot: from.is_none(), sent_us },
-                        Err(error) => Event::Failed { feed, error },
+                        Err(failure) => Event::Failed { feed, error: failure.error, era: failure.era },
                     });
                 });
             }
@@ -161,7 +162,17 @@
                     });
                 });
             }
-            Action::Decide(decision) => log::info!("{decision}"),
+            Action::StoreEra(era) => {
+                self.links.layout.send_or_fail(layout::Event::StoreEra(era), "catalog_layout", supervisor);
+                let event = dispatch::Event::StoreEra(era);
+                self.links.dispatch.send_or_fail(event, "catalog_dispatch", supervisor);
+            }
+            Action::Decide(decision) => {
+                if matches!(decision, Decision::StoreRestored { .. }) {
+                    metrics::counter!("banyannotch_gateway_store_restored_total").increment(1);
+                }
+                log::info!("{decision}");
+            }
         }
     }
 
--- a/crates/banyannotch/src/gateway/catalog/tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/tests.rs
@@ -9,7 +9,12 @@
 use crate::duty::Duty;
 use crate::gateway::dispatch::fixtures::{address, configuration, plain_endpoint};
 use crate::gateway::gossip::{Change, Changes};
-use crate::gateway::{Batch, Endpoint, Feed, Record, StoreError};
+use crate::gateway::{Batch, Endpoint, Feed, Record, StoreError, StorePosition};
+
+/// Returns a position in the first era of a store that states none.
+pub fn at(offset: u64) -> StorePosition {
+    StorePosition::new(0, offset)
+}
 
 /// Returns the update of a peer that has read nothing.
 pub fn update_of_peer() -> PeerUpdate {
@@ -17,7 +22,8 @@
         from: address(9),
         version: 0,
         version_proof_age_ms: 0,
-        change_offset: 0,
+        store_era: None,
+        change: at(0),
         change_proof_age_ms: 0,
         asked_us: None,
         changes: None,
@@ -68,7 +74,10 @@
                     format!("version {} is {} ms old", proof.version, age_ms(proof.at_us))
                 }
                 Action::EndpointsProof(proof) => format!("endpoints are {} ms old", age_ms(proof.at_us)),
-                Action::Read { feed, from, wait_ms } => format!("read {feed:?} from {from:?} wait {wait_ms}"),
+                Action::Read { feed, from, wait_ms } => {
+                    let from = from.map(StorePosition::offset);
+                    format!("read {feed:?} from {from:?} wait {wait_ms}")
+                }
                 Action::Fetch { from } => format!("fetch from {}", from.ip()),
                 Action::Changed(changes) => {
                     self.passed_on.extend(changes.list);
@@ -78,7 +87,7 @@
                     self.offered = Some(*snapshot);
                     continue;
                 }
-                Action::Decide(_) => continue,
+                Action::Decide(_) | Action::StoreEra(_) => continue,
             };
             self.lines.push(format!("{at_ms}: {text}"));
         }
@@ -87,7 +96,7 @@
     /// Answers a read of the endpoints that was sent 10 ms ago.
     fn answer_endpoints(&mut self, records: Vec<Record>, snapshot: bool) {
         self.next += records.len() as u64;
-        let batch = Batch { records, next: self.next, bytes: 0 };
+        let batch = Batch { records, next: self.next, ..Batch::default() };
         let sent_us = self.now_us - 10_000;
         self.event(Event::Read { feed: Feed::Endpoints, batch, snapshot, sent_us });
     }
@@ -97,7 +106,7 @@
         let batch = Batch {
             records: vec![Record::Configuration(Arc::new(configuration(version)))],
             next: 1,
-            bytes: 0,
+            ..Batch::default()
         };
         let sent_us = self.now_us - 10_000;
         self.event(Event::Read { feed: Feed::Configuration, batch, snapshot: false, sent_us });
@@ -167,10 +176,10 @@
     let leaving = Endpoint { leaving: true, ..plain_endpoint(1, "a") };
     world.answer_endpoints(vec![present(1), present(2)], true);
     world.event(Event::Leaving { id: "desk-1".into(), born_ms: 1 });
-    let offset = world.catalog.change_offset();
+    let offset = world.catalog.change().offset();
     world.answer_endpoints(vec![Record::Endpoint(leaving.clone())], false);
     assert_eq!(world.passed_on, [Change::Known(leaving.clone())]);
-    assert!(world.catalog.change_offset() > offset, "the offset of the last change stayed");
+    assert!(world.catalog.change().offset() > offset, "the offset of the last change stayed");
     // Its heartbeats are no changes.
     world.answer_endpoints(vec![Record::Endpoint(leaving)], false);
     assert_eq!(world.passed_on.len(), 1);
@@ -185,7 +194,7 @@
     for in_one_read in [true, false] {
         let mut world = World::new();
         world.answer_endpoints(vec![present(1), present(2)], true);
-        world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable });
+        world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable, era: None });
         world.wait_ms(5_000);
         if in_one_read {
             world.answer_endpoints(vec![removed(1), present(1)], false);
@@ -203,7 +212,7 @@
 fn entries_that_expire_in_an_outage_get_a_grace_period() {
     let mut world = World::new();
     world.answer_endpoints(vec![present(1), present(2), present(3)], true);
-    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable });
+    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable, era: None });
     world.wait_ms(5_000);
     world.answer_endpoints(vec![removed(1), removed(2)], false);
     world.wait_ms(1_500);
@@ -218,7 +227,7 @@
 fn endpoints_absent_from_a_snapshot_are_removed() {
     let mut world = World::new();
     world.answer_endpoints(vec![present(1), present(2)], true);
-    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Expired });
+    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Expired, era: None });
     world.wait_ms(200);
     world.answer_endpoints(vec![present(2)], true);
     insta::assert_snapshot!(world.lines.join("\n"));
@@ -245,7 +254,8 @@
         from: address(9),
         version: 5,
         version_proof_age_ms: 300,
-        change_offset: 1,
+        store_era: None,
+        change: at(1),
         change_proof_age_ms: 200,
         asked_us: Some(asked_us),
         changes: None,
@@ -263,7 +273,7 @@
     world.event(Event::PeerUpdate(PeerUpdate { version: 6, ..update(world.now_us) }));
     let not_fetched = Event::NotFetched { from: address(9), fault: "reset".to_owned() };
     world.event(not_fetched);
-    world.event(Event::PeerUpdate(PeerUpdate { change_offset: 9, ..update(world.now_us) }));
+    world.event(Event::PeerUpdate(PeerUpdate { change: at(9), ..update(world.now_us) }));
     world.wait_ms(700);
     let to_catch_up = world.lines.iter().filter(|line| line.contains("read")).count() - with_proofs;
     world.answer_configuration(6);
@@ -289,7 +299,7 @@
     let mut world = World::new();
     let change = |world: &mut World, records| {
         world.answer_endpoints(records, false);
-        world.catalog.change_offset()
+        world.catalog.change().offset()
     };
     let offsets = [
         change(&mut world, vec![present(1), present(2)]),
@@ -308,7 +318,7 @@
     world.wait_ms(400);
     world.lines.clear();
     let unsolicited =
-        || PeerUpdate { version: 5, change_offset: 1, asked_us: None, rank: 5, ..update_of_peer() };
+        || PeerUpdate { version: 5, change: at(1), asked_us: None, rank: 5, ..update_of_peer() };
     world.event(Event::PeerUpdate(unsolicited()));
     world.event(Event::PeerUpdate(PeerUpdate {
         asked_us: Some(world.now_us - 20_000),
@@ -319,7 +329,7 @@
     world.event(Event::PeerUpdate(PeerUpdate {
         version: 4,
         asked_us: Some(world.now_us),
-        change_offset: 0,
+        change: at(0),
         ..update_of_peer()
     }));
     insta::assert_snapshot!(world.lines.join("\n"));
@@ -327,9 +337,9 @@
 
 /// Returns the update of a peer that has read up to `through` and sends the given changes after `from`.
 fn peer_update(world: &World, from: u64, through: u64, list: Vec<Change>) -> Event {
-    let changes = Changes { from, through, list };
+    let changes = Changes { from: at(from), through: at(through), list };
     Event::PeerUpdate(PeerUpdate {
-        change_offset: through,
+        change: at(through),
         asked_us: Some(world.now_us - 5_000),
         changes: Some(Box::new(changes)),
         rank: 5,
@@ -352,7 +362,7 @@
     let event = peer_update(&world, 2, 4, list);
     world.event(event);
     world.wait_ms(900);
-    assert_eq!((reads(&world), world.catalog.change_offset()), (0, 4), "{}", world.lines.join("\n"));
+    assert_eq!((reads(&world), world.catalog.change().offset()), (0, 4), "{}", world.lines.join("\n"));
     insta::assert_snapshot!(world.endpoints_text());
 }
 
@@ -366,7 +376,7 @@
     let event = peer_update(&world, 2, 4, vec![Change::Missing("desk-1".into())]);
     world.event(event);
     world.wait_ms(800);
-    assert_eq!((reads(&world), world.endpoints_text().as_str(), world.catalog.change_offset()), (1, "", 1));
+    assert_eq!((reads(&world), world.endpoints_text().as_str(), world.catalog.change().offset()), (1, "", 1));
 }
 
 /// A read that was in progress while a peer sent later changes does not revert them.
@@ -379,7 +389,7 @@
     world.lines.clear();
     world.next = 3;
     world.answer_endpoints(vec![present(1)], false);
-    assert_eq!((world.endpoints_text().as_str(), world.catalog.change_offset()), ("", 6));
+    assert_eq!((world.endpoints_text().as_str(), world.catalog.change().offset()), ("", 6));
 }
 
 /// The grace period after an outage also holds for a gateway that receives the removals from a peer. It used
@@ -388,7 +398,7 @@
 fn removals_of_a_peer_after_an_outage_get_a_grace_period() {
     let mut world = World::new();
     world.answer_endpoints(vec![present(1), present(2)], true);
-    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable });
+    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable, era: None });
     world.now_us += 5_000_000;
     world.lines.clear();
     let event =
@@ -410,13 +420,14 @@
     world.answer_configuration(5);
     world.answer_endpoints(vec![present(1), present(2)], true);
     let update = |world: &World, through, list: Vec<Change>| {
-        let changes = (!list.is_empty()).then(|| Box::new(Changes { from: 2, through, list }));
+        let changes =
+            (!list.is_empty()).then(|| Box::new(Changes { from: at(2), through: at(through), list }));
         let asked_us = Some(world.now_us - 5_000);
         let age_ms = 100;
         Event::PeerUpdate(PeerUpdate {
             version: 5,
             version_proof_age_ms: age_ms,
-            change_offset: through,
+            change: at(through),
             change_proof_age_ms: age_ms,
             asked_us,
             changes,
@@ -428,7 +439,7 @@
     for _ in 0..3 {
         world.wait_ms(1_000);
         for feed in [Feed::Configuration, Feed::Endpoints] {
-            world.event(Event::Failed { feed, error: StoreError::Unavailable });
+            world.event(Event::Failed { feed, error: StoreError::Unavailable, era: None });
         }
     }
     world.lines.clear();
@@ -454,15 +465,15 @@
     const OUTAGE_MS: u64 = 5_000;
     let mut world = World::new();
     world.answer_endpoints(vec![present(1), present(2)], true);
-    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable });
+    world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Unavailable, era: None });
     world.now_us += OUTAGE_MS * US_PER_MS;
     world.lines.clear();
     let list = vec![Change::Missing("desk-1".into()), Change::Missing("desk-2".into())];
     world.event(Event::PeerUpdate(PeerUpdate {
-        change_offset: 4,
+        change: at(4),
         change_proof_age_ms: OUTAGE_MS,
         asked_us: Some(world.now_us),
-        changes: Some(Box::new(Changes { from: 2, through: 4, list })),
+        changes: Some(Box::new(Changes { from: at(2), through: at(4), list })),
         ..update_of_peer()
     }));
     world.now_us += 1_000 * US_PER_MS;
@@ -480,7 +491,7 @@
     world.answer_configuration(5);
     world.answer_endpoints(vec![present(1)], true);
     // The read that is in progress succeeds after other gateways have become the readers.
-    world.event(Event::PeerUpdate(PeerUpdate { version: 5, change_offset: 1, rank: 5, ..update_of_peer() }));
+    world.event(Event::PeerUpdate(PeerUpdate { version: 5, change: at(1), rank: 5, ..update_of_peer() }));
     world.answer_configuration(5);
     world.lines.clear();
     let reads = |world: &World| world.lines.iter().filter(|line| line.contains("read Configuration")).count();
@@ -488,7 +499,7 @@
     for _ in 0..80 {
         let update = PeerUpdate {
             version: 6,
-            change_offset: 1,
+            change: at(1),
             asked_us: Some(world.now_us),
             rank: 5,
             ..update_of_peer()
@@ -497,7 +508,11 @@
         world.wait_ms(50);
         if reads(&world) > answered {
             answered += 1;
-            world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::RateExceeded });
+            world.event(Event::Failed {
+                feed: Feed::Configuration,
+                error: StoreError::RateExceeded,
+                era: None,
+            });
         }
     }
     let reads = reads(&world);
@@ -511,7 +526,8 @@
         from: address(9),
         version: 5,
         version_proof_age_ms: 100,
-        change_offset: 1,
+        store_era: None,
+        change: at(1),
         change_proof_age_ms: 100,
         asked_us: Some(world.now_us),
         changes: None,
@@ -563,7 +579,7 @@
 #[test]
 fn a_gateway_without_contact_reads_once_until_it_must() {
     let mut world = World::new();
-    world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::Unavailable });
+    world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::Unavailable, era: None });
     world.wait_ms(200);
     world.answer_configuration(5);
     world.answer_endpoints(vec![present(1)], true);
@@ -582,7 +598,7 @@
     let event = proof(&world, 5);
     world.event(event);
     world.answer_configuration(5);
-    world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::Unavailable });
+    world.event(Event::Failed { feed: Feed::Configuration, error: StoreError::Unavailable, era: None });
     world.lines.clear();
     let newer = PeerUpdate { version: 6, asked_us: Some(world.now_us), ..update_of_peer() };
     world.event(Event::PeerUpdate(newer.clone()));
@@ -639,7 +655,7 @@
         Event::PeerUpdate(PeerUpdate {
             version: 6,
             version_proof_age_ms: 50,
-            change_offset: 7,
+            change: at(7),
             change_proof_age_ms,
             asked_us: Some(world.now_us),
             ..update_of_peer()
@@ -655,8 +671,9 @@
     let snapshot = Snapshot {
         configuration: Arc::new(configuration(6)),
         endpoints: vec![plain_endpoint(1, "a"), plain_endpoint(2, "a")],
-        change_offset: 7,
-        next_offset: 9,
+        change: at(7),
+        next: at(9),
+        store_era: None,
     };
     world.event(Event::Fetched(Box::new(snapshot)));
     world.wait_ms(900);
@@ -672,11 +689,11 @@
         let mut world = World::new();
         world.answer_configuration(5);
         world.answer_endpoints(vec![present(1), present(2), present(3)], true);
-        world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Expired });
+        world.event(Event::Failed { feed: Feed::Endpoints, error: StoreError::Expired, era: None });
         let event = Event::PeerUpdate(PeerUpdate {
             version: 5,
             version_proof_age_ms: 50,
-            change_offset,
+            change: at(change_offset),
             change_proof_age_ms: 50,
             asked_us: Some(world.now_us),
             ..update_of_peer()
@@ -686,11 +703,12 @@
         let snapshot = Snapshot {
             configuration: Arc::new(configuration(5)),
             endpoints: vec![plain_endpoint(2, "a"), plain_endpoint(4, "a")],
-            change_offset,
-            next_offset: change_offset,
+            change: at(change_offset),
+            next: at(change_offset),
+            store_era: None,
         };
         world.event(Event::Fetched(Box::new(snapshot)));
-        let changed = world.catalog.change_offset();
+        let changed = world.catalog.change().offset();
         lines.push(format!("{case} snapshot, change offset {changed}:\n{}", world.endpoints_text()));
     }
     insta::assert_snapshot!(lines.join("\n"));
@@ -773,7 +791,7 @@
                 let old = PeerUpdate {
                     version: 5,
                     version_proof_age_ms: 60_000,
-                    change_offset: 1,
+                    change: at(1),
                     change_proof_age_ms: 60_000,
                     asked_us: Some(world.now_us),
                     rank,
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -9,7 +9,7 @@
 use super::crashes::Crash;
 use super::health::Load;
 use crate::gateway::demand::DemandReport;
-use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo};
+use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo, StorePosition};
 use crate::ids::Zone;
 use crate::pipeline::Address;
 
@@ -74,16 +74,26 @@
     Silence,
 }
 
-/// Confirmation that a version was current at a given time, from a read of the store by this or another
-/// gateway.
+/// Confirmation that a version of the configuration was current at a given time, from a read of the store by this or
+/// another gateway.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Proof {
-    /// Version of the configuration, or offset in the store after the last record that changed an endpoint.
+    /// Version of the configuration.
     pub version: u64,
     /// Time at which the read was sent, in microseconds of the clock that includes suspended time.
     pub at_us: u64,
 }
 
+/// Confirmation that, at a given time, no record after a position in the store had changed an endpoint, from a read of the
+/// store by this or another gateway.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointsProof {
+    /// Position after the last record that changed an endpoint.
+    pub position: StorePosition,
+    /// Time at which the read was sent, in microseconds of the clock that includes suspended time.
+    pub at_us: u64,
+}
+
 /// A shared part of a prompt, or a whole request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Feature {
@@ -164,8 +174,8 @@
     pub version: u64,
     /// Time since the configuration was last confirmed to be current, in milliseconds.
     pub proof_age_ms: u64,
-    /// Offset in the store after the last record known to the gateway that changed an endpoint.
-    pub endpoints_change: u64,
+    /// Position in the store after the last record known to the gateway that changed an endpoint.
+    pub endpoints_change: StorePosition,
     /// Time since it was last confirmed that there is no later change, in milliseconds.
     pub endpoints_age_ms: u64,
     /// What gateways of earlier versions do not send.
@@ -258,7 +268,9 @@
     /// A version of the configuration was confirmed to be current.
     ConfigurationProof(Proof),
     /// It was confirmed that the endpoints have not changed after the given offset.
-    EndpointsProof(Proof),
+    EndpointsProof(EndpointsProof),
+    /// The store is in the given era. Proofs that were sent before hold no longer, unless the era is the same.
+    StoreEra(u64),
     /// A gossip message of another gateway arrived.
     Peer {
         /// State of the other gateway.
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -28,8 +28,9 @@
 pub use crashes::Crash;
 pub use health::Load;
 pub use messages::{
-    Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, Event, Feature, PeerState,
-    Proof, QuarantineReport, Refusal, RefusalReason, Sections, SendOrder, Submission, Verdict,
+    Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, EndpointsProof, Event,
+    Feature, PeerState, Proof, QuarantineReport, Refusal, RefusalReason, Sections, SendOrder, Submission,
+    Verdict,
 };
 pub use policy::Dispatch;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -9,12 +9,13 @@
 use super::evidence::Peer;
 use super::health::HealthTable;
 use super::messages::{
-    Action, Decision, Ending, Event, Feature, Proof, Refusal, RefusalReason, SendOrder, Submission, Verdict,
+    Action, Decision, Ending, EndpointsProof, Event, Feature, Proof, Refusal, RefusalReason, SendOrder,
+    Submission, Verdict,
 };
 use super::tickets::{Choice, Reservation, Ticket};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::{Configuration, Endpoint, ForwardingInfo, RetryMode, Route, Team};
+use crate::gateway::{Configuration, Endpoint, ForwardingInfo, RetryMode, Route, StorePosition, Team};
 use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
 use crate::random::Random;
@@ -51,7 +52,9 @@
     pub(super) known_gateways: usize,
     /// Number of other known gateways in each zone.
     pub(super) zone_gateways: Table<Zone, usize>,
-    pub(super) endpoints_proof: Proof,
+    pub(super) endpoints_proof: EndpointsProof,
+    /// Era of the store in which the proofs were given; none before the first response of the store.
+    pub(super) store_era: Option<u64>,
     pub(super) publish_at_us: u64,
     /// Whether another gateway that has a configuration has sent its state.
     pub(super) has_heard_of_peers: bool,
@@ -80,7 +83,8 @@
             peers: Table::default(),
             known_gateways: 1,
             zone_gateways: Table::default(),
-            endpoints_proof: Proof::default(),
+            endpoints_proof: EndpointsProof::default(),
+            store_era: None,
             publish_at_us: 0,
             has_heard_of_peers: false,
             started_us: None,
@@ -424,6 +428,15 @@
         recent.peek().is_none() || recent.any(|(_, peer)| peer.version > self.version())
     }
 
+    /// Drops the proofs of earlier eras. The endpoints stay as they are until those of the new era are known.
+    fn enter_era(&mut self, era: u64) {
+        if self.store_era < Some(era) {
+            self.store_era = Some(era);
+            self.configuration_proof = None;
+            self.endpoints_proof.position = StorePosition::new(era, 0);
+        }
+    }
+
     fn update_configuration_proof(&mut self, proof: Proof) {
         if self
             .configuration_proof
@@ -450,12 +463,12 @@
 
     pub(super) fn valid_until_us(&self, ticket_id: u64) -> u64 {
         let anonymous = self.tickets.get(&ticket_id).is_none_or(|ticket| ticket.team.is_none());
-        match self.configuration_proof {
-            Some(proof) if self.settings.strict_revocation && !anonymous => {
-                proof.at_us + self.settings.max_proof_age_ms * US_PER_MS
-            }
-            _ => u64::MAX,
+        if !self.settings.strict_revocation || anonymous {
+            return u64::MAX;
         }
+        // A request that was admitted before the store came back from a backup has no valid proof any more.
+        let proof = self.configuration_proof;
+        proof.map_or(0, |proof| proof.at_us + self.settings.max_proof_age_ms * US_PER_MS)
     }
 
     fn update_readiness(&mut self, now_us: u64, actions: &mut Vec<Action>) {
@@ -510,6 +523,7 @@
             Event::Endpoints(endpoints) => self.update_endpoints(now_us, &endpoints, actions),
             Event::ConfigurationProof(proof) => self.update_configuration_proof(proof),
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
+            Event::StoreEra(era) => self.enter_era(era),
             Event::Peer { state, known, zone_known } => {
                 self.update_peer(now_us, *state, known, zone_known);
             }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -5,12 +5,12 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::{
-    Action, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending, EndpointStart, Event,
-    Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
+    Action, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending, EndpointStart,
+    EndpointsProof, Event, Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
 };
 use crate::gateway::{
     Accelerator, CallerLimits, Configuration, Credential, Endpoint, Pipeline, RequestInfo, RetryMode, Route,
-    Service, Target, Team,
+    Service, StorePosition, Target, Team,
 };
 use crate::ids::{ServiceId, TeamId, Zone};
 use crate::pipeline::{Address, LayerRange};
@@ -188,7 +188,10 @@
         let mut world = Self::unconfigured();
         world.event(Event::Configuration(Arc::new(configuration(5))));
         world.event(Event::Endpoints(endpoints.into()));
-        world.event(Event::EndpointsProof(Proof { version: 1, at_us: world.now_us }));
+        world.event(Event::EndpointsProof(EndpointsProof {
+            position: StorePosition::new(0, 1),
+            at_us: world.now_us,
+        }));
         world.confirm_configuration();
         world.lines.clear();
         world
--- a/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/outcomes.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use super::fixtures::{World, address, configuration, endpoints, request};
-use crate::gateway::EngineReport;
-use crate::gateway::dispatch::{BrokenBy, CrashFindings, Ending, Event, PeerState, Proof, RefusalReason};
+use crate::gateway::dispatch::{
+    BrokenBy, CrashFindings, Ending, EndpointsProof, Event, PeerState, Proof, RefusalReason,
+};
+use crate::gateway::{EngineReport, StorePosition};
 
 /// Ends the first send and all further ones with each ending in turn, for each kind of route.
 #[test]
@@ -288,7 +290,10 @@
     world.event(Event::Configuration(Arc::new(configuration(5))));
     world.confirm_configuration();
     let before = world.text();
-    world.event(Event::EndpointsProof(Proof { version: 1, at_us: world.now_us }));
+    world.event(Event::EndpointsProof(EndpointsProof {
+        position: StorePosition::new(0, 1),
+        at_us: world.now_us,
+    }));
     assert_eq!((before.as_str(), world.text().as_str()), ("", "ready true"));
 }
 
@@ -302,7 +307,10 @@
         world.publish_state();
         world.event(Event::Configuration(Arc::new(configuration(5))));
         world.event(Event::Endpoints(endpoints().into()));
-        world.event(Event::EndpointsProof(Proof { version: 1, at_us: world.now_us }));
+        world.event(Event::EndpointsProof(EndpointsProof {
+            position: StorePosition::new(0, 1),
+            at_us: world.now_us,
+        }));
         world.confirm_configuration();
         world
     };
--- a/crates/banyannotch/src/gateway/gossip/messages.rs
+++ b/crates/banyannotch/src/gateway/gossip/messages.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Sets the era of all positions, which the encoded message does not contain.
+    pub(super) fn set_era(&mut self, era: u64) {
+        let state = self.state_mut();
+        state.endpoints_change = state.endpoints_change.in_era(era);
+        if let Self::Tell { changes: Some(changes), .. } = self {
+            (changes.from, changes.through) = (changes.from.in_era(era), changes.through.in_era(era));
+        }
+    }
+
     /// Returns the state of the sender for changes.
     pub(super) fn state_mut(&mut self) -> &mut PeerState {
         match self {
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -7,6 +7,8 @@
 #[cfg(test)]
 mod crash_tests;
 #[cfg(test)]
+mod era_tests;
+#[cfg(test)]
 mod fleet;
 mod members;
 mod messages;
@@ -21,3 +23,6 @@
 pub use messages::{Action, Event, GossipSettings, Mention, Message, READER_COUNT};
 pub use policy::Gossip;
 pub use runtime::{Links, spawn};
+#[cfg(test)]
+pub(super) use sections::{decode_datagram, encode_datagram};
+pub(super) use sections::{decode_sections, encode_sections};
--- a/crates/banyannotch/src/gateway/gossip/policy.rs
+++ b/crates/banyannotch/src/gateway/gossip/policy.rs
@@ -6,6 +6,7 @@
 use super::{Action, Changes, Event, GossipSettings, Message};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
+use crate::gateway::StorePosition;
 use crate::gateway::dispatch::PeerState;
 use crate::ids::Zone;
 use crate::pipeline::Address;
@@ -31,6 +32,8 @@
     zone_counts: Table<Zone, usize>,
     published: Option<Published>,
     changes: ChangeLog,
+    /// Era of the store that dispatch published first.
+    first_era: Option<u64>,
 }
 
 /// Latest state of dispatch, with the times of its proofs.
@@ -52,9 +55,13 @@
         Self { state, at_us: now_us, version_proof_us, endpoints_proof_us }
     }
 
-    /// Takes the later proofs of another state that has the same version or the same offset. Without this, each relay
-    /// would pass on a proof only after dispatch has published its state again.
+    /// Takes the later proofs of another state that has the same version or the same position. Without this, each relay
+    /// would pass on a proof only after dispatch has published its state again. A proof holds only in the era of the store
+    /// in which it was given.
     fn take_proofs(&mut self, other: &Self) {
+        if other.era() != self.era() {
+            return;
+        }
         if other.state.version == self.state.version {
             self.version_proof_us = self.version_proof_us.max(other.version_proof_us);
         }
@@ -63,6 +70,12 @@
         }
     }
 
+    /// Returns the era of the store in which the proofs were given. The proofs of a gateway that does not know eras are
+    /// passed on only where eras do not matter.
+    fn era(&self) -> u64 {
+        self.state.sections.store_era.unwrap_or_default()
+    }
+
     /// Returns the state for a gateway in the given zone, with the current ages of the proofs and findings.
     fn state_for(&self, now_us: u64, zone: &Zone) -> PeerState {
         let mut state = if self.state.zone == *zone {
@@ -94,6 +107,7 @@
             zone_counts: Table::default(),
             published: None,
             changes: ChangeLog::default(),
+            first_era: None,
         }
     }
 
@@ -112,6 +126,7 @@
         self.zone_counts = self.members.zone_counts(now_us);
         out.push(Action::Rank(self.rank));
         let zone_peers = self.members.alive_in_zone(now_us, &state.zone);
+        self.first_era = self.first_era.or(state.sections.store_era);
         let mut published = Published::new(now_us, state);
         if let Some(previous) = &self.published {
             published.take_proofs(previous);
@@ -127,6 +142,16 @@
         self.published = Some(published);
     }
 
+    /// Returns the position up to which another gateway knows the endpoints. One that does not know eras is taken to be in
+    /// the first one until the store has come back from a backup.
+    fn position_of(&self, state: &PeerState) -> StorePosition {
+        let own_era = self.published.as_ref().and_then(|published| published.state.sections.store_era);
+        match (state.sections.store_era, own_era) {
+            (None, Some(era)) if own_era == self.first_era => state.endpoints_change.in_era(era),
+            _ => state.endpoints_change,
+        }
+    }
+
     /// Returns the gateways to ask in a round: the relays, then some of the zone, whose load matters most, and then any.
     fn targets(&mut self, relays: Vec<Address>, zone_peers: Vec<Address>) -> Vec<Address> {
         let fanout = self.settings.fanout;
@@ -169,7 +194,7 @@
             Message::Ask { asked_us, state, known } => {
                 self.members.record_contact(now_us, from, &state.zone);
                 self.members.record_mentions(now_us, &known);
-                let changes = self.changes.after(state.endpoints_change);
+                let changes = self.changes.after(self.position_of(&state));
                 let reply = self.published.as_ref().map(|published| published.state_for(now_us, &state.zone));
                 self.report_peer(from, state, None, None, out);
                 let Some(state) = reply else { return };
--- a/crates/banyannotch/src/gateway/gossip/sections.rs
+++ b/crates/banyannotch/src/gateway/gossip/sections.rs
@@ -19,7 +19,10 @@
 pub type Result<T> = std::result::Result<T, postcard::Error>;
 
 /// Appends the encoded sections.
-fn encode(sections: &Sections, out: &mut Vec<u8>) -> Result<()> {
+///
+/// # Errors
+/// Returns the error of the encoder.
+pub fn encode_sections(sections: &Sections, out: &mut Vec<u8>) -> Result<()> {
     if let Some(store_era) = sections.store_era {
         append(STORE_ERA_TAG, &store_era, out)?;
     }
@@ -30,7 +33,7 @@
 }
 
 /// Decodes the sections after a message. What cannot be read counts as absent.
-fn decode(mut bytes: &[u8]) -> Sections {
+pub fn decode_sections(mut bytes: &[u8]) -> Sections {
     let mut sections = Sections::default();
     while let Ok(((tag, content), rest)) = postcard::take_from_bytes::<(u8, &[u8])>(bytes) {
         match tag {
@@ -70,16 +73,18 @@
 /// Returns the error of the encoder.
 pub fn encode_datagram(message: &Message) -> Result<Vec<u8>> {
     let mut bytes = postcard::to_allocvec(message)?;
-    encode(&message.state().sections, &mut bytes)?;
+    encode_sections(&message.state().sections, &mut bytes)?;
     Ok(bytes)
 }
 
-/// Decodes a message and its sections.
+/// Decodes a message and its sections, and sets the era of the positions in the message.
 ///
 /// # Errors
 /// Returns the error of the decoder if the message cannot be read.
 pub fn decode_datagram(bytes: &[u8]) -> Result<Message> {
     let (mut message, rest) = postcard::take_from_bytes::<Message>(bytes)?;
-    message.state_mut().sections = decode(rest);
+    let sections = decode_sections(rest);
+    message.set_era(sections.store_era.unwrap_or_default());
+    message.state_mut().sections = sections;
     Ok(message)
 }
--- a/crates/banyannotch/src/gateway/gossip/tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/tests.rs
@@ -13,7 +13,7 @@
     CrashFindings, CrashReport, Feature, Load, PeerState, QuarantineReport, Sections,
 };
 use crate::gateway::mutation::mutate;
-use crate::gateway::{Endpoint, NAME_LIMIT_BYTES, RequestInfo};
+use crate::gateway::{Endpoint, NAME_LIMIT_BYTES, RequestInfo, StorePosition};
 use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
 use crate::random::Random;
@@ -170,8 +170,12 @@
     Change::Missing(format!("e{name}").into())
 }
 
+fn at(offset: u64) -> StorePosition {
+    StorePosition::new(0, offset)
+}
+
 fn changes(from: u64, through: u64, names: impl IntoIterator<Item = u32>) -> Changes {
-    Changes { from, through, list: names.into_iter().map(missing).collect() }
+    Changes { from: at(from), through: at(through), list: names.into_iter().map(missing).collect() }
 }
 
 /// The log returns all changes after an offset, or none if it no longer has all of them; the requester then reads the
@@ -182,9 +186,9 @@
     log.push(changes(10, 10, []));
     log.push(changes(10, 14, [1, 2]));
     log.push(changes(14, 20, [1]));
-    let before_gap: Vec<_> = [9, 10, 14, 20, 25].into_iter().map(|offset| log.after(offset)).collect();
+    let before_gap: Vec<_> = [9, 10, 14, 20, 25].into_iter().map(|offset| log.after(at(offset))).collect();
     log.push(changes(30, 33, [7]));
-    let after_gap: Vec<_> = [20, 30].into_iter().map(|offset| log.after(offset)).collect();
+    let after_gap: Vec<_> = [20, 30].into_iter().map(|offset| log.after(at(offset))).collect();
     insta::assert_debug_snapshot!((before_gap, after_gap));
 }
 
@@ -195,7 +199,7 @@
     for read in 0..100_u64 {
         log.push(changes(read * 10, read * 10 + 10, (0..20).map(|name| read as u32 * 20 + name)));
     }
-    let mut offset = 600;
+    let mut offset = at(600);
     let mut parts = Vec::new();
     while let Some(part) = log.after(offset) {
         parts.push((part.list.len(), part.through));
@@ -203,7 +207,7 @@
     }
     assert_eq!(parts.iter().map(|(count, _)| count).sum::<usize>(), 40 * 20);
     assert!(parts.iter().all(|(count, _)| *count <= 64), "{parts:?}");
-    assert_eq!((offset, log.after(0)), (1_000, None));
+    assert_eq!((offset, log.after(at(0))), (at(1_000), None));
 }
 
 /// A reply contains the changes that the requester lacks.
@@ -214,7 +218,7 @@
     own.on_event(1_000_000, Event::State(Box::new(state(1, 100))), &mut actions);
     own.on_event(1_000_000, Event::Changed(changes(5, 8, [1])), &mut actions);
     actions.clear();
-    let requester = PeerState { endpoints_change: 5, ..state(2, 0) };
+    let requester = PeerState { endpoints_change: at(5), ..state(2, 0) };
     let ask = Message::Ask { asked_us: 7, state: requester, known: vec![] };
     own.on_event(1_250_500, Event::Received { from: address(2), message: Box::new(ask) }, &mut actions);
     insta::assert_debug_snapshot!(actions);
@@ -245,7 +249,7 @@
                 failed_trials: 1,
             }],
         },
-        endpoints_change: 5,
+        endpoints_change: at(5),
         sections: sections(),
         ..state(2, 30)
     };
@@ -256,7 +260,7 @@
         Message::Tell {
             asked_us: 900_000,
             state: full_state,
-            changes: Some(Changes { from: 5, through: 8, list }),
+            changes: Some(Changes { from: at(5), through: at(8), list }),
             known,
         },
     ];
@@ -309,7 +313,7 @@
     let tell = Message::Tell {
         asked_us: u64::MAX,
         state: PeerState { sections: sections(), ..state(2, 0) },
-        changes: Some(Changes { from: 0, through: u64::MAX, list }),
+        changes: Some(Changes { from: at(0), through: at(u64::MAX), list }),
         known: vec![known; GossipSettings::default().mention_limit],
     };
     let bytes = encode_datagram(&tell).unwrap().len();
@@ -333,7 +337,8 @@
 /// the other sends.
 #[test]
 fn gateways_of_several_versions_read_each_others_datagrams() {
-    let state = PeerState { sections: sections(), ..state(2, 30) };
+    let endpoints_change = StorePosition::new(u64::MAX, 5);
+    let state = PeerState { endpoints_change, sections: sections(), ..state(2, 30) };
     let message = Message::Ask { asked_us: 1, state, known: Vec::new() };
     let mut bytes = encode_datagram(&message).expect("it serializes");
     assert_eq!(decode_datagram(&bytes), Ok(message.clone()));
--- a/crates/banyannotch/src/gateway/layout/messages.rs
+++ b/crates/banyannotch/src/gateway/layout/messages.rs
@@ -71,7 +71,11 @@
     NotJoined {
         /// Error of the store.
         fault: String,
+        /// Era of the store that answered; none if there was no answer that states it.
+        era: Option<u64>,
     },
+    /// The store is in the given era.
+    StoreEra(u64),
     /// An inspection of an engine has ended.
     Report {
         /// Address of the engine.
@@ -110,6 +114,8 @@
     },
     /// Leave the group.
     Leave,
+    /// Report the era of the store that a response stated.
+    StoreEra(u64),
     /// Request a report from an engine.
     Inspect(Address),
     /// Order an engine to hold the given layers.
--- a/crates/banyannotch/src/gateway/layout/mod.rs
+++ b/crates/banyannotch/src/gateway/layout/mod.rs
@@ -5,6 +5,8 @@
 //! whose number does not match, such as one that arrives late or comes from a second owner. See
 //! `docs/platform.md`.
 
+#[cfg(test)]
+mod era_tests;
 mod messages;
 mod ownership;
 mod plan;
--- a/crates/banyannotch/src/gateway/layout/ownership.rs
+++ b/crates/banyannotch/src/gateway/layout/ownership.rs
@@ -17,6 +17,16 @@
 }
 
 impl Ownership {
+    /// Returns the era of the store in which the group was joined.
+    pub fn era(&self) -> u64 {
+        self.group.era
+    }
+
+    /// Starts anew in an era of the store, whose group has no members yet.
+    pub fn enter_era(&mut self, era: u64) {
+        *self = Self { group: Group { era, ..Group::default() }, ..Self::default() };
+    }
+
     /// Takes the answer to a join that was sent at the given time.
     pub fn renew(&mut self, group: Group, sent_us: u64, settings: &LayoutSettings) {
         self.group = group;
--- a/crates/banyannotch/src/gateway/layout/policy.rs
+++ b/crates/banyannotch/src/gateway/layout/policy.rs
@@ -8,7 +8,7 @@
 use super::{Action, Decision, Event, LayoutSettings};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::{Configuration, Endpoint, EngineReport, Group, OrderReply, Pipeline};
+use crate::gateway::{Configuration, Endpoint, EngineReport, Group, OrderReply, Pipeline, StoreError};
 use crate::ids::{ServiceId, Zone};
 use crate::pipeline::{Address, LayerRange};
 use crate::table::Table;
@@ -97,7 +97,35 @@
             })
     }
 
+    /// Gives up the membership if the store has come back from a backup, and joins the group anew. The endpoints of that
+    /// time refuse an order that was given twice, because orders name how many an engine has accepted.
+    fn enter_era(&mut self, now_us: u64, era: u64, out: &mut Vec<Action>) {
+        if era <= self.ownership.era() {
+            return;
+        }
+        self.ownership.enter_era(era);
+        self.join_at_us = now_us;
+        self.update_ownership(now_us, out);
+    }
+
+    /// Handles the era that a response of the store states. The catalog tells it to the other duties.
+    fn handle_response_era(&mut self, now_us: u64, era: u64, out: &mut Vec<Action>) {
+        let known = self.ownership.era();
+        if era > known {
+            self.enter_era(now_us, era, out);
+            out.push(Action::StoreEra(era));
+        } else if era < known {
+            let fault = StoreError::EarlierEra { era, known }.to_string();
+            out.push(Action::Decide(Decision::NotJoined { fault }));
+        }
+    }
+
     fn handle_join(&mut self, now_us: u64, group: Group, sent_us: u64, out: &mut Vec<Action>) {
+        if group.era != self.ownership.era() {
+            // The response is late, or the store has come back since the call was sent, with the generation of a group
+            // that no longer exists.
+            return self.handle_response_era(now_us, group.era, out);
+        }
         self.ownership.renew(group, sent_us, &self.settings);
         self.update_ownership(now_us, out);
     }
@@ -369,7 +397,13 @@
             Event::Configuration(configuration) => self.configuration = Some(configuration),
             Event::Endpoints(endpoints) => self.update_endpoints(now_us, endpoints),
             Event::Joined { group, sent_us } => self.handle_join(now_us, group, sent_us, actions),
-            Event::NotJoined { fault } => actions.push(Action::Decide(Decision::NotJoined { fault })),
+            Event::NotJoined { fault, era } => {
+                actions.push(Action::Decide(Decision::NotJoined { fault }));
+                if let Some(era) = era {
+                    self.handle_response_era(now_us, era, actions);
+                }
+            }
+            Event::StoreEra(era) => self.enter_era(now_us, era, actions),
             Event::Report { address, report } => {
                 self.handle_report(now_us, address, report.as_ref(), actions);
                 self.start_calls(now_us, actions);
--- a/crates/banyannotch/src/gateway/layout/runtime.rs
+++ b/crates/banyannotch/src/gateway/layout/runtime.rs
@@ -5,8 +5,8 @@
 use super::{Action, Event, Layout, LayoutSettings};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
-use crate::gateway::{EngineControl, Store};
-use crate::ring::{Doorbell, Receiver, receive_batch};
+use crate::gateway::{EngineControl, Store, catalog};
+use crate::ring::{Doorbell, Receiver, Sender, receive_batch};
 
 /// Timeout of the report of an engine, in milliseconds.
 const REPORT_TIMEOUT_MS: u64 = 400;
@@ -20,6 +20,8 @@
     pub bell: Doorbell,
     /// Events from catalog, gossip and the daemon.
     pub inbound: Vec<Receiver<Event>>,
+    /// Eras of the store for the catalog.
+    pub catalog: Sender<catalog::Event>,
 }
 
 /// Starts the thread of layout. `clients` creates the clients of the store and of the engines on that thread,
@@ -35,17 +37,20 @@
     member: String,
     clients: impl FnOnce() -> (S, E) + Send + 'static,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let ports_supervisor = supervisor.clone();
     supervisor.spawn("layout", move || async move {
         let bell = links.bell.clone();
         let mailbox = Mailbox::new(&bell);
         let (store, control) = clients();
-        let ports = LayoutPorts { links, clock: clock.clone(), mailbox, store, control, member };
+        let supervisor = ports_supervisor;
+        let ports = LayoutPorts { links, supervisor, clock: clock.clone(), mailbox, store, control, member };
         duty::run(clock, bell, Layout::new(settings), ports).await;
     })
 }
 
 struct LayoutPorts<C, S, E> {
     links: Links,
+    supervisor: Supervisor,
     clock: C,
     mailbox: Mailbox<Event>,
     store: S,
@@ -71,7 +76,7 @@
                     let sent_us = clock.now_us();
                     mailbox.put(match store.join(&member, generation, ttl_ms).await {
                         Ok(group) => Event::Joined { group, sent_us },
-                        Err(error) => Event::NotJoined { fault: error.to_string() },
+                        Err(failure) => Event::NotJoined { fault: failure.to_string(), era: failure.era },
                     });
                 });
             }
@@ -83,6 +88,10 @@
                     }
                 });
             }
+            Action::StoreEra(era) => {
+                let event = catalog::Event::StoreEra(era);
+                self.links.catalog.send_or_fail(event, "layout_catalog", &self.supervisor);
+            }
             Action::Inspect(address) => {
                 actix_rt::spawn(async move {
                     let report = control.report(address, REPORT_TIMEOUT_MS).await;
@@ -100,5 +109,7 @@
         }
     }
 
-    fn flush(&mut self) {}
+    fn flush(&mut self) {
+        self.links.catalog.flush();
+    }
 }
--- a/crates/banyannotch/src/gateway/layout/tests.rs
+++ b/crates/banyannotch/src/gateway/layout/tests.rs
@@ -128,6 +128,8 @@
     lines: Vec<String>,
     /// Partitions of the group that an owner has.
     partitions: Vec<u64>,
+    /// Era of the store.
+    era: u64,
     /// Orders sent.
     placed: Vec<(Address, LayerRange)>,
 }
@@ -143,6 +145,7 @@
             now_us: 1_000_000,
             lines: Vec::new(),
             partitions: vec![0],
+            era: 0,
             placed: Vec::new(),
         };
         world.event(Event::Configuration(Arc::new(configuration(1))));
@@ -158,7 +161,7 @@
 
     fn join(&mut self, owner: bool) {
         let partitions = if owner { self.partitions.clone() } else { vec![] };
-        let group = Group { generation: 1, partitions };
+        let group = Group { era: self.era, generation: 1, partitions };
         self.event(Event::Joined { group, sent_us: self.now_us });
     }
 
@@ -189,7 +192,7 @@
                 }
                 Action::Decide(Decision::Owner { owner, .. }) => format!("owner {owner}"),
                 Action::Leave => "leave".to_owned(),
-                Action::Join { .. } | Action::Decide(_) => continue,
+                Action::Join { .. } | Action::StoreEra(_) | Action::Decide(_) => continue,
             };
             self.lines.push(format!("{at_ms}: {text}"));
         }
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -17,17 +17,19 @@
 mod model;
 #[cfg(test)]
 mod mutation;
+mod position;
 mod settings;
 mod start;
 
 pub use adapter::{
     Batch, Dialect, EngineControl, EngineReport, Feed, ForwardingInfo, Group, OrderReply, Record,
-    RequestError, RequestInfo, ResponseInfo, SHARED_PART_LIMIT, Store, StoreError, StoreResult,
+    RequestError, RequestInfo, ResponseInfo, SHARED_PART_LIMIT, Store, StoreError, StoreFailure, StoreResult,
 };
 pub use error::{GatewayError, Result};
 pub use model::{
     Accelerator, CallerLimits, Configuration, Credential, Endpoint, EndpointError, LONGEST_TIME_MS,
     NAME_LIMIT_BYTES, Pipeline, RetryMode, Route, Service, Target, Team,
 };
+pub use position::StorePosition;
 pub use settings::GatewaySettings;
 pub use start::Gateway;
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -105,6 +105,7 @@
         let (gossip_to_layout, layout_from_gossip) =
             link(RING_CAPACITY, HELD_LIMIT, gossip_bell, layout_bell);
         let (dispatch_to_catalog, departures) = link(RING_CAPACITY, HELD_LIMIT, dispatch_bell, catalog_bell);
+        let (layout_to_catalog, eras) = link(RING_CAPACITY, HELD_LIMIT, layout_bell, catalog_bell);
         let (gossip_to_catalog, peer_updates) = link(RING_CAPACITY, HELD_LIMIT, gossip_bell, catalog_bell);
         let (catalog_to_gossip, changes) = link(RING_CAPACITY, HELD_LIMIT, catalog_bell, gossip_bell);
         let (dispatch_to_gossip, states) =
@@ -150,6 +151,7 @@
             layout::Links {
                 bell: layout_bell.clone(),
                 inbound: vec![layout_from_catalog, layout_from_gossip, layout_from_daemon],
+                catalog: layout_to_catalog,
             },
             layout_settings(settings),
             settings.instance.clone(),
@@ -160,7 +162,7 @@
             clock,
             catalog::Links {
                 bell: catalog_bell.clone(),
-                inbound: vec![peer_updates, departures],
+                inbound: vec![peer_updates, departures, eras],
                 dispatch: catalog_to_dispatch,
                 layout: catalog_to_layout,
                 forwarding: catalog_to_forwarding,
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -88,6 +88,7 @@
         "Requests for the snapshot of another gateway, by result",
     ),
     ("banyannotch_gateway_store_reads_total", Counter, "Reads of the store by result"),
+    ("banyannotch_gateway_store_restored_total", Counter, "Returns of the store from a backup"),
     ("banyannotch_in_flight", Gauge, "Requests in flight at the last decision of admission"),
     ("banyannotch_invariant_violations_total", Counter, "Invariants that did not hold"),
     ("banyannotch_ledger_answers_total", Counter, "Answers of the ledger by verdict"),
