gateway tests: a store that comes back from a backup twice, and one with an implausible era

Two gateway processes see two increases in a row, each from a copy that has a revoked key as valid and a departed engine as ready: the key stays refused, the engine gets nothing, requests get 503 until the configuration is written again, and then 200; one log line and one count for each increase, and joins with generation 0. A store whose header is missing, no number, too large or lower is not used, and requests are served on what was known.

--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -4,7 +4,9 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use banyannotch_standins::fleet::{StoreFault, call};
+use std::time::{Duration, Instant};
+
+use banyannotch_standins::fleet::{StoreFault, call, stream};
 use banyannotch_standins::harness::wait_until;
 use common::{Fleet, Gateway, LIMIT, configuration};
 
@@ -254,3 +256,101 @@
     }
     assert!(gateway.child.try_wait().expect("the state of the process is known").is_none());
 }
+
+/// A store that comes back from a backup twice, each time from before a key was revoked and an engine departed, brings back
+/// neither. Requests are refused until the operator has written the configuration again, and served afterwards.
+#[actix_rt::test]
+async fn a_store_that_comes_back_from_a_backup_reverts_nothing() {
+    let mut fleet = Fleet::start();
+    fleet.store.set_era(Some("1"));
+    let gateways = fleet.start_pair().await;
+    let copied_at = Instant::now();
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let departing = fleet.engines[0].clone();
+    fleet.store.put_configuration(&configuration(2, &["other"]));
+    fleet.store.put_endpoint("engine-1", Some(&departing.entry("model", Some("fast"), "draining")));
+    for gateway in &gateways {
+        wait_until(LIMIT, async || {
+            let is_leaving = !gateway.lines("event=endpoint_known endpoint=engine-1 ").is_empty()
+                && !gateway.lines("leaving=true").is_empty();
+            is_leaving && gateway.call("old", "/call/x").await.status == Some(401)
+        })
+        .await
+        .unwrap_or_else(|error| panic!("{error}: {:#?}", gateway.lines("event=")));
+    }
+    let runs_before = departing.runs().len();
+    for era in 2..4 {
+        fleet.store.rewind(copied_at.elapsed());
+        for gateway in &gateways {
+            let restored = format!("event=store_restored era={era} before={}", era - 1);
+            wait_until(LIMIT, async || gateway.lines(&restored).len() == 1)
+                .await
+                .unwrap_or_else(|error| panic!("{error}: {:#?}", gateway.lines("event=")));
+            for number in 0..5 {
+                let (old, new) = (format!("old-{era}-{number}"), format!("new-{era}-{number}"));
+                let got = gateway.call(&old, "/call/x").await;
+                assert!(matches!(got.status, Some(401 | 503)), "the revoked key: {got:?}");
+                let got = call(gateway.callers, &new, "/call/x", "other", "").await;
+                assert_eq!(got.status, Some(503), "without a proof: {got:?}");
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        // The operator and the endpoints that are alive write their records again.
+        fleet.store.put_configuration(&configuration(2, &["other"]));
+        for (number, engine) in fleet.engines.iter().enumerate().skip(1) {
+            let entry = engine.entry("model", Some("fast"), "ready");
+            fleet.store.put_endpoint(&format!("engine-{}", number + 1), Some(&entry));
+        }
+        for (number, replica) in fleet.replicas.iter().enumerate() {
+            let entry = replica.entry("desk", None, "ready");
+            fleet.store.put_endpoint(&format!("desk-{}", number + 1), Some(&entry));
+        }
+        for gateway in &gateways {
+            wait_until(LIMIT, async || gateway.readiness().await == Some(200))
+                .await
+                .unwrap_or_else(|error| panic!("{error}: {:#?}", gateway.lines("event=")));
+            for number in 0..6 {
+                let id = format!("again-{era}-{number}");
+                assert_eq!(stream(gateway.callers, &id, "other").await.status, Some(200), "{id}");
+                let got = call(gateway.callers, &format!("{id}-call"), "/call/x", "other", "").await;
+                assert_eq!(got.status, Some(200), "{got:?}");
+                assert_eq!(gateway.call(&format!("{id}-old"), "/call/x").await.status, Some(401));
+            }
+        }
+    }
+    assert_eq!(departing.runs().len(), runs_before, "a departed engine must not receive requests");
+    for gateway in &gateways {
+        let metrics = call(gateway.metrics, "m", "/metrics", "", "").await;
+        let counter = "banyannotch_gateway_store_restored_total 2";
+        assert!(metrics.body.contains(counter), "{}", metrics.body);
+        assert_eq!(gateway.lines("event=configuration_applied version=2 ").len(), 1);
+    }
+    // The owner of the ordering group joined anew with generation 0: at its start, and in each era.
+    let joins = fleet.store.joins();
+    assert!(joins.iter().filter(|generation| **generation == 0).count() >= 3, "{joins:?}");
+}
+
+/// While the store's header is missing, unreadable or lower than before, nothing is taken from it, and what was known is kept.
+#[actix_rt::test]
+async fn a_store_with_an_implausible_era_changes_nothing() {
+    for era in [None, Some("three"), Some("-1"), Some("3"), Some("99999999999999999999")] {
+        let fleet = Fleet::start();
+        fleet.store.set_era(Some("4"));
+        let mut gateway = Gateway::start(fleet.store.address, &[]);
+        gateway.wait_ready().await;
+        fleet.store.set_era(era);
+        fleet.store.put_configuration(&configuration(2, &["other"]));
+        // One line for each feed.
+        wait_until(LIMIT, async || gateway.lines("event=dependency_lost").len() >= 2)
+            .await
+            .unwrap_or_else(|error| panic!("{era:?}: {error}: {:#?}", gateway.lines("event=")));
+        assert_eq!(gateway.call("kept", "/call/x").await.status, Some(200), "{era:?}");
+        assert!(gateway.lines("event=configuration_applied version=2").is_empty(), "{era:?}");
+        fleet.store.set_era(Some("4"));
+        wait_until(LIMIT, async || gateway.call("old", "/call/x").await.status == Some(401))
+            .await
+            .unwrap_or_else(|error| panic!("{era:?}: {error}: {:#?}", gateway.lines("event=")));
+        assert!(gateway.lines("event=store_restored").is_empty(), "{era:?}");
+        assert!(gateway.child.try_wait().expect("the state of the process is known").is_none());
+    }
+}
