--- a/crates/banyannotch/src/http/client.rs
+++ b/crates/banyannotch/src/http/client.rs
@@ -54,6 +54,8 @@
     pub status: u16,
     /// Body of the answer.
     pub body: Bytes,
+    /// Value of the header that the client keeps, see [`Client::keeping`]; several values are separated by commas.
+    pub kept_header: Option<Bytes>,
 }
 
 impl Answer {
@@ -76,6 +78,7 @@
     /// Servers that have sent an interim response, and when they last did so. `awc` takes such a response for the final one
     /// and keeps the connection, on which the final one may arrive as the answer to the next request.
     interim_senders: Rc<RefCell<Table<Address, Instant>>>,
+    kept_header: Option<&'static str>,
 }
 
 impl Client {
@@ -86,9 +89,16 @@
             unpooled: new_client(settings),
             settings,
             interim_senders: Rc::default(),
+            kept_header: None,
         }
     }
 
+    /// Returns a client with the same connections whose answers also have the value of one header, named in lower case.
+    #[must_use]
+    pub fn keeping(self, header: &'static str) -> Self {
+        Self { kept_header: Some(header), ..self }
+    }
+
     /// Sends a JSON body with POST and waits for the answer.
     ///
     /// # Errors
@@ -156,7 +166,7 @@
         request: awc::SendClientRequest,
         limit_ms: u64,
     ) -> CallResult<Answer> {
-        let limit_bytes = self.settings.body_limit_bytes;
+        let (limit_bytes, kept_header) = (self.settings.body_limit_bytes, self.kept_header);
         let exchange = async move {
             let mut response = request.await.map_err(classify)?;
             let status = response.status().as_u16();
@@ -166,12 +176,17 @@
             if !FINAL_STATUSES.contains(&status) {
                 return Err(CallError::BadAnswer(format!("status {status} is none of a final response")));
             }
+            let kept_header = kept_header.and_then(|name| {
+                let values: Vec<&[u8]> =
+                    response.headers().get_all(name).map(|value| value.as_bytes()).collect();
+                (!values.is_empty()).then(|| Bytes::from(values.join(b",".as_slice())))
+            });
             let body = response
                 .body()
                 .limit(limit_bytes)
                 .await
                 .map_err(|error| CallError::Broken(error.to_string()))?;
-            Ok(Answer { status, body })
+            Ok(Answer { status, body, kept_header })
         };
         actix_rt::time::timeout(Duration::from_millis(limit_ms), exchange)
             .await
