admission: classes of requests, and the priority that engines are told

Route::priority and Team::priority were decoded but not used, so engines treated the requests of all routes alike. A service is classed when its routes have different priorities or teams state others; the rank of a request is the position of its class among the priorities that occur. Sends of classed services carry Request-Priority, which becomes more urgent once half of the objective has elapsed and for continued streams, and less urgent when the objective is missed. Sends of other services carry no such header, as before. Priorities above 9 count as 9 and are logged once per configuration version.

--- a/crates/banyannotch/src/gateway/adapter.rs
+++ b/crates/banyannotch/src/gateway/adapter.rs
@@ -71,6 +71,8 @@
     pub path: Arc<[(Address, LayerRange)]>,
     /// Id of the last event that was delivered to the caller, if the endpoint is to resume a stream.
     pub resume_after: Option<u64>,
+    /// Priority at the endpoint, from 0 (first) to 9; none for a service that is not classed.
+    pub priority: Option<u8>,
 }
 
 /// Information in a response head apart from the status.
--- /dev/null
+++ b/crates/banyannotch/src/gateway/admission/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of priority admission control.
+
+mod classes;
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -30,6 +30,7 @@
     pub(super) fn on_stream_start(&mut self, now_us: u64, ticket_id: u64) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         ticket.begun_us = Some(now_us);
+        ticket.has_begun = true;
         for (address, load) in &mut ticket.reservation.loads {
             let processed = Load { reading: std::mem::take(&mut load.reading), ..Load::default() };
             if let Some(health) = self.health.get_mut(address) {
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -561,6 +561,13 @@
         /// Whether it is sent nevertheless, to find out whether the feature still crashes endpoints.
         is_trial: bool,
     },
+    /// Routes or teams have priorities above the largest one.
+    PriorityClamped {
+        /// Version of the configuration.
+        version: u64,
+        /// Highest number of a priority in it.
+        priority: u8,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -626,6 +633,9 @@
                 let event = if *is_trial { "feature_tried" } else { "feature_refused" };
                 write!(formatter, "event={event} request={id} feature={digest:016x}")
             }
+            Self::PriorityClamped { version, priority } => {
+                write!(formatter, "event=priority_clamped version={version} priority={priority}")
+            }
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -14,6 +14,7 @@
 use super::tickets::{Choice, Reservation, Ticket};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
+use crate::gateway::admission::Classes;
 use crate::gateway::{Configuration, Endpoint, ForwardingInfo, RetryMode, Route, Team};
 use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
@@ -34,6 +35,8 @@
     pub(super) settings: DispatchSettings,
     pub(super) random: Random,
     pub(super) configuration: Option<Arc<Configuration>>,
+    /// Classes of the services in this configuration.
+    pub(super) classes: Classes,
     /// Endpoints, sorted by address.
     pub(super) endpoints: Arc<[Endpoint]>,
     pub(super) configuration_proof: Option<Proof>,
@@ -68,6 +71,7 @@
             settings,
             random: Random::seeded(seed),
             configuration: None,
+            classes: Classes::default(),
             endpoints: Arc::new([]),
             configuration_proof: None,
             health: Table::default(),
@@ -100,8 +104,10 @@
         match admitted {
             Ok((configuration, route, team)) => {
                 let service = self.pick_service(&route);
+                let class = self.classes.class(&service, &route, team.as_ref());
                 let team = team.map(|team| team.id);
-                let record = Ticket::new(request, &route, service, configuration, team, now_us);
+                let record =
+                    Ticket { class, ..Ticket::new(request, &route, service, configuration, team, now_us) };
                 let window_ms = self.settings.retry_window_ms;
                 self.budgets.entry(record.service.clone()).count_request(now_us, window_ms);
                 self.tickets.insert(ticket, record);
@@ -266,6 +272,7 @@
                 deadline_ms: remaining_ms,
                 path: choice.hops,
                 resume_after: ticket.request.resume_after,
+                priority: ticket.wire_priority(now_us),
             },
             deadline_us: ticket.deadline_us,
             valid_until_us,
@@ -504,6 +511,11 @@
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
+                    self.classes = Classes::of(&configuration);
+                    if let Some(priority) = self.classes.clamped_priority() {
+                        let version = configuration.version;
+                        actions.push(Action::Decide(Decision::PriorityClamped { version, priority }));
+                    }
                     self.configuration = Some(configuration);
                 }
             }
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::health::Load;
+use crate::gateway::admission::Class;
 use crate::gateway::{Configuration, RequestInfo, RetryMode, Route};
 use crate::ids::{ServiceId, TeamId};
 use crate::pipeline::{Address, LayerRange};
@@ -48,6 +49,8 @@
     /// Configuration under which the request was admitted. It describes the service if a newer one no longer has it.
     pub configuration: Arc<Configuration>,
     pub team: Option<TeamId>,
+    /// Class of the request, if its service is classed.
+    pub class: Option<Class>,
     /// Maximum number of endpoints that may run the request.
     pub endpoint_limit: u32,
     /// Latency objective of the route.
@@ -66,6 +69,8 @@
     pub successor: Option<Choice>,
     /// When the first event of the current send arrived, in microseconds.
     pub begun_us: Option<u64>,
+    /// Whether events of a stream have been passed on, by this send or an earlier one.
+    pub has_begun: bool,
     /// Whether an endpoint has begun to answer the request and survived it.
     pub has_survived: bool,
     /// Whether the next event of the current send is late and its first engine was asked for a report.
@@ -94,6 +99,7 @@
             service,
             configuration,
             team,
+            class: None,
             endpoint_limit: route.endpoint_limit,
             objective_ms: route.objective_ms,
             event_gap_objective_ms: route.event_gap_objective_ms,
@@ -104,6 +110,7 @@
             reservation: Reservation::default(),
             successor: None,
             begun_us: None,
+            has_begun: false,
             has_survived: false,
             is_waiting: false,
             late_report: 0,
@@ -111,6 +118,13 @@
         }
     }
 
+    /// Returns the priority that the endpoint of the next send is told, if the service is classed.
+    pub fn wire_priority(&self, now_us: u64) -> Option<u8> {
+        let elapsed_ms = now_us.saturating_sub(self.arrived_us) / crate::clock::US_PER_MS;
+        let is_continued = self.has_begun || self.request.resume_after.is_some();
+        self.class.map(|class| class.wire_priority(elapsed_ms, self.objective_ms, is_continued))
+    }
+
     /// Returns whether the limits on sends and on possible runs allow another send.
     pub fn may_retry(&self, send_limit: u32) -> bool {
         let runs_allow = self.possible_runs == 0
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! record formats; an adapter supplies these through [`Dialect`], [`Store`] and [`EngineControl`].
 
 mod adapter;
+pub mod admission;
 pub mod catalog;
 mod chain;
 pub mod demand;
