admission: less urgent ranks leave engine memory to more urgent ones

Requests were admitted in the order of their arrival, so when patient requests had filled the engines, urgent ones found no memory. A request of rank r now finds a path only while the engines are filled up to cache_share minus r times class_reserve_share (0.12), at least 0.4 of cache_share. A class whose admission rate in the last 10 s (starvation_window_ms) is less than half that of all requests of its service is treated as the most urgent one; below four requests in the window the rate says nothing. Requests of services that are not classed use cache_share as before.

--- a/crates/banyannotch/src/gateway/admission/classes.rs
+++ b/crates/banyannotch/src/gateway/admission/classes.rs
@@ -6,6 +6,8 @@
 
 /// Least urgent priority; higher ones in the configuration are treated as this one.
 const LEAST_URGENT_PRIORITY: u8 = 9;
+/// Number of ranks that a service can have.
+pub(super) const RANK_LIMIT: usize = LEAST_URGENT_PRIORITY as usize + 1;
 /// Number of values between the header values of two ranks, so that a step towards more or less urgent requests stays
 /// within the rank.
 const RANK_STEP: u8 = 2;
--- a/crates/banyannotch/src/gateway/admission/mod.rs
+++ b/crates/banyannotch/src/gateway/admission/mod.rs
@@ -4,7 +4,12 @@
 //! `docs/design/priority-admission.md`.
 
 mod classes;
+mod outcomes;
+mod policy;
+mod settings;
 #[cfg(test)]
 mod tests;
 
 pub use classes::{Class, Classes, is_enabled};
+pub use policy::Admission;
+pub use settings::AdmissionSettings;
--- /dev/null
+++ b/crates/banyannotch/src/gateway/admission/settings.rs
@@ -0,0 +1,16 @@
+//! Settings of priority admission control.
+
+/// Settings of priority admission control. Times are in milliseconds unless the name says otherwise.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionSettings {
+    /// Share of an engine's KV cache that each rank leaves to the more urgent one before it.
+    pub class_reserve_share: f64,
+    /// Window in which the admission rate of a class is compared with that of all requests of the service.
+    pub starvation_window_ms: u64,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self { class_reserve_share: 0.12, starvation_window_ms: 10_000 }
+    }
+}
--- a/crates/banyannotch/src/gateway/dispatch/booking.rs
+++ b/crates/banyannotch/src/gateway/dispatch/booking.rs
@@ -106,6 +106,12 @@
                     engines: &endpoints,
                     health: &self.health,
                     settings: &self.settings,
+                    cache_share: self.admission.memory_share(
+                        now_us,
+                        &ticket.service,
+                        ticket.class,
+                        self.settings.cache_share,
+                    ),
                     now_us,
                 };
                 let sampled = if takes_cheapest {
--- a/crates/banyannotch/src/gateway/dispatch/paths.rs
+++ b/crates/banyannotch/src/gateway/dispatch/paths.rs
@@ -31,6 +31,8 @@
     pub engines: &'a [&'a Endpoint],
     pub health: &'a HealthTable,
     pub settings: &'a DispatchSettings,
+    /// Share of an engine's KV cache up to which the request may use it.
+    pub cache_share: f64,
     pub now_us: u64,
 }
 
@@ -102,7 +104,7 @@
         let model_layers = f64::from(self.pipeline.layers.max(1));
         let tokens = request.total_tokens();
         let cache_size = self.pipeline.cache_size(kind.memory_mb, layers.len());
-        let free_cache = cache_size * settings.cache_share - load.cache;
+        let free_cache = cache_size * self.cache_share - load.cache;
         if free_cache < tokens {
             return None;
         }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -14,7 +14,7 @@
 use super::tickets::{Choice, Reservation, Ticket};
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::admission::Classes;
+use crate::gateway::admission::Admission;
 use crate::gateway::{Configuration, Endpoint, ForwardingInfo, RetryMode, Route, Team};
 use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
@@ -35,8 +35,6 @@
     pub(super) settings: DispatchSettings,
     pub(super) random: Random,
     pub(super) configuration: Option<Arc<Configuration>>,
-    /// Classes of the services in this configuration.
-    pub(super) classes: Classes,
     /// Endpoints, sorted by address.
     pub(super) endpoints: Arc<[Endpoint]>,
     pub(super) configuration_proof: Option<Proof>,
@@ -48,6 +46,7 @@
     /// Endpoints that are being probed.
     pub(super) probes: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
+    pub(super) admission: Admission,
     pub(super) crashes: Crashes,
     pub(super) peers: Table<String, Peer>,
     /// Number of known gateways, this one included.
@@ -68,10 +67,10 @@
     /// Creates a policy that has no configuration yet.
     pub fn new(settings: DispatchSettings, seed: u64) -> Self {
         Self {
+            admission: Admission::new(settings.admission.clone()),
             settings,
             random: Random::seeded(seed),
             configuration: None,
-            classes: Classes::default(),
             endpoints: Arc::new([]),
             configuration_proof: None,
             health: Table::default(),
@@ -104,7 +103,7 @@
         match admitted {
             Ok((configuration, route, team)) => {
                 let service = self.pick_service(&route);
-                let class = self.classes.class(&service, &route, team.as_ref());
+                let class = self.admission.class(&service, &route, team.as_ref());
                 let team = team.map(|team| team.id);
                 let record =
                     Ticket { class, ..Ticket::new(request, &route, service, configuration, team, now_us) };
@@ -229,6 +228,9 @@
         let crashes = self.crashes.crash_count(ticket.request.digest);
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
         ticket.sends += 1;
+        if ticket.sends == 1 {
+            self.admission.record_admitted(now_us, &ticket.service, ticket.class);
+        }
         ticket.late_report = 0;
         ticket.tried.extend(choice.loads.iter().map(|(address, _)| *address));
         ticket.begun_us = None;
@@ -398,6 +400,9 @@
     fn refuse(&mut self, now_us: u64, ticket_id: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
         let mut refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.close_ticket(ticket_id) {
+            if reason == RefusalReason::NoCapacity && ticket.sends == 0 {
+                self.admission.record_refused(now_us, &ticket.service, ticket.class);
+            }
             if let Some(wait_ms) = self.retry_after_hold_off_ms(now_us, reason, &ticket) {
                 refusal.retry_after_ms = Some(wait_ms);
             }
@@ -511,8 +516,7 @@
             Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
-                    self.classes = Classes::of(&configuration);
-                    if let Some(priority) = self.classes.clamped_priority() {
+                    if let Some(priority) = self.admission.configure(&configuration) {
                         let version = configuration.version;
                         actions.push(Action::Decide(Decision::PriorityClamped { version, priority }));
                     }
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of dispatch: limits, retry budget and cost weights.
 
 use super::tickets::Ticket;
+use crate::gateway::admission::AdmissionSettings;
 
 /// Settings of dispatch. Times are in milliseconds unless the name says otherwise.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,8 @@
     pub send_limit: u32,
     /// Share of an engine's KV cache up to which requests are admitted.
     pub cache_share: f64,
+    /// Priority admission control.
+    pub admission: AdmissionSettings,
     /// Minimum remaining time of a request for a retry.
     pub min_remaining_ms: u64,
     /// Duration of the first exclusion of an endpoint; doubles with each further exclusion in a row.
@@ -95,6 +98,7 @@
             retry_budget_share: 0.8,
             send_limit: 4,
             cache_share: 0.9,
+            admission: AdmissionSettings::default(),
             min_remaining_ms: 40,
             exclusion_initial_ms: 500,
             exclusion_max_ms: 4_000,
--- /dev/null
+++ b/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
@@ -0,0 +1,154 @@
+//! Tests of priority admission control under load: what callers get by class and team.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::fixtures::{World, configuration, request};
+use crate::clock::US_PER_MS;
+use crate::gateway::dispatch::{BrokenBy, Ending, Event, Proof};
+use crate::gateway::{Configuration, RequestInfo, Route};
+use crate::random::Random;
+
+/// Paths of the routes with the priorities 0, 1 and 2.
+const PATHS: [&str; 3] = ["/urgent/x", "/usual/x", "/patient/x"];
+
+/// Returns a configuration in which three routes with different priorities lead to the model, and the team has none.
+pub fn classed_configuration(version: u64) -> Configuration {
+    let usual = configuration(version);
+    let model_route = usual.routes.last().cloned().expect("a route to the model");
+    let prefixes = [("/patient/", 2), ("/urgent/", 0), ("/usual/", 1)];
+    let routes = prefixes.map(|(prefix, priority)| Route {
+        prefix: prefix.into(),
+        name: prefix.trim_matches('/').into(),
+        priority,
+        timeout_ms: 20_000,
+        objective_ms: 500,
+        ..model_route.clone()
+    });
+    let mut classed = Configuration { routes: routes.into(), ..usual };
+    for team in &mut classed.teams {
+        team.priority = None;
+    }
+    classed
+}
+
+/// Returns a gateway before engines that each hold a small model, which requests of three classes use. An engine has
+/// memory for nine requests of [`sized_request`] up to the usual limit.
+pub fn classed_world(engine_count: u8) -> World {
+    let mut world = World::with_small_model(engine_count);
+    let services = world.dispatch.configuration.as_ref().map(|known| known.services.clone());
+    let configuration =
+        Configuration { services: services.expect("a configuration"), ..classed_configuration(7) };
+    world.event(Event::Configuration(Arc::new(configuration)));
+    world.event(Event::ConfigurationProof(Proof { version: 7, at_us: world.now_us }));
+    world.lines.clear();
+    world
+}
+
+/// Returns a request for 500 tokens.
+pub fn sized_request(path: &str) -> RequestInfo {
+    RequestInfo { prompt_tokens: 400, answer_tokens: 100, deadline_ms: Some(10_000), ..request(path) }
+}
+
+/// Submits requests of a class until one is not sent, and returns how many were.
+fn fill(world: &mut World, path: &str) -> usize {
+    let mut sent = 0;
+    while sent < 100 {
+        world.last_order = None;
+        world.submit_request(sized_request(path));
+        if world.last_order.is_none() {
+            break;
+        }
+        sent += 1;
+    }
+    sent
+}
+
+/// Urgent requests must find memory although patient ones have taken all they may. Before, requests were admitted in the
+/// order of their arrival, and on the heaviest day the most urgent class earned less than the least urgent one.
+#[test]
+fn less_urgent_requests_leave_memory_to_more_urgent_ones() {
+    let mut world = classed_world(1);
+    let admitted = [PATHS[2], PATHS[1], PATHS[0]].map(|path| fill(&mut world, path));
+    assert_eq!(admitted, [6, 1, 2]);
+}
+
+/// Offers requests of each class at a rate, each of which runs for 400 ms, and returns how many of each were offered and
+/// sent, by class.
+fn play(world: &mut World, seconds: u64, rates_per_s: [f64; 3], seed: u64) -> [(usize, usize); 3] {
+    let mut random = Random::seeded(seed);
+    let mut counts = [(0, 0); 3];
+    let mut open: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    for _ in 0..seconds * 200 {
+        world.wait_ms(5);
+        world.confirm_configuration();
+        let before = world.lines.len();
+        world.run_timers();
+        let now_us = world.now_us;
+        for (_, ticket) in running.extract_if(.., |(end_us, _)| *end_us <= now_us) {
+            world.end(ticket, Ending::Completed { first_ms: 100 });
+        }
+        for (class, rate_per_s) in rates_per_s.into_iter().enumerate() {
+            if random.unit() < rate_per_s / 200.0 {
+                counts[class].0 += 1;
+                let ticket = world.submit_request(sized_request(PATHS[class]));
+                open.insert(ticket, class);
+            }
+        }
+        for line in &world.lines[before..] {
+            let (ticket, verdict) = line.split_once(": ").expect("a line of a ticket");
+            let ticket = ticket.parse().expect("a number");
+            let class = open.remove(&ticket).expect("one verdict for each request");
+            if verdict.starts_with("send") {
+                counts[class].1 += 1;
+                running.push((world.now_us + 400 * US_PER_MS, ticket));
+            }
+        }
+    }
+    counts
+}
+
+/// With three times the load that the engines can serve, the most urgent class keeps what it alone would get, and the
+/// others are still served at a quarter of the overall rate. Without a guard against starvation the least urgent class got
+/// nothing.
+#[test]
+fn no_class_starves_under_a_lasting_overload() {
+    for (rates_per_s, urgent_limit) in [([10.0, 30.0, 30.0], 0.5), ([45.0, 15.0, 5.0], 0.0)] {
+        let counts = play(&mut classed_world(1), 40, rates_per_s, 3);
+        let rate = |(offered, sent): (usize, usize)| sent as f64 / offered as f64;
+        let all = counts.iter().fold((0, 0), |all, class| (all.0 + class.0, all.1 + class.1));
+        for class in counts {
+            assert!(rate(class) >= rate(all) / 4.0, "{rates_per_s:?}: {counts:?}");
+        }
+        assert!(rate(counts[0]) >= urgent_limit, "{rates_per_s:?}: {counts:?}");
+        assert!(rate(counts[0]) > rate(counts[2]), "{rates_per_s:?}: {counts:?}");
+    }
+}
+
+/// Engines must process the prompts of urgent requests first. Without the header they treat all alike, and on the heaviest
+/// day 1.08 million prompt tokens of preempted requests were processed twice.
+#[test]
+fn only_sends_of_classed_services_tell_engines_their_priority() {
+    let priority = |world: &mut World, path: &str| {
+        world.submit(path);
+        world.last_order.take().map(|order| order.forwarding_info.priority)
+    };
+    let mut classed = classed_world(2);
+    let priorities = PATHS.map(|path| priority(&mut classed, path));
+    assert_eq!(priorities, [Some(Some(1)), Some(Some(3)), Some(Some(5))]);
+    let mut other = World::new();
+    let priorities = ["/call/x", "/read/x", "/write/x"].map(|path| priority(&mut other, path));
+    assert_eq!(priorities, [Some(None); 3]);
+}
+
+/// A stream that goes on elsewhere has a caller who has read its beginning, so it precedes new requests of its rank.
+#[test]
+fn a_continued_stream_precedes_new_requests_of_its_rank() {
+    let mut world = classed_world(2);
+    let ticket = world.submit(PATHS[1]);
+    world.event(Event::StreamStarted { ticket });
+    world.end(ticket, Ending::Broken { by: BrokenBy::Connection });
+    let priority = world.last_order.take().and_then(|order| order.forwarding_info.priority);
+    assert_eq!(priority, Some(2));
+}
--- a/crates/banyannotch/src/gateway/dispatch/tests/chains.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/chains.rs
@@ -178,8 +178,9 @@
         } else {
             loaded
         };
+        let (settings, cache_share) = (&settings, settings.cache_share);
         let search =
-            PathSearch { pipeline: &pipeline, engines: &engine_refs, health, settings: &settings, now_us };
+            PathSearch { pipeline: &pipeline, engines: &engine_refs, health, settings, cache_share, now_us };
         let path = match choice {
             Choice::Cheapest => search.cheapest(&request, &[]),
             Choice::OwnLoad | Choice::Sampled => search.sampled(&request, &[], &mut random),
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -210,6 +210,7 @@
     /// Changes the settings.
     pub fn configure(&mut self, change: impl FnOnce(&mut DispatchSettings)) {
         change(&mut self.dispatch.settings);
+        self.dispatch.admission.set_settings(self.dispatch.settings.admission.clone());
     }
 
     /// Confirms that the configuration is current now.
@@ -323,6 +324,15 @@
         self.lines.push(line);
     }
 
+    /// Runs the timers that are due.
+    pub fn run_timers(&mut self) {
+        let mut actions = Vec::new();
+        if self.dispatch.next_timer_us().is_some_and(|due_us| due_us <= self.now_us) {
+            self.dispatch.on_timer(self.now_us, &mut actions);
+        }
+        actions.into_iter().for_each(|action| self.record(action));
+    }
+
     /// Lets the publish interval pass and returns the state that the gateway publishes.
     pub fn publish_state(&mut self) -> PeerState {
         self.publish_state_at(self.now_us + 300 * US_PER_MS)
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of dispatch; most record its decisions (sends, retries and refusals) as snapshots.
 
+mod admission;
 mod announcements;
 mod budgets;
 mod chains;
--- a/crates/banyannotch/src/gateway/dispatch/tests/paths.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/paths.rs
@@ -13,8 +13,9 @@
     let pipeline = pipeline();
     let settings = DispatchSettings { zone: "a".to_owned(), ..DispatchSettings::default() };
     let engines: Vec<&Endpoint> = engines.iter().collect();
+    let (settings, cache_share) = (&settings, settings.cache_share);
     let search =
-        PathSearch { pipeline: &pipeline, engines: &engines, health, settings: &settings, now_us: 1_000 };
+        PathSearch { pipeline: &pipeline, engines: &engines, health, settings, cache_share, now_us: 1_000 };
     match search.cheapest(&super::fixtures::request("/write/x"), &[]) {
         None => "none".to_owned(),
         Some(path) => {
