dispatch: first sends of classed services wait for capacity

In a classed service it now waits in dispatch, at most 64 per service (waiting_limit) and for at most its objective (waiting_share), its deadline and the patience of callers. The queue is ordered by rank, within a rank by fair shares of the teams, and within a team by the latest time at which a send meets the objective. It is considered when an own send ends, endpoints change or the loads of other gateways are applied (publish timer), one head per rank, at most four searches at an event. A request is refused at once if its turn, forecast from the rate at which own sends end and waiting requests are sent, comes after its limit, or if the queue is full of requests that precede it. Callers that leave, a stop of the process, and a configuration without the key, route or service empty places. New requests are not sent while one that precedes them waits.

States of other gateways change loads only at the publish timer (update_peer_loads), so that timer and not each datagram is the release event. fair.rs of the native entry is not reused: it holds the entry's submissions and orders priorities within a team, while a rank precedes the others here whatever the team.

--- a/crates/banyannotch/src/gateway/admission/settings.rs
+++ b/crates/banyannotch/src/gateway/admission/settings.rs
@@ -7,10 +7,20 @@
     pub class_reserve_share: f64,
     /// Window in which the admission rate of a class is compared with that of all requests of the service.
     pub starvation_window_ms: u64,
+    /// Maximum number of requests that wait for a service. Each holds its body in memory, up to the limit of the
+    /// configuration.
+    pub waiting_limit: usize,
+    /// Share of the objective for which a request may wait.
+    pub waiting_share: f64,
 }
 
 impl Default for AdmissionSettings {
     fn default() -> Self {
-        Self { class_reserve_share: 0.12, starvation_window_ms: 10_000 }
+        Self {
+            class_reserve_share: 0.12,
+            starvation_window_ms: 10_000,
+            waiting_limit: 64,
+            waiting_share: 1.0,
+        }
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/late.rs
+++ b/crates/banyannotch/src/gateway/dispatch/late.rs
@@ -22,7 +22,9 @@
         silent_ms: u64,
         actions: &mut Vec<Action>,
     ) {
-        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        let Some(ticket) = self.tickets.get_mut(&ticket_id).filter(|ticket| !ticket.is_queued) else {
+            return;
+        };
         ticket.late_report = report;
         let is_overdue =
             !ticket.retry_mode.is_stream() || silent_ms >= self.settings.silence_limit_ms(ticket);
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -474,6 +474,19 @@
         /// Time since the configuration was last confirmed, in milliseconds.
         proof_age_ms: u64,
     },
+    /// A request that finds no capacity waits.
+    Queued {
+        /// Id that the caller gave to the attempt.
+        id: Arc<str>,
+        /// Name of the route.
+        route: Arc<str>,
+        /// Rank of the class of the request.
+        rank: u8,
+        /// Number of requests that wait for the service, this one included.
+        waiting: usize,
+        /// Time after which it is refused if there is no capacity until then, in milliseconds.
+        limit_ms: u64,
+    },
     /// A request is refused.
     Refused {
         /// Id that the caller gave to the attempt.
@@ -589,6 +602,10 @@
                  crashes={crashes} cost_ms={cost_ms} version={version} proof_age_ms={proof_age_ms}"
                 )
             }
+            Self::Queued { id, route, rank, waiting, limit_ms } => write!(
+                formatter,
+                "event=queued request={id} route={route} rank={rank} waiting={waiting} limit_ms={limit_ms}"
+            ),
             Self::Refused { id, refusal, sends, version, proof_age_ms } => write!(
                 formatter,
                 "event=refused request={id} status={} reason=\"{}\" sends={sends} version={version} \
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -47,6 +47,8 @@
     pub(super) probes: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
     pub(super) admission: Admission,
+    /// When further waiting requests are considered, because the last event left some over.
+    pub(super) search_again_us: Option<u64>,
     pub(super) crashes: Crashes,
     pub(super) peers: Table<String, Peer>,
     /// Number of known gateways, this one included.
@@ -68,6 +70,7 @@
     pub fn new(settings: DispatchSettings, seed: u64) -> Self {
         Self {
             admission: Admission::new(settings.admission.clone()),
+            search_again_us: None,
             settings,
             random: Random::seeded(seed),
             configuration: None,
@@ -110,7 +113,7 @@
                 let window_ms = self.settings.retry_window_ms;
                 self.budgets.entry(record.service.clone()).count_request(now_us, window_ms);
                 self.tickets.insert(ticket, record);
-                self.send(now_us, ticket, actions);
+                self.send_first(now_us, ticket, actions);
             }
             Err(reason) => {
                 let refusal = self.refusal(now_us, reason);
@@ -128,7 +131,7 @@
     }
 
     /// Returns the configuration in force, the route and the team of a request, or the reason to refuse it.
-    fn admit(
+    pub(super) fn admit(
         &self,
         now_us: u64,
         request: &crate::gateway::RequestInfo,
@@ -182,8 +185,8 @@
     }
 
     /// Chooses an endpoint, unless that was done before the last send was abandoned, and orders the send. Refuses the
-    /// request when the time, the retry budget or the capacity is exhausted.
-    fn send(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
+    /// request when the time, the retry budget or the capacity is exhausted, unless it may wait for capacity.
+    pub(super) fn send(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         if now_us >= ticket.deadline_us {
             return self.refuse(now_us, ticket_id, RefusalReason::Expired, actions);
@@ -193,18 +196,8 @@
             None => self.book(now_us, ticket_id, None),
         };
         match booked {
-            Ok(choice) if !self.takes_requests(now_us, &choice, actions) => {
-                if let Some(service) = self.tickets.get(&ticket_id).map(|ticket| ticket.service.clone()) {
-                    self.cancel_booking(&service, &choice);
-                }
-                let reason = if self.may_have_run(ticket_id) {
-                    RefusalReason::Broken
-                } else {
-                    RefusalReason::NoCapacity
-                };
-                self.refuse(now_us, ticket_id, reason, actions);
-            }
-            Ok(choice) => self.order_send(now_us, ticket_id, choice, actions),
+            Ok(choice) => self.send_booked(now_us, ticket_id, choice, actions),
+            Err(RefusalReason::NoCapacity) if self.wait(now_us, ticket_id, actions) => {}
             Err(reason) => {
                 let reason = if self.may_have_run(ticket_id) { RefusalReason::Broken } else { reason };
                 self.refuse(now_us, ticket_id, reason, actions);
@@ -212,12 +205,34 @@
         }
     }
 
+    /// Orders a send for which an endpoint was booked, unless the endpoint takes no requests.
+    pub(super) fn send_booked(
+        &mut self,
+        now_us: u64,
+        ticket_id: u64,
+        choice: Choice,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.takes_requests(now_us, &choice, actions) {
+            return self.order_send(now_us, ticket_id, choice, actions);
+        }
+        if let Some(service) = self.tickets.get(&ticket_id).map(|ticket| ticket.service.clone()) {
+            self.cancel_booking(&service, &choice);
+        }
+        let reason =
+            if self.may_have_run(ticket_id) { RefusalReason::Broken } else { RefusalReason::NoCapacity };
+        self.refuse(now_us, ticket_id, reason, actions);
+    }
+
     /// Removes a request that gets its final answer.
     fn close_ticket(&mut self, ticket_id: u64) -> Option<Ticket> {
         let mut ticket = self.tickets.remove(&ticket_id)?;
         if let Some(unused) = ticket.successor.take() {
             self.cancel_booking(&ticket.service, &unused);
         }
+        if ticket.is_queued {
+            self.admission.remove(&ticket.service, ticket_id);
+        }
         Some(ticket)
     }
 
@@ -229,7 +244,8 @@
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
         ticket.sends += 1;
         if ticket.sends == 1 {
-            self.admission.record_admitted(now_us, &ticket.service, ticket.class);
+            self.admission.record_sent(now_us, &ticket.service, ticket.class, ticket_id);
+            ticket.is_queued = false;
         }
         ticket.late_report = 0;
         ticket.tried.extend(choice.loads.iter().map(|(address, _)| *address));
@@ -291,7 +307,13 @@
 
     fn on_ending(&mut self, now_us: u64, ticket_id: u64, ending: Ending, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
+        if ticket.is_queued && !matches!(ending, Ending::Left | Ending::Expired) {
+            return;
+        }
         let reservation = std::mem::take(&mut ticket.reservation);
+        if !reservation.loads.is_empty() {
+            self.admission.record_end(now_us, &ticket.service);
+        }
         ticket.is_waiting = false;
         for (address, load) in &reservation.loads {
             if let Some(health) = self.health.get_mut(address) {
@@ -397,7 +419,13 @@
         self.tickets.get(&ticket_id).is_some_and(|ticket| ticket.possible_runs > 0)
     }
 
-    fn refuse(&mut self, now_us: u64, ticket_id: u64, reason: RefusalReason, actions: &mut Vec<Action>) {
+    pub(super) fn refuse(
+        &mut self,
+        now_us: u64,
+        ticket_id: u64,
+        reason: RefusalReason,
+        actions: &mut Vec<Action>,
+    ) {
         let mut refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.close_ticket(ticket_id) {
             if reason == RefusalReason::NoCapacity && ticket.sends == 0 {
@@ -513,7 +541,14 @@
             Event::HoldOff { start, fault_at, for_ms } => {
                 return self.on_hold_off(now_us, start, fault_at, for_ms, actions);
             }
-            Event::Ended { ticket, ending } => return self.on_ending(now_us, ticket, ending, actions),
+            Event::Ended { ticket, ending } => {
+                let was_sent = self.tickets.get(&ticket).is_some_and(|ticket| !ticket.is_queued);
+                self.on_ending(now_us, ticket, ending, actions);
+                if was_sent {
+                    self.on_capacity_freed(now_us, ending, actions);
+                }
+                return;
+            }
             Event::Configuration(configuration) => {
                 if configuration.version > self.version() {
                     if let Some(priority) = self.admission.configure(&configuration) {
@@ -521,9 +556,13 @@
                         actions.push(Action::Decide(Decision::PriorityClamped { version, priority }));
                     }
                     self.configuration = Some(configuration);
+                    self.readmit_waiting(now_us, actions);
                 }
             }
-            Event::Endpoints(endpoints) => self.update_endpoints(now_us, &endpoints, actions),
+            Event::Endpoints(endpoints) => {
+                self.update_endpoints(now_us, &endpoints, actions);
+                self.release_waiting(now_us, actions);
+            }
             Event::ConfigurationProof(proof) => self.update_configuration_proof(proof),
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
             Event::Peer { state, known, zone_known } => {
@@ -533,13 +572,17 @@
             Event::Probed { address, is_refused } => {
                 return self.on_probe(now_us, address, is_refused, actions);
             }
-            Event::Draining => self.draining = true,
+            Event::Draining => {
+                self.draining = true;
+                self.refuse_waiting(now_us, actions);
+            }
         }
         self.update_readiness(now_us, actions);
     }
 
     fn next_timer_us(&self) -> Option<u64> {
-        Some(self.publish_at_us)
+        let waiting_us = self.next_waiting_us().unwrap_or(u64::MAX);
+        Some(self.publish_at_us.min(waiting_us))
     }
 
     fn on_timer(&mut self, now_us: u64, actions: &mut Vec<Action>) {
@@ -550,7 +593,9 @@
             self.judge_crashes(now_us, actions);
             self.publish_state(now_us, actions);
             self.update_readiness(now_us, actions);
+            self.release_waiting(now_us, actions);
         }
+        self.update_waiting(now_us, actions);
     }
 
     fn measure(&self, mut gauge: impl FnMut(&'static str, f64)) {
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -131,15 +131,18 @@
     /// Returns the time without an event after which a stream is continued on another path although its own seems sound,
     /// so that an event arrives before the caller gives up. Without another path it goes on.
     pub(super) fn silence_limit_ms(&self, ticket: &Ticket) -> u64 {
-        /// Callers wait for this multiple of the objective for the first event, and of that for the gap between events.
-        const OBJECTIVE_FACTOR: u64 = 4;
+        /// Callers wait for this multiple of the objective for the gap between events.
         const GAP_FACTOR: u64 = 8;
         /// Share of the time that callers wait, in tenths.
         const SHARE_TENTHS: u64 = 7;
-        let patience_ms = self
-            .caller_patience_min_ms
-            .max(ticket.objective_ms * OBJECTIVE_FACTOR)
-            .max(ticket.event_gap_objective_ms * GAP_FACTOR);
+        let patience_ms = self.caller_patience_ms(ticket).max(ticket.event_gap_objective_ms * GAP_FACTOR);
         patience_ms * SHARE_TENTHS / 10
     }
+
+    /// Returns the time that callers wait for the first event.
+    pub(super) fn caller_patience_ms(&self, ticket: &Ticket) -> u64 {
+        /// Callers wait for this multiple of the objective.
+        const OBJECTIVE_FACTOR: u64 = 4;
+        self.caller_patience_min_ms.max(ticket.objective_ms * OBJECTIVE_FACTOR)
+    }
 }
--- a/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
@@ -6,11 +6,12 @@
 use super::fixtures::{World, configuration, request};
 use crate::clock::US_PER_MS;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event, Proof};
-use crate::gateway::{Configuration, RequestInfo, Route};
+use crate::gateway::{Configuration, Credential, RequestInfo, Route, Team};
+use crate::ids::TeamId;
 use crate::random::Random;
 
 /// Paths of the routes with the priorities 0, 1 and 2.
-const PATHS: [&str; 3] = ["/urgent/x", "/usual/x", "/patient/x"];
+pub const PATHS: [&str; 3] = ["/urgent/x", "/usual/x", "/patient/x"];
 
 /// Returns a configuration in which three routes with different priorities lead to the model, and the team has none.
 pub fn classed_configuration(version: u64) -> Configuration {
@@ -26,9 +27,8 @@
         ..model_route.clone()
     });
     let mut classed = Configuration { routes: routes.into(), ..usual };
-    for team in &mut classed.teams {
-        team.priority = None;
-    }
+    classed.teams = ["shop", "lab"].map(|id| Team { id: TeamId::from(id), priority: None }).into();
+    classed.credentials.push(Credential { key: "spare".into(), team: 1 });
     classed
 }
 
@@ -51,7 +51,7 @@
 }
 
 /// Submits requests of a class until one is not sent, and returns how many were.
-fn fill(world: &mut World, path: &str) -> usize {
+pub fn fill(world: &mut World, path: &str) -> usize {
     let mut sent = 0;
     while sent < 100 {
         world.last_order = None;
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -10,3 +10,4 @@
 mod outcomes;
 mod paths;
 mod random;
+mod waiting;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -60,6 +60,8 @@
     pub arrived_us: u64,
     /// Time by which the final answer is due.
     pub deadline_us: u64,
+    /// Whether the request waits for capacity.
+    pub is_queued: bool,
     /// Number of sends so far.
     pub sends: u32,
     /// Number of sends in which the request may have run.
@@ -105,6 +107,7 @@
             event_gap_objective_ms: route.event_gap_objective_ms,
             arrived_us: now_us,
             deadline_us: now_us + limit_ms * crate::clock::US_PER_MS,
+            is_queued: false,
             sends: 0,
             possible_runs: 0,
             reservation: Reservation::default(),
--- /dev/null
+++ b/crates/banyannotch/src/gateway/dispatch/waiting.rs
@@ -0,0 +1,149 @@
+//! Requests that wait for capacity before their first send. See `docs/design/priority-admission.md`.
+//!
+//! The queue is in [`crate::gateway::admission`]. This part asks it for the next request when capacity may have become free, and
+//! searches a path for that one only.
+
+use std::sync::Arc;
+
+use super::messages::{Action, Decision, Ending, RefusalReason};
+use super::policy::Dispatch;
+use crate::clock::US_PER_MS;
+use crate::gateway::admission::{Offer, Waiting};
+
+/// Maximum number of searches for waiting requests at one event. A search among a hundred engines is the most expensive
+/// step of a decision.
+const SEARCH_LIMIT: usize = 4;
+/// Time after which further waiting requests are considered if the limit was reached.
+const NEXT_SEARCHES_MS: u64 = 20;
+
+impl Dispatch {
+    /// Sends a request that was just submitted, unless requests wait that precede it.
+    pub(super) fn send_first(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
+        let precedes = |request: &Waiting| {
+            let ticket = self.tickets.get(&ticket_id);
+            ticket.is_none_or(|ticket| self.admission.is_next(now_us, &ticket.service, request))
+        };
+        if self.waiting_of(ticket_id).is_none_or(|request| precedes(&request)) {
+            self.send(now_us, ticket_id, actions);
+        } else if !self.wait(now_us, ticket_id, actions) {
+            self.refuse(now_us, ticket_id, RefusalReason::NoCapacity, actions);
+        }
+    }
+
+    /// Lets a request that found no capacity wait. Returns false if it may not or is not expected to be sent in time.
+    pub(super) fn wait(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) -> bool {
+        let Some(request) = self.waiting_of(ticket_id) else { return false };
+        let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return false };
+        let (rank, limit_us) = (request.rank, request.limit_us);
+        let displaced = match self.admission.offer(now_us, &ticket.service, request) {
+            Offer::Refused => return false,
+            Offer::Waits => None,
+            Offer::Displaces(displaced) => Some(displaced),
+        };
+        ticket.is_queued = true;
+        let limit_ms = limit_us.saturating_sub(now_us) / US_PER_MS;
+        let (id, route) = (Arc::clone(&ticket.request.id), Arc::clone(&ticket.route));
+        let waiting = self.admission.waiting_count(&ticket.service);
+        actions.push(Action::Decide(Decision::Queued { id, route, rank, waiting, limit_ms }));
+        if let Some(displaced) = displaced {
+            self.refuse(now_us, displaced, RefusalReason::NoCapacity, actions);
+        }
+        true
+    }
+
+    /// Returns the place of a request in the queue, or none if it must not wait: it was sent already, its service has no
+    /// queue, or the process is stopping.
+    fn waiting_of(&self, ticket_id: u64) -> Option<Waiting> {
+        let ticket = self.tickets.get(&ticket_id)?;
+        if ticket.sends > 0 || self.draining || !self.admission.is_enabled(&ticket.service) {
+            return None;
+        }
+        let pipeline = self
+            .configuration
+            .as_deref()
+            .and_then(|configuration| configuration.service(&ticket.service)?.pipeline.as_deref());
+        let prompt_ms = pipeline.map_or(0.0, |pipeline| {
+            f64::from(ticket.request.prompt_tokens) * 1_000.0 / pipeline.prefill_tokens_per_s.max(1.0)
+        });
+        let objective_us = ticket.objective_ms * US_PER_MS;
+        let answer_by_us = ticket.deadline_us.saturating_sub(self.settings.min_remaining_ms * US_PER_MS);
+        let patience_us = self.settings.caller_patience_ms(ticket) * US_PER_MS;
+        let latest_us = answer_by_us.min(ticket.arrived_us + patience_us);
+        Some(Waiting {
+            ticket: ticket_id,
+            rank: ticket.class.map_or(0, |class| class.rank),
+            team: ticket.team.clone(),
+            latest_send_us: (ticket.arrived_us + objective_us)
+                .saturating_sub((prompt_ms * US_PER_MS as f64) as u64),
+            limit_us: self.admission.limit_us(ticket.arrived_us, objective_us).min(latest_us),
+            tokens: ticket.request.total_tokens(),
+        })
+    }
+
+    /// Sends waiting requests as far as there is capacity for them. Each rank stops at the first request that finds none.
+    pub(super) fn release_waiting(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.search_again_us = None;
+        let mut searches = 0;
+        for service in self.admission.services_with_waiting() {
+            for rank in self.admission.ranks_in_order(now_us, &service) {
+                while let Some(ticket_id) = self.admission.first(&service, rank) {
+                    if searches == SEARCH_LIMIT {
+                        self.search_again_us = Some(now_us + NEXT_SEARCHES_MS * US_PER_MS);
+                        return;
+                    }
+                    searches += 1;
+                    match self.book(now_us, ticket_id, None) {
+                        Ok(choice) => self.send_booked(now_us, ticket_id, choice, actions),
+                        Err(RefusalReason::NoCapacity) => break,
+                        Err(reason) => self.refuse(now_us, ticket_id, reason, actions),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns when the next waiting request must be answered or considered.
+    pub(super) fn next_waiting_us(&self) -> Option<u64> {
+        [self.admission.next_limit_us(), self.search_again_us].into_iter().flatten().min()
+    }
+
+    /// Refuses the requests that have waited as long as they may, and considers those that the last event left over.
+    pub(super) fn update_waiting(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        if self.search_again_us.is_some_and(|at_us| at_us <= now_us) {
+            self.release_waiting(now_us, actions);
+        }
+        for ticket_id in self.admission.due(now_us) {
+            self.refuse(now_us, ticket_id, RefusalReason::NoCapacity, actions);
+        }
+    }
+
+    /// Refuses all requests that wait, because the process is stopping.
+    pub(super) fn refuse_waiting(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for ticket_id in self.admission.waiting_tickets() {
+            self.refuse(now_us, ticket_id, RefusalReason::NoCapacity, actions);
+        }
+    }
+
+    /// Refuses the waiting requests that a new configuration does not admit, because their key, route or service is gone.
+    pub(super) fn readmit_waiting(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for ticket_id in self.admission.waiting_tickets() {
+            let Some(ticket) = self.tickets.get(&ticket_id) else { continue };
+            let reason = match self.admit(now_us, &ticket.request) {
+                Err(reason) => reason,
+                Ok((configuration, ..)) if configuration.service(&ticket.service).is_none() => {
+                    RefusalReason::NoCapacity
+                }
+                Ok(_) => continue,
+            };
+            self.refuse(now_us, ticket_id, reason, actions);
+        }
+    }
+
+    /// Lets waiting requests use the capacity that the end of a send has freed. A rejected or broken send frees
+    /// nothing that its own retry does not need.
+    pub(super) fn on_capacity_freed(&mut self, now_us: u64, ending: Ending, actions: &mut Vec<Action>) {
+        if let Ending::Completed { .. } | Ending::Failed { .. } | Ending::Left | Ending::Expired = ending {
+            self.release_waiting(now_us, actions);
+        }
+    }
+}
