admission: refused callers return one after another in order of rank

Every refusal told the caller to return after a constant 500 ms, so callers that were refused together returned together, and many were refused again. In a classed service, refusals with NoCapacity, Rejected and BudgetSpent now state the predicted time: the waiting requests and the callers refused lately of the same and more urgent ranks, at the rate at which capacity becomes free, with a random place within the rank. It is at least 50 ms and at most a third of the remaining time; if the last caller would come later than that, all come sooner in the same order. Services without classes keep the constant, and a longer hold-off of the endpoints still counts.

With bursts of 60 callers each 4 s, two thirds of what the engine serves in that time, 367 of 480 callers are served when they return as told, 190 with 500 ms (callers_of_a_burst_are_served_when_they_return). With the constant, refused_callers_return_one_after_another_in_order_of_rank fails at the first deadline (all 500 ms, a third of 600 is allowed).

--- a/crates/banyannotch/src/gateway/admission/mod.rs
+++ b/crates/banyannotch/src/gateway/admission/mod.rs
@@ -9,6 +9,7 @@
 mod policy;
 mod queue;
 mod rate;
+mod returns;
 mod settings;
 #[cfg(test)]
 mod tests;
--- a/crates/banyannotch/src/gateway/admission/policy.rs
+++ b/crates/banyannotch/src/gateway/admission/policy.rs
@@ -5,6 +5,7 @@
 use super::outcomes::Outcomes;
 use super::queue::{Queue, Waiting};
 use super::rate::Rate;
+use super::returns::{Prospect, Returns};
 use crate::clock::US_PER_MS;
 use crate::gateway::{Configuration, Route, Team};
 use crate::ids::ServiceId;
@@ -36,6 +37,7 @@
     ended: Rate,
     /// Requests that were sent from the queue.
     served: Rate,
+    returns: Returns,
 }
 
 impl ServiceState {
@@ -122,6 +124,28 @@
         self.services.entry(service.clone()).outcomes.record(now_us, window_ms, rank, is_admitted);
     }
 
+    /// Returns after which time the caller of a request that is refused for lack of capacity is to return, in
+    /// milliseconds, or none if its service has no classes. `usual_interval_ms` is the time between two requests that can
+    /// be sent while it is not known, and `position` in `[0, 1)` a random number.
+    pub fn return_after_ms(
+        &mut self,
+        now_us: u64,
+        service: &ServiceId,
+        class: Option<Class>,
+        remaining_ms: u64,
+        usual_interval_ms: u64,
+        position: f64,
+    ) -> Option<u64> {
+        let Class { rank } = class?;
+        let state = self.services.entry(service.clone());
+        let ahead = (0..=rank).map(|other| state.queue.waiting_in(other)).sum();
+        let interval_ms =
+            state.release_rate_per_s(now_us).map_or(usual_interval_ms as f64, |per_s| 1_000.0 / per_s);
+        let waiting = state.queue.len();
+        let prospect = Prospect { rank, ahead, waiting, interval_ms, remaining_ms: remaining_ms as f64 };
+        Some(state.returns.schedule(now_us, &prospect, position))
+    }
+
     /// Counts the end of a send, which frees capacity.
     pub fn record_end(&mut self, now_us: u64, service: &ServiceId) {
         if self.is_enabled(service) {
--- a/crates/banyannotch/src/gateway/dispatch/announcements.rs
+++ b/crates/banyannotch/src/gateway/dispatch/announcements.rs
@@ -136,11 +136,7 @@
             return None;
         };
         let served_us = self.next_served_us(now_us, &ticket.service)?;
-        let caller_deadline_us = ticket
-            .request
-            .deadline_ms
-            .map_or(ticket.deadline_us, |deadline_ms| ticket.arrived_us + deadline_ms * US_PER_MS);
-        let longest_us = caller_deadline_us.saturating_sub(now_us) / CALLER_WAIT_DIVISOR;
+        let longest_us = ticket.caller_deadline_us().saturating_sub(now_us) / CALLER_WAIT_DIVISOR;
         Some((served_us - now_us).min(longest_us).div_ceil(US_PER_MS))
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -431,7 +431,9 @@
             if reason == RefusalReason::NoCapacity && ticket.sends == 0 {
                 self.admission.record_refused(now_us, &ticket.service, ticket.class);
             }
-            if let Some(wait_ms) = self.retry_after_hold_off_ms(now_us, reason, &ticket) {
+            let capacity_ms = self.retry_after_capacity_ms(now_us, reason, &ticket);
+            let hold_off_ms = self.retry_after_hold_off_ms(now_us, reason, &ticket);
+            if let Some(wait_ms) = capacity_ms.max(hold_off_ms) {
                 refusal.retry_after_ms = Some(wait_ms);
             }
             actions.push(Action::Decide(Decision::Refused {
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -10,4 +10,5 @@
 mod outcomes;
 mod paths;
 mod random;
+mod returns;
 mod waiting;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// Returns the deadline that the caller stated, or else that of the route.
+    pub fn caller_deadline_us(&self) -> u64 {
+        let stated_us = self.request.deadline_ms.map(|ms| self.arrived_us + ms * crate::clock::US_PER_MS);
+        stated_us.unwrap_or(self.deadline_us)
+    }
+
     /// Returns the priority that the endpoint of the next send is told, if the service is classed.
     pub fn wire_priority(&self, now_us: u64) -> Option<u8> {
         let elapsed_ms = now_us.saturating_sub(self.arrived_us) / crate::clock::US_PER_MS;
--- a/crates/banyannotch/src/gateway/dispatch/waiting.rs
+++ b/crates/banyannotch/src/gateway/dispatch/waiting.rs
@@ -7,6 +7,7 @@
 
 use super::messages::{Action, Decision, Ending, RefusalReason};
 use super::policy::Dispatch;
+use super::tickets::Ticket;
 use crate::clock::US_PER_MS;
 use crate::gateway::admission::{Offer, Waiting};
 
@@ -139,6 +140,24 @@
         }
     }
 
+    /// Returns when the caller of a request of a classed service that is refused for lack of capacity is to return.
+    pub(super) fn retry_after_capacity_ms(
+        &mut self,
+        now_us: u64,
+        reason: RefusalReason,
+        ticket: &Ticket,
+    ) -> Option<u64> {
+        let (RefusalReason::NoCapacity | RefusalReason::Rejected | RefusalReason::BudgetSpent) = reason
+        else {
+            return None;
+        };
+        let class = ticket.class?;
+        let remaining_ms = ticket.caller_deadline_us().saturating_sub(now_us) / US_PER_MS;
+        let position = self.random.unit();
+        let usual_ms = self.settings.retry_after_ms;
+        self.admission.return_after_ms(now_us, &ticket.service, Some(class), remaining_ms, usual_ms, position)
+    }
+
     /// Lets waiting requests use the capacity that the end of a send has freed. A rejected or broken send frees
     /// nothing that its own retry does not need.
     pub(super) fn on_capacity_freed(&mut self, now_us: u64, ending: Ending, actions: &mut Vec<Action>) {
