--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -486,6 +486,19 @@
         /// Time since the configuration was last confirmed, in milliseconds.
         proof_age_ms: u64,
     },
+    /// A request that finds no capacity waits.
+    Queued {
+        /// Id that the caller gave to the attempt.
+        id: Arc<str>,
+        /// Name of the route.
+        route: Arc<str>,
+        /// Rank of the class of the request.
+        rank: u8,
+        /// Number of requests that wait for the service, this one included.
+        waiting: usize,
+        /// Time after which it is refused if there is no capacity until then, in milliseconds.
+        limit_ms: u64,
+    },
     /// A request is refused.
     Refused {
         /// Id that the caller gave to the attempt.
@@ -573,6 +586,13 @@
         /// Whether it is sent nevertheless, to find out whether the feature still crashes endpoints.
         is_trial: bool,
     },
+    /// Routes or teams have priorities above the largest one.
+    PriorityClamped {
+        /// Version of the configuration.
+        version: u64,
+        /// Highest number of a priority in it.
+        priority: u8,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -594,6 +614,10 @@
                  crashes={crashes} cost_ms={cost_ms} version={version} proof_age_ms={proof_age_ms}"
                 )
             }
+            Self::Queued { id, route, rank, waiting, limit_ms } => write!(
+                formatter,
+                "event=queued request={id} route={route} rank={rank} waiting={waiting} limit_ms={limit_ms}"
+            ),
             Self::Refused { id, refusal, sends, version, proof_age_ms } => write!(
                 formatter,
                 "event=refused request={id} status={} reason=\"{}\" sends={sends} version={version} \
@@ -638,6 +662,9 @@
                 let event = if *is_trial { "feature_tried" } else { "feature_refused" };
                 write!(formatter, "event={event} request={id} feature={digest:016x}")
             }
+            Self::PriorityClamped { version, priority } => {
+                write!(formatter, "event=priority_clamped version={version} priority={priority}")
+            }
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of dispatch: limits, retry budget and cost weights.
 
 use super::tickets::Ticket;
+use crate::gateway::admission::AdmissionSettings;
 
 /// Settings of dispatch. Times are in milliseconds unless the name says otherwise.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,8 @@
     pub send_limit: u32,
     /// Share of an engine's KV cache up to which requests are admitted.
     pub cache_share: f64,
+    /// Priority admission control.
+    pub admission: AdmissionSettings,
     /// Minimum remaining time of a request for a retry.
     pub min_remaining_ms: u64,
     /// Duration of the first exclusion of an endpoint; doubles with each further exclusion in a row.
@@ -95,6 +98,7 @@
             retry_budget_share: 0.8,
             send_limit: 4,
             cache_share: 0.9,
+            admission: AdmissionSettings::default(),
             min_remaining_ms: 40,
             exclusion_initial_ms: 500,
             exclusion_max_ms: 4_000,
@@ -127,15 +131,18 @@
     /// Returns the time without an event after which a stream is continued on another path although its own seems sound,
     /// so that an event arrives before the caller gives up. Without another path it goes on.
     pub(super) fn silence_limit_ms(&self, ticket: &Ticket) -> u64 {
-        /// Callers wait for this multiple of the objective for the first event, and of that for the gap between events.
-        const OBJECTIVE_FACTOR: u64 = 4;
+        /// Callers wait for this multiple of the objective for the gap between events.
         const GAP_FACTOR: u64 = 8;
         /// Share of the time that callers wait, in tenths.
         const SHARE_TENTHS: u64 = 7;
-        let patience_ms = self
-            .caller_patience_min_ms
-            .max(ticket.objective_ms * OBJECTIVE_FACTOR)
-            .max(ticket.event_gap_objective_ms * GAP_FACTOR);
+        let patience_ms = self.caller_patience_ms(ticket).max(ticket.event_gap_objective_ms * GAP_FACTOR);
         patience_ms * SHARE_TENTHS / 10
     }
+
+    /// Returns the time that callers wait for the first event.
+    pub(super) fn caller_patience_ms(&self, ticket: &Ticket) -> u64 {
+        /// Callers wait for this multiple of the objective.
+        const OBJECTIVE_FACTOR: u64 = 4;
+        self.caller_patience_min_ms.max(ticket.objective_ms * OBJECTIVE_FACTOR)
+    }
 }
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of dispatch; most record its decisions (sends, retries and refusals) as snapshots.
 
+mod admission;
 mod announcements;
 mod budgets;
 mod chains;
@@ -10,3 +11,5 @@
 mod outcomes;
 mod paths;
 mod random;
+mod returns;
+mod waiting;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::health::Load;
+use crate::gateway::admission::Class;
 use crate::gateway::{Configuration, RequestInfo, RetryMode, Route};
 use crate::ids::{ServiceId, TeamId};
 use crate::pipeline::{Address, LayerRange};
@@ -48,6 +49,8 @@
     /// Configuration under which the request was admitted. It describes the service if a newer one no longer has it.
     pub configuration: Arc<Configuration>,
     pub team: Option<TeamId>,
+    /// Class of the request, if its service is classed.
+    pub class: Option<Class>,
     /// Maximum number of endpoints that may run the request.
     pub endpoint_limit: u32,
     /// Latency objective of the route.
@@ -57,6 +60,8 @@
     pub arrived_us: u64,
     /// Time by which the final answer is due.
     pub deadline_us: u64,
+    /// Whether the request waits for capacity.
+    pub is_queued: bool,
     /// Number of sends so far.
     pub sends: u32,
     /// Number of sends in which the request may have run.
@@ -66,6 +71,8 @@
     pub successor: Option<Choice>,
     /// When the first event of the current send arrived, in microseconds.
     pub begun_us: Option<u64>,
+    /// Whether events of a stream have been passed on, by this send or an earlier one.
+    pub has_begun: bool,
     /// Whether an endpoint has begun to answer the request and survived it.
     pub has_survived: bool,
     /// Whether the next event of the current send is late and its first engine was asked for a report.
@@ -94,16 +101,19 @@
             service,
             configuration,
             team,
+            class: None,
             endpoint_limit: route.endpoint_limit,
             objective_ms: route.objective_ms,
             event_gap_objective_ms: route.event_gap_objective_ms,
             arrived_us: now_us,
             deadline_us: now_us + limit_ms * crate::clock::US_PER_MS,
+            is_queued: false,
             sends: 0,
             possible_runs: 0,
             reservation: Reservation::default(),
             successor: None,
             begun_us: None,
+            has_begun: false,
             has_survived: false,
             is_waiting: false,
             late_report: 0,
@@ -111,6 +121,19 @@
         }
     }
 
+    /// Returns the deadline that the caller stated, or else that of the route.
+    pub fn caller_deadline_us(&self) -> u64 {
+        let stated_us = self.request.deadline_ms.map(|ms| self.arrived_us + ms * crate::clock::US_PER_MS);
+        stated_us.unwrap_or(self.deadline_us)
+    }
+
+    /// Returns the priority that the endpoint of the next send is told, if the service is classed.
+    pub fn wire_priority(&self, now_us: u64) -> Option<u8> {
+        let elapsed_ms = now_us.saturating_sub(self.arrived_us) / crate::clock::US_PER_MS;
+        let is_continued = self.has_begun || self.request.resume_after.is_some();
+        self.class.map(|class| class.wire_priority(elapsed_ms, self.objective_ms, is_continued))
+    }
+
     /// Returns whether the limits on sends and on possible runs allow another send.
     pub fn may_retry(&self, send_limit: u32) -> bool {
         let runs_allow = self.possible_runs == 0
