gateway: tests of callers that exhaust memory and descriptors

Callers can make a gateway hold any number of unfinished heads and bodies, bytes behind a request and responses that they do not read, and open connections without a limit.

The setting `memory_mb` is read and not used yet; without it, the tests could not state the machine's memory before the product limits anything. The stand-in of endpoints gets responses of a given size.

--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -54,6 +54,14 @@
     pub group_partitions: u64,
     /// Maximum number of open file descriptors of the process.
     pub descriptors: usize,
+    /// Memory of the machine, in megabytes. The share of it that callers can make the gateway hold is limited.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+}
+
+/// Returns the memory of the smallest machines that gateways run on, in megabytes.
+fn default_memory_mb() -> u64 {
+    112
 }
 
 impl GatewaySettings {
@@ -93,6 +101,7 @@
             ("group_ttl_least_ms", self.group_ttl_least_ms as f64, 10.0, 600_000.0),
             ("group_partitions", self.group_partitions as f64, 1.0, 65_536.0),
             ("descriptors", self.descriptors as f64, 64.0, 1e9),
+            ("memory_mb", self.memory_mb as f64, 32.0, 1e9),
         ];
         let not_allowed = |key, value: String, allowed: String| {
             Err(SettingsError::NotAllowed { path: path.to_owned(), key, value, allowed })
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -86,6 +86,8 @@
     CutHead(usize),
     /// Sends a head without end until the connection is closed.
     EndlessHead,
+    /// Responds with a body of this many bytes.
+    LargeBody(usize),
     /// Sends a body without end until the connection is closed.
     EndlessBody,
     /// As `EndlessBody`, without a length and without chunks.
@@ -568,6 +570,7 @@
         Fault::UnframedOld => format!("HTTP/1.0 200 Any\r\n{signed}\r\nanswer of {attempt}").into_bytes(),
         Fault::UnframedResetAfter(_) => format!("HTTP/1.1 200 Any\r\n{signed}\r\nanswer").into_bytes(),
         Fault::Extra => [build_response(200, signed), foreign_response()].concat(),
+        Fault::LargeBody(size_bytes) => encode_response(200, signed, &vec![b'x'; size_bytes]),
         _ => build_response(200, signed),
     };
     let closes = matches!(
