caller_memory: one account for all that callers can make a process hold

Nothing bounds the sum of heads, bodies, bytes behind a request and unread responses of all callers. `Account` decides what is granted, whose connection is dropped when there is no more memory, and which one makes room for a new connection. It has no clock and no socket. `CallerMemory` and `Hold` share an account among the connections of a thread. The decisions and what else was weighed are in docs/design/caller-memory.md.

--- /dev/null
+++ b/crates/banyannotch/src/caller_memory/mod.rs
@@ -0,0 +1,14 @@
+//! The account of all memory that callers can make a process hold, and the bound on their connections.
+//!
+//! [`Account`] decides what is granted and whose connection is dropped; it has no clock, socket or log. [`CallerMemory`]
+//! shares one account among the connections of a thread. See `docs/design/caller-memory.md`.
+
+mod account;
+mod hold;
+mod settings;
+#[cfg(test)]
+mod tests;
+
+pub use account::{Account, Grant, Stage};
+pub use hold::{CallerMemory, Hold, Part, Refused};
+pub use settings::AccountSettings;
--- a/crates/banyannotch/src/lib.rs
+++ b/crates/banyannotch/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backing;
+pub mod caller_memory;
 pub mod clock;
 pub mod configuration;
 pub mod duty;
