forwarding: limit the memory and the connections of callers

With 40 unfinished bodies of 3.9 MB a gateway took 164 MB, and 3,000 idle connections took 3,047 descriptors of 1,024. All that callers can make a gateway hold is now in one account of a quarter of the machine's memory (`limits.memory_mb`), and their connections are limited to five eighths of the descriptors; four optional settings change the shares.

A request that finds no memory before it was sent gets 503 with Retry-After, one that was sent 502 or a cut response. The connection is closed in order, so that the caller receives the refusal. A body with an announced length over the limit is refused with 413 before it is read. A request's body is no longer copied behind the head that is sent to the endpoint, nor a response's body for the caller: both are written with their heads by one call. Connections without bytes to read hold no buffer.

Three new tests check that a refused request gets its 503 and has not run, that the largest request is served, and the 413.

--- a/crates/banyannotch/src/gateway/forwarding/answer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/answer.rs
@@ -102,12 +102,16 @@
     pub _share: BodyShare,
 }
 
-/// Writes a complete response of an endpoint to the caller's output.
-pub(super) fn write_response<D: Dialect>(dialect: &D, response: &Response, close: bool, out: &mut Vec<u8>) {
+/// Writes the head of a complete response of an endpoint to the caller's output. Its body follows.
+pub(super) fn write_response_head<D: Dialect>(
+    dialect: &D,
+    response: &Response,
+    close: bool,
+    out: &mut Vec<u8>,
+) {
     write_status_and_headers(dialect, &response.head, out);
     push_header(out, "content-length", &response.body.len().to_string());
     finish_head(close, out);
-    out.extend_from_slice(&response.body);
 }
 
 /// Writes the head of a streamed response; its body is sent in chunks.
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -3,20 +3,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::oneshot;
 use tokio::time::{timeout, timeout_at};
 
-use super::answer::{Response, write_local_reply, write_refusal, write_response};
+use super::answer::{Response, write_local_reply, write_refusal, write_response_head};
+use super::closing::{RETRY_MS, close_in_order, refuse_connection};
+use super::collect::{RequestQuota, collect_body, read_head};
 use super::context::{Context, DrainStage, InFlightGuard};
 use super::exchange::{ExchangeOutcome, OpenExchange, Progress, Request, exchange};
+use crate::caller_memory::{Hold, Part, Refused, Stage as CallerStage};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
-use crate::gateway::http1::{BodyDecoder, HttpError, Reader, RequestHead, split};
+use crate::gateway::http1::{BodyDecoder, Framing, HttpError, Reader, RequestHead, split};
 
 /// The operating system closes a connection whose peer acknowledges no data for this long.
 const TCP_USER_TIMEOUT_MS: u64 = 10_000;
@@ -34,10 +37,15 @@
 enum ConnectionAction {
     Keep,
     Close,
+    /// It is closed after what the caller still sends has been discarded.
+    CloseInOrder,
 }
 
 /// Serves the requests of a connection one after another.
 pub(super) async fn serve<D: Dialect, C: Clock>(context: Rc<Context<D, C>>, stream: TcpStream) {
+    let Some(hold) = context.memory.open() else {
+        return refuse_connection(&context, stream).await;
+    };
     let (mut reader, mut writer) = match split(stream, TCP_USER_TIMEOUT_MS) {
         Ok(halves) => halves,
         Err(error) => {
@@ -46,18 +54,43 @@
         }
     };
     loop {
-        if !wait_for_request(&context, &mut reader).await {
+        let is_waiting = tokio::select! {
+            biased;
+            () = hold.dropped() => {
+                hold.record(Refused::IdleConnection);
+                false
+            }
+            is_waiting = wait_for_request(&context, &mut reader) => is_waiting,
+        };
+        if !is_waiting {
             return;
         }
         let in_flight = InFlightGuard::begin(&context);
-        let action = match read_request(&context, &mut reader).await {
-            Ok((head, body)) => handle_request(&context, head, body, &mut reader, &mut writer).await,
-            Err(Some((status, text))) => reply_with_error(&mut writer, status, &text).await,
-            Err(None) => ConnectionAction::Close,
+        hold.set_stage(CallerStage::Arriving);
+        let read = tokio::select! {
+            biased;
+            () = hold.dropped() => None,
+            read = read_request(&context, &mut reader, &hold) => Some(read),
+        };
+        let action = match read {
+            Some(Ok((head, body))) => {
+                handle_request(&context, head, body, &hold, &mut reader, &mut writer).await
+            }
+            Some(Err(Some((status, text)))) => reply_with_error(&mut writer, status, &text).await,
+            Some(Err(None)) => ConnectionAction::Close,
+            None => {
+                reader.release_buffer();
+                reply_no_memory(&hold, &mut writer).await
+            }
         };
         drop(in_flight);
-        if action == ConnectionAction::Close {
-            return;
+        hold.end_request();
+        match action {
+            ConnectionAction::Keep => {}
+            ConnectionAction::Close => return,
+            ConnectionAction::CloseInOrder => {
+                return close_in_order(&context, &mut reader, &mut writer).await;
+            }
         }
     }
 }
@@ -74,7 +107,7 @@
     let mut applied_ms = context.limits.get().idle_timeout_ms;
     loop {
         let due = idle_since + Duration::from_millis(applied_ms + context.config_apply_ms);
-        if let Ok(result) = timeout_at(due, reader.fill()).await {
+        if let Ok(result) = timeout_at(due, reader.fill_when_readable()).await {
             return result.is_ok();
         }
         let present_ms = context.limits.get().idle_timeout_ms;
@@ -93,6 +126,7 @@
 async fn read_request<D: Dialect, C: Clock>(
     context: &Context<D, C>,
     reader: &mut Reader,
+    hold: &Hold,
 ) -> Result<(RequestHead, Bytes), Option<(u16, String)>> {
     let limits = context.limits.get();
     let read_timeout = Duration::from_millis(limits.head_timeout_ms);
@@ -104,13 +138,19 @@
     };
     let timed_out =
         |_| Some((408, format!("the request did not arrive within {} ms", limits.head_timeout_ms)));
-    let head = timeout(read_timeout, reader.request_head(limits.head_bytes))
+    let head = timeout(read_timeout, read_head(reader, limits.head_bytes, hold))
         .await
         .map_err(timed_out)?
         .map_err(to_reply)?;
-    let decoder = BodyDecoder::new(head.framing().map_err(to_reply)?);
-    let body = timeout(read_timeout, reader.whole_body(decoder, limits.body_bytes));
-    let body = body.await.map_err(timed_out)?.map_err(to_reply)?;
+    let framing = head.framing().map_err(to_reply)?;
+    if let Framing::Length(length) = framing
+        && length > limits.body_bytes as u64
+    {
+        return Err(to_reply(HttpError::BodyTooLarge(limits.body_bytes)));
+    }
+    let mut quota = RequestQuota::new(limits.body_bytes);
+    let body = collect_body(reader, BodyDecoder::new(framing), framing, &mut quota, (hold, Part::Body));
+    let body = timeout(read_timeout, body).await.map_err(timed_out)?.map_err(to_reply)?;
     Ok((head, body))
 }
 
@@ -118,7 +158,17 @@
     let mut out = Vec::new();
     write_local_reply(status, text, None, true, &mut out);
     write_reply(writer, &out).await;
-    ConnectionAction::Close
+    ConnectionAction::CloseInOrder
+}
+
+/// Responds to a request that was not run because there is no memory for it.
+async fn reply_no_memory(hold: &Hold, writer: &mut OwnedWriteHalf) -> ConnectionAction {
+    hold.record(Refused::Request);
+    hold.end_request();
+    let mut out = Vec::new();
+    write_local_reply(503, "callers hold too much memory", Some(RETRY_MS), true, &mut out);
+    write_reply(writer, &out).await;
+    ConnectionAction::CloseInOrder
 }
 
 /// Writes a local reply or a failure response of an endpoint. Returns false when the caller has left or does
@@ -131,6 +181,7 @@
     context: &Rc<Context<D, C>>,
     head: RequestHead,
     body: Bytes,
+    hold: &Rc<Hold>,
     reader: &mut Reader,
     writer: &mut OwnedWriteHalf,
 ) -> ConnectionAction {
@@ -148,13 +199,14 @@
         request_info.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).saturating_sub(RESPONSE_MARGIN_MS);
     let id = request_info.id.clone();
     let (ticket, verdict) = context.submit(request_info);
-    let request = Request { id, head, body, close, ticket };
+    let request = Request { id, head, body, close, ticket, hold: Rc::clone(hold) };
     let mut progress = Progress::default();
     let outcome = {
         let serving = follow_verdicts(context, ticket, verdict, &request, &mut progress, writer);
         tokio::select! {
             outcome = serving => Some(outcome),
-            () = reader.wait_for_close() => None,
+            () = reader.wait_for_close(|size_bytes| hold.set_if_free(Part::Ahead, size_bytes)) => None,
+            () = hold.dropped() => Some(ServeOutcome::NoMemory),
             () = tokio::time::sleep(Duration::from_millis(time_limit_ms)) => Some(ServeOutcome::Expired),
             () = context.must_end.notified() => Some(ServeOutcome::Expired),
         }
@@ -168,6 +220,23 @@
         }
         Some(ServeOutcome::Completed) => action,
         Some(ServeOutcome::CallerLeft) => ConnectionAction::Close,
+        Some(ServeOutcome::NoMemory) => {
+            context.finish(ticket, Ending::Left);
+            let id = request.id;
+            drop(request.body);
+            reader.release_buffer();
+            if !progress.request_sent {
+                return reply_no_memory(hold, writer).await;
+            }
+            hold.record(Refused::Response);
+            hold.end_request();
+            if progress.head_sent {
+                record_cut(&id, RefusalReason::Broken);
+                return ConnectionAction::Close;
+            }
+            // The request may have run, so that the status must not promise that it has not.
+            reply_with_error(writer, 502, "callers hold too much memory").await
+        }
         Some(ServeOutcome::Expired) => {
             context.finish(ticket, Ending::Expired);
             if progress.head_sent {
@@ -181,8 +250,10 @@
         }
         Some(ServeOutcome::Deliver(response)) if !progress.head_sent => {
             let mut out = Vec::new();
-            write_response(&context.dialect, &response, close, &mut out);
-            if write_reply(writer, &out).await && !close {
+            write_response_head(&context.dialect, &response, close, &mut out);
+            let mut parts = Buf::chain(out.as_slice(), &*response.body);
+            let written = timeout(Duration::from_millis(REPLY_TIMEOUT_MS), writer.write_all_buf(&mut parts));
+            if matches!(written.await, Ok(Ok(()))) && !close {
                 ConnectionAction::Keep
             } else {
                 ConnectionAction::Close
@@ -226,6 +297,8 @@
     Completed,
     CallerLeft,
     Expired,
+    /// The connection was dropped for the memory that it holds.
+    NoMemory,
     Refused(Refusal),
     /// The failure response of the endpoint is to be forwarded.
     Deliver(Response),
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -9,6 +9,7 @@
 use super::budget::BodyBudget;
 use super::pool::Pool;
 use super::watch::Abandonment;
+use crate::caller_memory::CallerMemory;
 use crate::clock::Clock;
 use crate::duty::Supervisor;
 use crate::gateway::dispatch::{self, Ending, Refusal, RefusalReason, SendOrder, Submission, Verdict};
@@ -25,6 +26,10 @@
     pub pool: RefCell<Pool>,
     /// Limits the response bodies that are buffered together.
     pub bodies: BodyBudget,
+    /// Limits what all callers together can make the gateway hold, and their connections.
+    pub memory: Rc<CallerMemory>,
+    /// Number of connections whose remaining bytes are discarded before they are closed.
+    pub lingering: Cell<usize>,
     pub limits: Cell<CallerLimits>,
     /// Time until a configuration has reached all gateways, in milliseconds.
     pub config_apply_ms: u64,
--- a/crates/banyannotch/src/gateway/forwarding/events.rs
+++ b/crates/banyannotch/src/gateway/forwarding/events.rs
@@ -79,6 +79,11 @@
         self.last_id
     }
 
+    /// Returns the size of the incomplete event in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer holds the beginning of an incomplete event.
     pub fn is_inside_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to an endpoint once and forwards the response to the caller.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use super::pool::Upstream;
 use super::transfer::{Stage, Transfer, TransferError};
 use super::watch::{Watch, WatchLimits};
+use crate::caller_memory::{Hold, Stage as CallerStage};
 use crate::clock::{Clock, US_PER_MS};
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{Ending, SendOrder};
@@ -27,6 +29,8 @@
     pub close: bool,
     /// Number of the request, assigned by forwarding.
     pub ticket: u64,
+    /// Memory of the caller's connection.
+    pub hold: Rc<Hold>,
 }
 
 /// How far the forwarding of a request has progressed, over all sends.
@@ -83,10 +87,10 @@
     if let Some(last_event_id) = progress.last_event_id {
         forwarding_info.resume_after = Some(last_event_id);
     }
-    let mut request_bytes = Vec::with_capacity(1_024 + request.body.len());
-    context.dialect.write_head(&request.head, &forwarding_info, request.body.len(), &mut request_bytes);
-    request_bytes.extend_from_slice(&request.body);
+    let mut request_head = Vec::with_capacity(1_024);
+    context.dialect.write_head(&request.head, &forwarding_info, request.body.len(), &mut request_head);
     progress.request_sent = true;
+    request.hold.set_stage(CallerStage::Working);
     let connect_ms = now_us.saturating_sub(connect_started_us) / US_PER_MS;
     let limits = WatchLimits {
         first: Duration::from_millis(order.first_response_limit_ms.saturating_sub(connect_ms).max(1)),
@@ -106,7 +110,7 @@
         may_reuse: true,
         pooled_keep_alive_ms: None,
     };
-    Box::new(OpenExchange { transfer, watch }).run(&request_bytes, progress, caller_writer).await
+    Box::new(OpenExchange { transfer, watch }).run(&request_head, progress, caller_writer).await
 }
 
 impl<'a, D: Dialect, C: Clock> OpenExchange<'a, D, C> {
@@ -132,12 +136,12 @@
 
     async fn run(
         mut self: Box<Self>,
-        request_bytes: &[u8],
+        request_head: &[u8],
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
     ) -> ExchangeOutcome<'a, D, C> {
         let Self { transfer, watch } = &mut *self;
-        let (ending, response) = match transfer.perform(request_bytes, watch, progress, caller_writer).await {
+        let (ending, response) = match transfer.perform(request_head, watch, progress, caller_writer).await {
             Ok(sent) => sent,
             Err(TransferError::Abandoned) => {
                 let earlier = transfer.open.take();
--- a/crates/banyannotch/src/gateway/forwarding/mod.rs
+++ b/crates/banyannotch/src/gateway/forwarding/mod.rs
@@ -8,6 +8,8 @@
 mod answer;
 mod budget;
 mod caller;
+mod closing;
+mod collect;
 mod context;
 mod events;
 mod exchange;
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -12,6 +12,7 @@
 use super::context::{Context, DrainStage};
 use super::pool::Pool;
 use super::{Event, caller, probe};
+use crate::caller_memory::{AccountSettings, CallerMemory};
 use crate::clock::Clock;
 use crate::duty::Supervisor;
 use crate::gateway::{CallerLimits, Dialect, dispatch};
@@ -58,6 +59,8 @@
     pub idle_connections: usize,
     /// Time until a configuration has reached all gateways, in milliseconds.
     pub config_apply_ms: u64,
+    /// Limits of what all callers together can make the gateway hold, and of their connections.
+    pub callers: AccountSettings,
 }
 
 /// Time limits of a graceful shutdown, counted from its start.
@@ -100,6 +103,8 @@
             supervisor: thread_supervisor.clone(),
             pool: RefCell::new(Pool::new(settings.idle_connections)),
             bodies: BodyBudget::default(),
+            memory: CallerMemory::new(settings.callers),
+            lingering: Cell::new(0),
             limits: Cell::new(CallerLimits::default()),
             config_apply_ms: settings.config_apply_ms,
             ready: Cell::new(false),
--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -2,19 +2,22 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Buf;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::timeout;
 
 use super::answer::{
     ConnectionUse, Response, ResponseKind, classify, describes_endpoint, requested_hold_off_ms,
-    write_response, write_stream_head,
+    write_response_head, write_stream_head,
 };
+use super::collect::{COVERED_BYTES, collect_body};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::exchange::{OpenExchange, Progress, Request};
 use super::pool::Upstream;
 use super::watch::{Abandoned, Watch};
+use crate::caller_memory::{Part, Stage as CallerStage};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{BrokenBy, Ending, SendOrder};
@@ -29,6 +32,9 @@
 /// without the body only the connection is lost.
 const REJECTION_BODY_TIMEOUT_MS: u64 = 50;
 
+/// Size up to which the memory for the events of a stream is kept for the next ones.
+const KEPT_EVENTS_BYTES: usize = 16_384;
+
 /// How a send ended, and the failure response that dispatch may decide to deliver.
 type SendResult = (Ending, Option<Response>);
 
@@ -122,7 +128,7 @@
     /// Returns [`TransferError`] when no complete answer arrived.
     pub async fn perform(
         &mut self,
-        request_bytes: &[u8],
+        request_head: &[u8],
         watch: &mut Watch<'a, D, C>,
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
@@ -134,8 +140,8 @@
             Stage::AwaitingHead => true,
             Stage::Unsettled => false,
         };
-        let request_bytes = if is_written { &[] } else { request_bytes };
-        let (head, kind, fault_at) = watch.wait_for(self.send_and_read_head(request_bytes)).await??;
+        let request_head = (!is_written).then_some(request_head);
+        let (head, kind, fault_at) = watch.wait_for(self.send_and_read_head(request_head)).await??;
         self.stage = Stage::Unsettled;
         let framing = head.framing()?;
         let decoder = BodyDecoder::new(framing);
@@ -152,10 +158,12 @@
                 watch.answer_arrived();
                 let response = self.read_response(head, framing, decoder).await?;
                 self.open = None;
+                self.request.hold.set_stage(CallerStage::Answered);
                 let mut out = Vec::new();
-                write_response(&self.context.dialect, &response, self.request.close, &mut out);
+                write_response_head(&self.context.dialect, &response, self.request.close, &mut out);
                 progress.head_sent = true;
-                let ending = match caller_writer.write_all(&out).await {
+                let mut parts = Buf::chain(out.as_slice(), &*response.body);
+                let ending = match caller_writer.write_all_buf(&mut parts).await {
                     Ok(()) => Ending::Completed { first_ms: self.elapsed_ms() },
                     Err(_) => Ending::Left,
                 };
@@ -183,17 +191,19 @@
         }
     }
 
-    /// Sends the request and reads the head of its response. Interim responses and responses to other
+    /// Sends the request, unless it was sent, and reads the head of its response. Interim responses and responses to other
     /// attempts are skipped.
     async fn send_and_read_head(
         &mut self,
-        request_bytes: &[u8],
+        request_head: Option<&[u8]>,
     ) -> Result<(ResponseHead, ResponseKind, Option<Address>), TransferError> {
         let mut early_head = None;
         let mut write_failed = false;
         {
             let (reader, writer) = (&mut self.upstream.reader, &mut self.upstream.writer);
-            let write = std::pin::pin!(writer.write_all(request_bytes));
+            let (head, body) = request_head.map_or((&[][..], &[][..]), |head| (head, &*self.request.body));
+            let mut parts = Buf::chain(head, body);
+            let write = std::pin::pin!(writer.write_all_buf(&mut parts));
             tokio::select! {
                 biased;
                 // An endpoint may respond and then reset the connection; the response is still read.
@@ -253,7 +263,14 @@
         decoder: BodyDecoder,
     ) -> Result<Response, TransferError> {
         let mut share = self.context.bodies.share();
-        let read = self.upstream.reader.whole_body_within(decoder, &mut share).await;
+        let read = collect_body(
+            &mut self.upstream.reader,
+            decoder,
+            framing,
+            &mut share,
+            (&self.request.hold, Part::Response),
+        )
+        .await;
         if let Err(error @ (HttpError::BodyTooLarge(_) | HttpError::BuffersFull(_))) = &read {
             let endpoint = &self.order.forwarding_info.endpoint;
             log::warn!(
@@ -320,12 +337,22 @@
                     out.extend_from_slice(b"0\r\n\r\n");
                 }
                 progress.last_event_id = stream.splitter.last_id();
+                let buffered_bytes = stream.splitter.buffered_bytes() + self.upstream.reader.buffered_bytes();
+                let held_bytes = events.capacity() + out.capacity() + 2 * buffered_bytes;
+                if held_bytes > COVERED_BYTES {
+                    self.request.hold.set(Part::Response, held_bytes).await;
+                }
                 if caller_writer.write_all(&out).await.is_err() {
                     return Err(TransferError::Ended(Ending::Left));
                 }
                 watch.await_next_event();
                 events.clear();
                 out.clear();
+                if held_bytes > KEPT_EVENTS_BYTES {
+                    events.shrink_to_fit();
+                    out.shrink_to_fit();
+                    self.request.hold.shrink(Part::Response, 0);
+                }
             }
             if ended {
                 self.may_reuse &= stream.head.framing()? != Framing::UntilClose && stream.head.keeps_alive();
--- a/crates/banyannotch/src/gateway/http1/connection.rs
+++ b/crates/banyannotch/src/gateway/http1/connection.rs
@@ -15,6 +15,9 @@
 /// Buffer space reserved for one read, enough for a few events of a stream and for most heads.
 const READ_RESERVE_BYTES: usize = 4_096;
 
+/// Size from which the buffer of a request head is not kept for the next bytes.
+const KEPT_BUFFER_BYTES: usize = 16_384;
+
 /// Number of buffered bytes of pipelined requests above which nothing more is read from the socket until the
 /// current request is answered.
 const PIPELINED_LIMIT_BYTES: usize = 65_536;
@@ -45,6 +48,38 @@
         }
     }
 
+    /// Reads more bytes as [`Reader::fill`] does. An empty buffer takes no memory until there are bytes to read.
+    ///
+    /// # Errors
+    /// Returns [`HttpError::Closed`] when the peer has closed the connection, or [`HttpError::Io`].
+    pub async fn fill_when_readable(&mut self) -> Result<()> {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+            self.read_half.readable().await?;
+        }
+        self.fill().await
+    }
+
+    /// Reads and discards the next bytes of the connection. Returns their number.
+    ///
+    /// # Errors
+    /// Returns [`HttpError::Closed`] when the peer has closed the connection, or [`HttpError::Io`].
+    pub async fn discard(&mut self) -> Result<usize> {
+        self.buffer.clear();
+        self.fill().await?;
+        Ok(self.buffer.len())
+    }
+
+    /// Discards the buffered bytes and releases their memory.
+    pub fn release_buffer(&mut self) {
+        self.buffer = BytesMut::new();
+    }
+
+    /// Returns the number of bytes that are buffered and have not been decoded.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Records that a write on the connection has failed. From then on, the end of the connection no longer completes a
     /// body without a length: the operating system reports a reset only once, so that the reads after a write that
     /// received the report find an orderly end.
@@ -71,6 +106,31 @@
         }
     }
 
+    /// Decodes a request head from the buffer, without reading from the connection. Returns `None` while it is incomplete.
+    ///
+    /// # Errors
+    /// Returns the errors of [`parse_request`].
+    pub fn buffered_request_head(&mut self, limit_bytes: usize) -> Result<Option<RequestHead>> {
+        let buffered_bytes = self.buffer.len();
+        let head = parse_request(&mut self.buffer, limit_bytes)?;
+        if head.is_some() && buffered_bytes > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::from(&*self.buffer);
+        }
+        Ok(head)
+    }
+
+    /// Reads more bytes of a head.
+    ///
+    /// # Errors
+    /// Returns [`HttpError::Closed`] when the connection ends before the first byte, and [`HttpError::Truncated`] when it
+    /// ends later.
+    pub async fn fill_within_head(&mut self) -> Result<()> {
+        match self.fill().await {
+            Err(HttpError::Closed) if !self.buffer.is_empty() => Err(HttpError::Truncated),
+            result => result,
+        }
+    }
+
     /// Reads a response head.
     ///
     /// # Errors
@@ -140,16 +200,23 @@
     }
 
     /// Waits until the peer closes the connection or it fails. Bytes that arrive meanwhile are buffered up to
-    /// a limit; beyond it, the close is no longer detected and this never returns.
-    pub async fn wait_for_close(&mut self) {
-        while self.buffer.len() <= PIPELINED_LIMIT_BYTES {
-            if self.fill().await.is_err() {
+    /// a limit, and only while `may_hold` allows the memory that the buffer takes; beyond that, the close is no longer
+    /// detected and this never returns.
+    pub async fn wait_for_close(&mut self, may_hold: impl Fn(usize) -> bool) {
+        while self.buffer.len() <= PIPELINED_LIMIT_BYTES && may_hold(self.buffer_bytes_after_fill()) {
+            if self.fill_when_readable().await.is_err() {
                 return;
             }
         }
         std::future::pending::<()>().await;
     }
 
+    /// Returns the memory that bytes in the buffer take after the next fill; none while the buffer is empty. A buffer that
+    /// is full doubles.
+    fn buffer_bytes_after_fill(&self) -> usize {
+        if self.buffer.is_empty() { 0 } else { 2 * (self.buffer.len() + READ_RESERVE_BYTES) }
+    }
+
     /// Returns whether an idle connection cannot be reused, because it has been closed or has received
     /// unexpected bytes.
     pub fn is_stale(&mut self) -> bool {
@@ -162,13 +229,6 @@
             Ok(_) => true,
         }
     }
-
-    async fn fill_within_head(&mut self) -> Result<()> {
-        match self.fill().await {
-            Err(HttpError::Closed) if !self.buffer.is_empty() => Err(HttpError::Truncated),
-            result => result,
-        }
-    }
 }
 
 /// Splits a connection into a reader and a writer.
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -57,6 +57,18 @@
     /// Memory of the machine, in megabytes. The share of it that callers can make the gateway hold is limited.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u64,
+    /// Share of `memory_mb` that all callers together can make the gateway hold.
+    #[serde(default = "default_callers_memory_share")]
+    pub callers_memory_share: f64,
+    /// Share of the callers' memory that only small requests can take.
+    #[serde(default = "default_callers_reserved_share")]
+    pub callers_reserved_share: f64,
+    /// Size up to which a request counts as small, in kilobytes.
+    #[serde(default = "default_callers_small_kb")]
+    pub callers_small_kb: usize,
+    /// Share of `descriptors` that connections of callers can use.
+    #[serde(default = "default_callers_connections_share")]
+    pub callers_connections_share: f64,
 }
 
 /// Returns the memory of the smallest machines that gateways run on, in megabytes.
@@ -64,6 +76,26 @@
     112
 }
 
+/// On the smallest machines another quarter is in use by the process itself. The rest is for the buffers of the kernel and
+/// for memory that the allocator keeps.
+fn default_callers_memory_share() -> f64 {
+    0.25
+}
+
+fn default_callers_reserved_share() -> f64 {
+    0.25
+}
+
+fn default_callers_small_kb() -> usize {
+    64
+}
+
+/// Idle connections to endpoints get a quarter of the descriptors. An eighth remains for more connections to endpoints, for
+/// other gateways and for the store.
+fn default_callers_connections_share() -> f64 {
+    0.625
+}
+
 impl GatewaySettings {
     /// Reads and validates a settings file.
     ///
@@ -102,6 +134,10 @@
             ("group_partitions", self.group_partitions as f64, 1.0, 65_536.0),
             ("descriptors", self.descriptors as f64, 64.0, 1e9),
             ("memory_mb", self.memory_mb as f64, 32.0, 1e9),
+            ("callers_memory_share", self.callers_memory_share, 0.05, 0.9),
+            ("callers_reserved_share", self.callers_reserved_share, 0.0, 0.9),
+            ("callers_small_kb", self.callers_small_kb as f64, 8.0, 1_024.0),
+            ("callers_connections_share", self.callers_connections_share, 0.05, 0.7),
         ];
         let not_allowed = |key, value: String, allowed: String| {
             Err(SettingsError::NotAllowed { path: path.to_owned(), key, value, allowed })
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -10,6 +10,7 @@
 use super::layout::LayoutSettings;
 use super::{Dialect, EngineControl, GatewayError, GatewaySettings, Result, Store};
 use super::{catalog, dispatch, forwarding, gossip, journal, layout};
+use crate::caller_memory::AccountSettings;
 use crate::clock::{BootClock, Clock};
 use crate::duty::Supervisor;
 use crate::pipeline::Address;
@@ -186,6 +187,7 @@
                 grace_ms: (settings.grace_s * MS_PER_S) as u64,
                 idle_connections: settings.descriptors / IDLE_CONNECTION_DIVISOR,
                 config_apply_ms: settings.config_apply_ms,
+                callers: caller_limits(settings),
             },
         )?;
         Ok(Self {
@@ -235,6 +237,20 @@
     }
 }
 
+fn caller_limits(settings: &GatewaySettings) -> AccountSettings {
+    const BYTES_PER_MB: f64 = 1_048_576.0;
+    const BYTES_PER_KB: usize = 1_024;
+    let limit_bytes = settings.memory_mb as f64 * BYTES_PER_MB * settings.callers_memory_share;
+    let connection_limit = settings.descriptors as f64 * settings.callers_connections_share;
+    AccountSettings {
+        limit_bytes: limit_bytes as usize,
+        reserved_bytes: (limit_bytes * settings.callers_reserved_share) as usize,
+        small_bytes: settings.callers_small_kb * BYTES_PER_KB,
+        connection_limit: connection_limit as usize,
+        ..AccountSettings::default()
+    }
+}
+
 fn catalog_settings(settings: &GatewaySettings, own: Address) -> CatalogSettings {
     let share = |limit_ms: u64, share: f64| (limit_ms as f64 * share) as u64;
     let configuration_wait_ms = share(settings.config_apply_ms, CONFIGURATION_WAIT_SHARE);
--- a/crates/gateway/tests/untrusted.rs
+++ b/crates/gateway/tests/untrusted.rs
@@ -20,7 +20,7 @@
 use banyannotch_standins::harness::wait_until;
 use common::{Fleet, Gateway, LIMIT, configuration};
 use serde_json::{Value, json};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Mutex;
 
@@ -353,3 +353,90 @@
     scene.check("streams that are not read").await;
     drop(open);
 }
+
+/// Reads what the gateway sends until it closes the connection or sends nothing more.
+async fn read_response(stream: &mut TcpStream) -> String {
+    let mut response = Vec::new();
+    // Without an end of the connection, what has arrived is the response.
+    drop(actix_rt::time::timeout(WRITE_TIMEOUT, stream.read_to_end(&mut response)).await);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+/// A caller repeats a request that was refused with 503, so that it must not have run. It needs the response for that, which
+/// a reset of the connection would discard.
+#[actix_rt::test]
+async fn a_request_without_memory_gets_its_refusal_and_has_not_run() {
+    const CLIENTS: usize = 20;
+    let _serial = SERIAL.lock().await;
+    let mut scene = Scene::start().await;
+    let body = |client, _| unfinished_body(&format!("refused-{client}"), 2 * MB, 64 * KB);
+    let mut open = send_parts(scene.gateway.callers, CLIENTS, 1, body).await;
+    let mut refused = Vec::new();
+    for stream in &mut open {
+        let response = read_response(stream).await;
+        if !response.is_empty() {
+            refused.push(response);
+        }
+    }
+    // The account has room for fewer than half of the clients.
+    assert!(refused.len() >= CLIENTS / 2, "{} of {CLIENTS} were refused", refused.len());
+    for response in &refused {
+        let is_refusal = response.starts_with("HTTP/1.1 503 ") && response.contains("\r\nretry-after: ");
+        assert!(is_refusal && response.contains("\r\nconnection: close\r\n"), "{response}");
+    }
+    let ran = scene.fleet.replicas.iter().flat_map(|replica| replica.runs());
+    assert_eq!(ran.filter(|run| run.id.starts_with("refused-")).count(), 0);
+    assert!(!scene.gateway.lines("event=caller_refused kind=request").is_empty());
+    scene.check("refused requests").await;
+}
+
+/// A limit for all callers together must not refuse the largest request that the configuration allows.
+#[actix_rt::test]
+async fn the_largest_request_is_served_while_the_gateway_is_calm() {
+    let _serial = SERIAL.lock().await;
+    let scene = Scene::start().await;
+    for replica in &scene.fleet.replicas {
+        replica.set_fault(Fault::LargeBody(BODY_LIMIT_BYTES - MB), usize::MAX);
+    }
+    let requests = [
+        (
+            "length",
+            format!("Content-Length: {BODY_LIMIT_BYTES}\r\n\r\n").into_bytes(),
+            vec![b'x'; BODY_LIMIT_BYTES],
+        ),
+        (
+            "chunked",
+            b"Transfer-Encoding: chunked\r\n\r\n".to_vec(),
+            [chunks(BODY_LIMIT_BYTES, KB), b"0\r\n\r\n".to_vec()].concat(),
+        ),
+    ];
+    for (id, framing, body) in requests {
+        let mut stream = connect(scene.gateway.callers).await;
+        let request = [format!("{}Connection: close\r\n", head("/call/x", id)).into_bytes(), framing, body];
+        stream.write_all(&request.concat()).await.expect("the gateway reads the request");
+        let response = read_response(&mut stream).await;
+        assert!(
+            response.starts_with("HTTP/1.1 200 "),
+            "{id}: {}",
+            response.lines().next().unwrap_or_default()
+        );
+        assert!(response.ends_with(&"x".repeat(BODY_LIMIT_BYTES - MB)), "{id}: the response is incomplete");
+        let runs = scene.fleet.replicas.iter().flat_map(|replica| replica.runs());
+        let sizes: Vec<_> = runs.filter(|run| run.id == id).map(|run| run.body.len()).collect();
+        assert_eq!(sizes, [BODY_LIMIT_BYTES], "{id}");
+    }
+}
+
+/// A caller that has begun to send a body over the limit learns why its connection ends.
+#[actix_rt::test]
+async fn an_announced_body_over_the_limit_is_refused_at_once() {
+    let _serial = SERIAL.lock().await;
+    let scene = Scene::start().await;
+    let mut stream = connect(scene.gateway.callers).await;
+    let length = BODY_LIMIT_BYTES + 1;
+    let request = format!("{}Content-Length: {length}\r\n\r\n", head("/call/x", "large"));
+    stream.write_all(request.as_bytes()).await.expect("the gateway reads the head");
+    write_as_far_as_read(&mut stream, &vec![b'x'; 64 * KB]).await;
+    let response = read_response(&mut stream).await;
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response:?}");
+}
