intake: limit the memory of all callers' requests

The native entry limited each body to 1 MiB, but not the bodies of all its connections together. It uses the account of the gateways, with the limit `intake.callers_limit_mb`. A request without memory gets 503, not_run and Retry-After; one that was passed on gets 502 and unknown. Heads and the buffers of the HTTP library are not counted.

The counter is called banyannotch_callers_refused_total in both programs. The setting `memory_mb` of a gateway accepts fractions.

--- a/crates/banyannotch/src/caller_memory/hold.rs
+++ b/crates/banyannotch/src/caller_memory/hold.rs
@@ -89,6 +89,11 @@
         self.settings
     }
 
+    /// Returns the bytes that all connections hold.
+    pub fn held_bytes(&self) -> usize {
+        self.account.borrow().held_bytes()
+    }
+
     /// Opens the hold of a new connection, or returns `None` if the connection must be refused.
     pub fn open(self: &Rc<Self>) -> Option<Rc<Hold>> {
         let mut victims = Vec::new();
@@ -107,7 +112,7 @@
     /// Counts a refusal, and logs it unless one of the same kind was logged shortly before.
     pub fn record(&self, refused: Refused) {
         let kind = refused.label();
-        metrics::counter!("banyannotch_gateway_callers_refused_total", "kind" => kind).increment(1);
+        metrics::counter!("banyannotch_callers_refused_total", "kind" => kind).increment(1);
         let Some(log) = self.logs.get(refused as usize) else { return };
         let LogState { last, unlogged } = log.get();
         if last.is_some_and(|last| last.elapsed() < LOG_INTERVAL) {
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -56,7 +56,7 @@
     pub descriptors: usize,
     /// Memory of the machine, in megabytes. The share of it that callers can make the gateway hold is limited.
     #[serde(default = "default_memory_mb")]
-    pub memory_mb: u64,
+    pub memory_mb: f64,
     /// Share of `memory_mb` that all callers together can make the gateway hold.
     #[serde(default = "default_callers_memory_share")]
     pub callers_memory_share: f64,
@@ -72,8 +72,8 @@
 }
 
 /// Returns the memory of the smallest machines that gateways run on, in megabytes.
-fn default_memory_mb() -> u64 {
-    112
+fn default_memory_mb() -> f64 {
+    112.0
 }
 
 /// On the smallest machines another quarter is in use by the process itself. The rest is for the buffers of the kernel and
@@ -133,7 +133,7 @@
             ("group_ttl_least_ms", self.group_ttl_least_ms as f64, 10.0, 600_000.0),
             ("group_partitions", self.group_partitions as f64, 1.0, 65_536.0),
             ("descriptors", self.descriptors as f64, 64.0, 1e9),
-            ("memory_mb", self.memory_mb as f64, 32.0, 1e9),
+            ("memory_mb", self.memory_mb, 32.0, 1e9),
             ("callers_memory_share", self.callers_memory_share, 0.05, 0.9),
             ("callers_reserved_share", self.callers_reserved_share, 0.0, 0.9),
             ("callers_small_kb", self.callers_small_kb as f64, 8.0, 1_024.0),
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -240,7 +240,7 @@
 fn caller_limits(settings: &GatewaySettings) -> AccountSettings {
     const BYTES_PER_MB: f64 = 1_048_576.0;
     const BYTES_PER_KB: usize = 1_024;
-    let limit_bytes = settings.memory_mb as f64 * BYTES_PER_MB * settings.callers_memory_share;
+    let limit_bytes = settings.memory_mb * BYTES_PER_MB * settings.callers_memory_share;
     let connection_limit = settings.descriptors as f64 * settings.callers_connections_share;
     AccountSettings {
         limit_bytes: limit_bytes as usize,
--- a/crates/banyannotch/src/http/mod.rs
+++ b/crates/banyannotch/src/http/mod.rs
@@ -13,6 +13,6 @@
 pub use client::{Answer, Client, ClientSettings};
 pub use error::{CallError, InputError, Result};
 pub use server::{
-    Handler, Request, Response, ServerSettings, empty, events, json, listener_from_std, read_body, read_json,
-    serve, text,
+    Handler, Request, Response, ServerSettings, closing, empty, events, json, listener_from_std, read_body,
+    read_json, read_json_within, serve, text,
 };
--- a/crates/banyannotch/src/http/server.rs
+++ b/crates/banyannotch/src/http/server.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 
 use super::{Body, EventStream, InputError, Result};
+use crate::caller_memory::{Hold, Part};
 
 /// Request that a listener received.
 pub type Request = actix_http::Request;
@@ -132,6 +133,54 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Reads and decodes a JSON body as [`read_json`] does. Its memory is counted in the hold; this does not return when there is
+/// none for it, and the hold is dropped.
+///
+/// # Errors
+/// Returns [`InputError`] when the body cannot be read or is not the expected JSON.
+pub async fn read_json_within<T: DeserializeOwned>(
+    request: &mut Request,
+    settings: &ServerSettings,
+    hold: &Hold,
+) -> Result<T> {
+    let limit_ms = settings.read_timeout_ms;
+    let reading = collect_within(request, settings.body_limit_bytes, hold);
+    let body = actix_rt::time::timeout(Duration::from_millis(limit_ms), reading)
+        .await
+        .map_err(|_| InputError::TooSlow { limit_ms })??;
+    // The decoded text takes as much again, and the text of the body is dropped after it.
+    hold.set(Part::Head, body.len()).await;
+    let value = serde_json::from_slice(&body)?;
+    drop(body);
+    hold.shrink(Part::Head, 0);
+    Ok(value)
+}
+
+async fn collect_within(request: &mut Request, limit_bytes: usize, hold: &Hold) -> Result<Vec<u8>> {
+    let mut payload = request.take_payload();
+    let mut body: Vec<u8> = Vec::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| InputError::Truncated)?;
+        let size_bytes = body.len() + part.len();
+        if size_bytes > limit_bytes {
+            return Err(InputError::TooLarge { limit_bytes });
+        }
+        if size_bytes > body.capacity() {
+            let capacity_bytes = (size_bytes + size_bytes / 4).min(limit_bytes);
+            hold.set(Part::Body, capacity_bytes).await;
+            body.reserve_exact(capacity_bytes - body.len());
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body)
+}
+
+/// Closes the connection after the response.
+pub fn closing(mut response: Response) -> Response {
+    response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    response
+}
+
 /// Creates a JSON response.
 pub fn json<T: Serialize>(status: u16, value: &T) -> Response {
     match serde_json::to_vec(value) {
--- a/crates/banyannotch/src/intake/front.rs
+++ b/crates/banyannotch/src/intake/front.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use actix_http::HttpMessage;
+use actix_http::header::{HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -12,11 +13,12 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{CallerRequest, CallerWork, Event, Rejection};
+use crate::caller_memory::{CallerMemory, Hold, Refused, Stage};
 use crate::clock::Clock;
 use crate::duty::Mailbox;
 use crate::http::{
-    EventStream, Handler, InputError, Request, Response, ServerSettings, StreamGuard, events,
-    json as json_response, read_json,
+    EventStream, Handler, InputError, Request, Response, ServerSettings, StreamGuard, closing, events,
+    json as json_response, read_json_within,
 };
 use crate::ids::RequestId;
 use crate::request::{Completion, Failure, NotRun, Outcome};
@@ -74,8 +76,13 @@
     pub front_end: Rc<FrontEnd>,
     pub settings: ServerSettings,
     pub clock: C,
+    /// Limits what the requests of all callers take together.
+    pub memory: Rc<CallerMemory>,
 }
 
+/// Time after which a caller that was refused for lack of memory may come back, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+
 impl<C: Clock> Handler for CallerHandler<C> {
     async fn handle(&self, mut request: Request) -> Response {
         let path = request.path().to_owned();
@@ -85,31 +92,67 @@
                 let ready = self.front_end.ready.get();
                 json_response(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
             }
-            ("POST", "/v1/generate" | "/v1/call") => {
-                let token_sha256 = token_hash(&request);
-                match self.decode(&path, &mut request, token_sha256).await {
-                    Ok(arrived) => self.front_end.submit(arrived).await,
-                    Err(error) => {
-                        log::info!("event=rejected path={path} reason=\"{error}\"");
-                        json_response(error.status(), &rejected("malformed", &error.to_string()))
-                    }
-                }
-            }
+            ("POST", "/v1/generate" | "/v1/call") => match self.memory.open() {
+                Some(hold) => self.serve_request(&path, &mut request, &hold).await,
+                None => self.refuse(Refused::Connection),
+            },
             _ => json_response(404, &rejected("unknown_path", "allowed: POST /v1/generate, POST /v1/call")),
         }
     }
 }
 
 impl<C: Clock> CallerHandler<C> {
+    /// Decodes a request and passes it to the policy, unless there is no memory for it.
+    async fn serve_request(&self, path: &str, request: &mut Request, hold: &Hold) -> Response {
+        hold.set_stage(Stage::Arriving);
+        let token_sha256 = token_hash(request);
+        let decoded = tokio::select! {
+            biased;
+            () = hold.dropped() => None,
+            decoded = self.decode(path, request, token_sha256, hold) => Some(decoded),
+        };
+        match decoded {
+            Some(Ok(arrived)) => {
+                hold.set_stage(Stage::Working);
+                tokio::select! {
+                    biased;
+                    response = self.front_end.submit(arrived) => response,
+                    () = hold.dropped() => {
+                        hold.record(Refused::Response);
+                        let body = json!({
+                            "outcome": "unknown", "reason": "no_memory", "error": "callers hold too much memory"
+                        });
+                        closing(json_response(502, &body))
+                    }
+                }
+            }
+            Some(Err(error)) => {
+                log::info!("event=rejected path={path} reason=\"{error}\"");
+                json_response(error.status(), &rejected("malformed", &error.to_string()))
+            }
+            None => self.refuse(Refused::Request),
+        }
+    }
+
+    /// Responds that a request was not run because there is no memory for it.
+    fn refuse(&self, refused: Refused) -> Response {
+        self.memory.record(refused);
+        let mut response =
+            closing(json_response(503, &rejected("no_memory", "callers hold too much memory")));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+        response
+    }
+
     async fn decode(
         &self,
         path: &str,
         request: &mut Request,
         token_sha256: String,
+        hold: &Hold,
     ) -> std::result::Result<CallerRequest, InputError> {
         let id = self.front_end.new_id();
         if path == "/v1/generate" {
-            let body: GenerateBody = read_json(request, &self.settings).await?;
+            let body: GenerateBody = read_json_within(request, &self.settings, hold).await?;
             return Ok(CallerRequest {
                 request: id,
                 token_sha256,
@@ -124,7 +167,7 @@
                 },
             });
         }
-        let body: CallBody = read_json(request, &self.settings).await?;
+        let body: CallBody = read_json_within(request, &self.settings, hold).await?;
         Ok(CallerRequest {
             request: id,
             token_sha256,
--- a/crates/banyannotch/src/intake/mod.rs
+++ b/crates/banyannotch/src/intake/mod.rs
@@ -5,6 +5,8 @@
 
 mod error;
 mod front;
+#[cfg(test)]
+mod front_tests;
 mod messages;
 mod policy;
 mod runtime;
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -7,6 +7,7 @@
 use super::front::{CallerHandler, FrontEnd};
 use super::{Action, Event, Intake, IntakeSettings};
 use crate::admission;
+use crate::caller_memory::{AccountSettings, CallerMemory};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::execution;
@@ -53,6 +54,7 @@
             front_end: Rc::clone(&front_end),
             settings: ServerSettings::default(),
             clock: clock.clone(),
+            memory: CallerMemory::new(caller_limits(&settings)),
         };
         match listener_from_std(listener) {
             Ok(listener) => {
@@ -74,6 +76,20 @@
     })
 }
 
+/// Returns the limits of what the requests of all callers take together. The server limits the connections by itself.
+fn caller_limits(settings: &IntakeSettings) -> AccountSettings {
+    const BYTES_PER_MB: usize = 1 << 20;
+    /// One part in this many is reserved for small requests.
+    const RESERVED_DIVISOR: usize = 4;
+    let limit_bytes = settings.callers_limit_mb * BYTES_PER_MB;
+    AccountSettings {
+        limit_bytes,
+        reserved_bytes: limit_bytes / RESERVED_DIVISOR,
+        connection_limit: ServerSettings::default().connection_limit,
+        ..AccountSettings::default()
+    }
+}
+
 struct IntakePorts {
     links: Links,
     mailbox: Mailbox<Event>,
--- a/crates/banyannotch/src/intake/state.rs
+++ b/crates/banyannotch/src/intake/state.rs
@@ -12,11 +12,13 @@
     /// How long a draining entry still accepts requests, so that the load balancer can first detect that it
     /// is not ready.
     pub drain_notice_ms: u64,
+    /// Memory that the requests of all callers can take together, in megabytes.
+    pub callers_limit_mb: usize,
 }
 
 impl Default for IntakeSettings {
     fn default() -> Self {
-        Self { credit_batch_tokens: 16, drain_notice_ms: 3_000 }
+        Self { credit_batch_tokens: 16, drain_notice_ms: 3_000, callers_limit_mb: 64 }
     }
 }
 
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -20,6 +20,11 @@
 
 /// All metrics with their type and description, sorted by name.
 pub(super) const METRICS: &[(&str, Kind, &str)] = &[
+    (
+        "banyannotch_callers_refused_total",
+        Counter,
+        "Requests, responses and connections of callers that were refused or dropped for memory or descriptors",
+    ),
     ("banyannotch_configuration_certain", Gauge, "1 while it is known which configuration is in force"),
     ("banyannotch_configuration_gaps_total", Counter, "Expired records that the entry never read"),
     ("banyannotch_configuration_refused_total", Counter, "Configuration records that were refused"),
