dispatch: crashes after an error, garbage or silence count

A request under which endpoints sent garbage, an error or nothing before they ended was sent to further ones without a limit; only broken connections of the first engine counted (a_crash_counts_however_the_send_ended, KNOWN-RED.txt). In the new simulation with 6, 83 and 295 gateways 33 to 58 sends came later than 3 s after the third crash, in 12 s.

Each such ending is now a suspicion with its own rule (Suspicion, EndSign in dispatch/crashes.rs). Endpoints that are overloaded, stalled or cut off end sends in the same ways, give no reports and take no connections, so that only a new start or a refused connection within 2 s confirms the crash, after an answer also a removed entry. The gateway probes the endpoint once, 0.5 s after the ending. All sends of one request count once, unless their connections broke. Errors below 500 do not count. Later engines of the path are suspected too, also those that a rejection names after the time in which engines find others dead; their starts are recorded with the send. A whole answer to a retry clears suspicions of the request that are not confirmed yet, also those of broken connections, and an announced departure ends the new ones.

--- a/crates/banyannotch/src/gateway/dispatch/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/crashes.rs
@@ -4,8 +4,8 @@
 //! A feature of a request is a shared part of its prompt or the whole request. The features of the requests that an
 //! endpoint had not begun to answer when it crashed are suspects of this crash; a later run with a feature that begins
 //! and survives clears the feature. A broken connection alone is no evidence: a network fault breaks the connections of
-//! all requests. It counts once the endpoint is found to be down or to have started anew. Gateways pass on crashes, runs
-//! and quarantines; see `docs/platform.md`.
+//! all requests. It counts once the endpoint is found to be down or to have started anew. Other endings of a send count too, with
+//! stricter rules ([`Suspicion`]). Gateways pass on crashes, runs and quarantines; see `docs/platform.md`.
 
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,12 @@
 pub(super) const SURVIVAL_US: u64 = 100_000;
 /// Time after a broken connection in which its endpoint must be found down, in microseconds.
 const CONFIRMATION_US: u64 = 6_000_000;
+/// Time after another ending in which its endpoint must be found down, in microseconds. An endpoint that fails for some seconds
+/// before it is lost ends many sends in these ways, and with 6 s sound requests were refused in a simulation with 83 gateways.
+const FAULT_CONFIRMATION_US: u64 = 2_000_000;
+/// Time after such an ending at which the endpoint is probed, in microseconds. Its entry would show the end only after several
+/// missed heartbeats.
+const PROBE_DELAY_US: u64 = 500_000;
 /// Largest difference between what gateways take for the time of the same event, in microseconds. Ages do not contain the
 /// time for which a datagram is on its way. Another time counts only if it differs by more, so that gateways that repeat an
 /// event to each other do not move it each time.
@@ -41,7 +47,7 @@
 /// Time for which runs with a feature are reported after a gateway has last reported a crash with it, in microseconds.
 pub(super) const WATCH_US: u64 = 3_000_000;
 
-/// Maximum number of broken connections that wait for a confirmation.
+/// Maximum number of possible crashes that wait for a confirmation.
 const UNCONFIRMED_LIMIT: usize = 256;
 /// Maximum number of retained crashes.
 const RETAINED_CRASH_LIMIT: usize = 64;
@@ -77,12 +83,79 @@
     pub born_ms: u64,
 }
 
-/// A broken connection whose endpoint has not been found down so far.
+/// How a send ended under which an endpoint may have crashed. It decides which signs confirm the crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Suspicion {
+    /// The connection broke, as when a process ends. Every sign confirms it.
+    Broken,
+    /// The endpoint answered with an error or garbage. One that is overloaded or behind a faulty link does so too, and then
+    /// gives no report and takes no connection; but it keeps its entry.
+    Answered,
+    /// The endpoint sent nothing, or it is a later engine of the path. One that is stalled or cut off is also silent, makes the
+    /// first engine answer with an error, and loses its entry, so that only the end of the process confirms a crash.
+    Silent,
+}
+
+/// What shows that an endpoint has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum EndSign {
+    /// It gave no report.
+    NoReport,
+    /// No connection to it was made in time.
+    NoConnection,
+    /// Its entry was removed, without an announcement of its departure.
+    EntryRemoved,
+    /// Its entry names another start.
+    EntryChanged,
+    /// Its report names another start.
+    Restarted,
+    /// Nothing listens at its address.
+    Refused,
+}
+
+impl EndSign {
+    /// Returns the name of the sign in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoReport => "no_report",
+            Self::NoConnection => "no_connection",
+            Self::EntryRemoved => "entry_removed",
+            Self::EntryChanged => "entry_changed",
+            Self::Restarted => "restarted",
+            Self::Refused => "refused",
+        }
+    }
+
+    fn confirms(self, suspicion: Suspicion) -> bool {
+        match self {
+            Self::EntryChanged | Self::Restarted | Self::Refused => true,
+            Self::EntryRemoved => suspicion != Suspicion::Silent,
+            Self::NoReport | Self::NoConnection => suspicion == Suspicion::Broken,
+        }
+    }
+}
+
+/// A possible crash whose endpoint has not been found down so far.
 #[derive(Clone, Debug)]
 struct Unconfirmed {
     crash: Crash,
     features: Vec<Feature>,
     at_us: u64,
+    suspicion: Suspicion,
+    /// Number of the request.
+    ticket: u64,
+    /// Whether the endpoint was probed because of this send.
+    is_probed: bool,
+}
+
+impl Unconfirmed {
+    fn is_recent(&self, now_us: u64) -> bool {
+        let limit_us = match self.suspicion {
+            Suspicion::Broken => CONFIRMATION_US,
+            Suspicion::Answered | Suspicion::Silent => FAULT_CONFIRMATION_US,
+        };
+        self.at_us + limit_us > now_us
+    }
 }
 
 /// When a crash occurred, and the features that may have caused it, with their depths.
@@ -115,28 +188,79 @@
 }
 
 impl Crashes {
-    /// Records that the connection to an endpoint broke before it had begun to answer a request with these features.
-    pub fn record_break(&mut self, crash: Crash, features: Vec<Feature>, now_us: u64) {
-        self.unconfirmed.retain(|unconfirmed| unconfirmed.at_us + CONFIRMATION_US > now_us);
-        if !features.is_empty() && self.unconfirmed.len() < UNCONFIRMED_LIMIT {
-            self.unconfirmed.push(Unconfirmed { crash, features, at_us: now_us });
+    /// Records how a send of a request with these features ended, before the endpoint had begun to answer it.
+    pub fn record_end(
+        &mut self,
+        crash: Crash,
+        suspicion: Suspicion,
+        ticket: u64,
+        features: Vec<Feature>,
+        now_us: u64,
+    ) {
+        self.unconfirmed.retain(|unconfirmed| unconfirmed.is_recent(now_us));
+        // Endpoints that garble answers leave room for broken connections.
+        let limit = match suspicion {
+            Suspicion::Broken => UNCONFIRMED_LIMIT,
+            Suspicion::Answered | Suspicion::Silent => UNCONFIRMED_LIMIT / 2,
+        };
+        if !features.is_empty() && self.unconfirmed.len() < limit {
+            self.unconfirmed.push(Unconfirmed {
+                crash,
+                features,
+                at_us: now_us,
+                suspicion,
+                ticket,
+                is_probed: false,
+            });
         }
     }
 
-    /// Counts the recent breaks of an endpoint as a crash, because it was found to be down or to have started anew. Returns
-    /// the crash of each break.
-    pub fn confirm(&mut self, address: Address, now_us: u64) -> Vec<Crash> {
-        let is_confirmed = |unconfirmed: &mut Unconfirmed| unconfirmed.crash.address == address;
+    /// Counts the recent ends of sends to an endpoint as a crash, because a sign shows that it has ended. Returns the crash of
+    /// each send. If no connection broke, a request counts once for all its sends: engines that fail and are then lost together
+    /// would else be several crashes under a single request.
+    pub fn confirm(&mut self, address: Address, sign: EndSign, now_us: u64) -> Vec<Crash> {
+        let is_confirmed = |unconfirmed: &mut Unconfirmed| {
+            unconfirmed.crash.address == address && sign.confirms(unconfirmed.suspicion)
+        };
         let mut confirmed: Vec<_> = self.unconfirmed.extract_if(.., is_confirmed).collect();
-        confirmed.retain(|unconfirmed| unconfirmed.at_us + CONFIRMATION_US > now_us);
-        for Unconfirmed { crash, features, at_us } in &confirmed {
+        confirmed.retain(|unconfirmed| unconfirmed.is_recent(now_us));
+        for Unconfirmed { crash, features, at_us, ticket, .. } in &confirmed {
             self.record_crash(*crash, *at_us, features, now_us);
+            self.unconfirmed.retain(|other| other.ticket != *ticket || other.suspicion == Suspicion::Broken);
         }
         let mut crashes: Vec<_> = confirmed.iter().map(|unconfirmed| unconfirmed.crash).collect();
         crashes.sort_unstable();
         crashes
     }
 
+    /// Forgets the sends to an endpoint that announced its departure, except those whose connections broke.
+    pub fn forget_sends(&mut self, address: Address) {
+        self.unconfirmed.retain(|unconfirmed| {
+            unconfirmed.crash.address != address || unconfirmed.suspicion == Suspicion::Broken
+        });
+    }
+
+    /// Returns the endpoints that may have crashed without breaking a connection and have not been probed since.
+    pub fn due_probes(&mut self, now_us: u64) -> Vec<Address> {
+        let is_due = |unconfirmed: &&mut Unconfirmed| {
+            unconfirmed.suspicion != Suspicion::Broken
+                && !unconfirmed.is_probed
+                && unconfirmed.at_us + PROBE_DELAY_US <= now_us
+                && unconfirmed.is_recent(now_us)
+        };
+        let mut addresses = Vec::new();
+        for unconfirmed in self.unconfirmed.iter_mut().filter(is_due) {
+            unconfirmed.is_probed = true;
+            addresses.push(unconfirmed.crash.address);
+        }
+        addresses
+    }
+
+    /// Returns the endpoints that may have crashed, with the start of which this is so.
+    pub fn suspected(&self) -> impl Iterator<Item = Crash> {
+        self.unconfirmed.iter().map(|unconfirmed| unconfirmed.crash)
+    }
+
     pub(super) fn record_crash(&mut self, crash: Crash, at_us: u64, features: &[Feature], now_us: u64) {
         let known = self.crashes.iter().find(|((known, _), evidence)| {
             *known == crash && evidence.at_us.abs_diff(at_us) <= SAME_CRASH_US
@@ -166,9 +290,22 @@
         }
     }
 
+    /// Forgets the sends of a request that ended before it ran elsewhere. The run would clear the crash, but runs of requests are
+    /// only retained once a crash is known.
+    fn forget_ends(&mut self, digest: u64, begun_us: u64) {
+        let is_cleared = |feature: &Feature| feature.is_request() && feature.digest == digest;
+        for unconfirmed in self.unconfirmed.iter_mut().filter(|unconfirmed| unconfirmed.at_us <= begun_us) {
+            unconfirmed.features.retain(|feature| !is_cleared(feature));
+        }
+        self.unconfirmed.retain(|unconfirmed| !unconfirmed.features.is_empty());
+    }
+
     /// Records that a run with these features began and survived.
     pub fn record_run(&mut self, features: &[Feature], begun_us: u64, now_us: u64) {
         self.last_run_us = self.last_run_us.max(begun_us);
+        for feature in features.iter().filter(|feature| feature.is_request()) {
+            self.forget_ends(feature.digest, begun_us);
+        }
         for feature in features {
             // The digest of a request seldom comes again, so it is retained only if a crash is known.
             if !feature.is_request()
@@ -182,6 +319,7 @@
 
     /// Records that a request was answered as a whole. Whenever its run began, the request does not crash every endpoint.
     pub fn record_answer(&mut self, digest: u64, now_us: u64) {
+        self.forget_ends(digest, now_us);
         if self.crash_count(digest) > 0 || self.quarantined.contains(&digest) {
             self.clear(digest, now_us, now_us);
         }
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -1,6 +1,6 @@
 //! Updates the health of endpoints from answers, time-outs, engine reports and the state of other gateways.
 
-use super::crashes::{Crash, SURVIVAL_US, features};
+use super::crashes::{Crash, EndSign, SURVIVAL_US, Suspicion, features};
 use super::health::Load;
 use super::messages::{Action, BrokenBy, Decision, Ending, PeerState, Sections};
 use super::policy::Dispatch;
@@ -56,24 +56,82 @@
             self.crashes.record_run(&features(&ticket.request), begun_us, now_us);
         }
         // A request that an endpoint has answered in part is sound.
-        if ending == (Ending::Broken { by: BrokenBy::Connection })
-            && !ticket.has_survived
-            && let Some((first, _)) = reservation.loads.first()
-        {
-            let crash = Crash { address: *first, born_ms: reservation.born_ms };
-            self.crashes.record_break(crash, features(&ticket.request), now_us);
+        if !ticket.has_survived {
+            self.record_possible_crash(now_us, ticket_id, reservation, ending);
         }
     }
 
-    /// Counts the recent breaks of an endpoint, because it was found to be down or to have started anew.
+    /// Records that the endpoints of a send may have crashed under it.
+    fn record_possible_crash(
+        &mut self,
+        now_us: u64,
+        ticket_id: u64,
+        reservation: &Reservation,
+        ending: Ending,
+    ) {
+        /// Lowest HTTP status of an error that is not the request's.
+        const SERVER_ERROR_STATUS: u16 = 500;
+        let Some(ticket) = self.tickets.get(&ticket_id) else { return };
+        let Some((first, later)) = reservation.loads.split_first() else { return };
+        let features = features(&ticket.request);
+        let suspicion = match ending {
+            Ending::Broken { by: BrokenBy::Connection } => Some(Suspicion::Broken),
+            Ending::Broken { by: BrokenBy::Garbled } => Some(Suspicion::Answered),
+            Ending::Broken { by: BrokenBy::Silence } => Some(Suspicion::Silent),
+            Ending::Failed { status } if status >= SERVER_ERROR_STATUS => Some(Suspicion::Answered),
+            _ => None,
+        };
+        let lost_later = match ending {
+            // A quick rejection shows that the engine lacks room.
+            Ending::NotRun { fault_at, .. } if self.has_waited_for_path(now_us, reservation) => fault_at,
+            _ => None,
+        };
+        if let Some(suspicion) = suspicion {
+            let crash = Crash { address: first.0, born_ms: reservation.born_ms };
+            if suspicion == Suspicion::Broken || self.is_running(&crash) {
+                self.crashes.record_end(crash, suspicion, ticket_id, features.clone(), now_us);
+            }
+        }
+        for ((address, _), born_ms) in later.iter().zip(&reservation.later_born_ms) {
+            let crash = Crash { address: *address, born_ms: *born_ms };
+            let is_suspected = suspicion.is_some() || lost_later == Some(*address);
+            if is_suspected && self.is_running(&crash) {
+                self.crashes.record_end(crash, Suspicion::Silent, ticket_id, features.clone(), now_us);
+            }
+        }
+    }
+
+    /// Returns the starts of the engines after the first one of a path, as Unix times in milliseconds. An engine without an entry
+    /// has 0.
+    pub(super) fn later_starts(&self, loads: &[(Address, Load)]) -> Vec<u64> {
+        let start = |(address, _): &(Address, Load)| {
+            self.endpoint_at(*address).map_or(0, |endpoint| endpoint.born_ms)
+        };
+        loads.iter().skip(1).map(start).collect()
+    }
+
+    /// Returns whether an incarnation of an endpoint has an entry and has not announced its departure. If it has ended already, its
+    /// end may have been planned.
+    fn is_running(&self, crash: &Crash) -> bool {
+        let endpoint = self.endpoint_at(crash.address);
+        endpoint.is_some_and(|endpoint| endpoint.born_ms == crash.born_ms && !endpoint.leaving)
+    }
+
+    /// Returns whether a send has lasted for the time in which engines find others dead.
+    fn has_waited_for_path(&self, now_us: u64, reservation: &Reservation) -> bool {
+        now_us >= reservation.sent_us + self.settings.stall_limit_min_ms * US_PER_MS
+    }
+
+    /// Counts the recent ends of sends to an endpoint, because it was found to be down or to have started anew.
     pub(super) fn confirm_crash(
         &mut self,
         address: Address,
         now_us: u64,
-        cause: &'static str,
+        sign: EndSign,
         actions: &mut Vec<Action>,
     ) {
-        let broken = self.crashes.confirm(address, now_us);
+        let broken = self.crashes.confirm(address, sign, now_us);
+        let cause = sign.name();
         for same in broken.chunk_by(|left, right| left == right) {
             if let Some(crash) = same.first().copied() {
                 let sends = same.len();
@@ -82,6 +140,15 @@
         }
     }
 
+    /// Probes the endpoints that may have crashed without breaking a connection.
+    pub(super) fn probe_suspects(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for address in self.crashes.due_probes(now_us) {
+            if self.probes.insert(address, ()).is_none() {
+                actions.push(Action::Probe(address));
+            }
+        }
+    }
+
     /// Records the runs that have begun and survived, and decides which features are quarantined.
     pub(super) fn judge_crashes(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         for (_, ticket) in self.tickets.iter_mut() {
@@ -90,6 +157,7 @@
                 self.crashes.record_run(&features(&ticket.request), begun_us, now_us);
             }
         }
+        self.probe_suspects(now_us, actions);
         for change in self.crashes.judge(now_us, self.known_gateways, &mut self.random) {
             actions.push(Action::Decide(match change {
                 Change::Quarantined { feature, by } => {
@@ -120,8 +188,7 @@
         const MISDIRECTED_STATUS: u16 = 421;
         let Some((first, _)) = reservation.loads.first() else { return };
         let faulty = fault_at.unwrap_or(*first);
-        let is_slow = now_us >= reservation.sent_us + self.settings.stall_limit_min_ms * US_PER_MS
-            && fault_at.is_some();
+        let is_slow = fault_at.is_some() && self.has_waited_for_path(now_us, reservation);
         if is_slow || status == MISDIRECTED_STATUS {
             self.exclude(now_us, faulty, "rejected", actions);
             return;
@@ -182,7 +249,7 @@
     ) {
         self.probes.remove(&address);
         if is_refused {
-            self.confirm_crash(address, now_us, "refused", actions);
+            self.confirm_crash(address, now_us, EndSign::Refused, actions);
             self.exclude(now_us, address, "refused", actions);
         }
     }
@@ -211,14 +278,14 @@
         self.inspections.remove(&address);
         match report {
             None => {
-                self.confirm_crash(address, now_us, "no_report", actions);
+                self.confirm_crash(address, now_us, EndSign::NoReport, actions);
                 self.exclude(now_us, address, "no_report", actions);
             }
             Some(report) => {
                 let known = self.endpoint_at(address);
                 // A report without a start time says nothing about a restart.
                 if report.born_ms != 0 && known.is_some_and(|endpoint| endpoint.born_ms != report.born_ms) {
-                    self.confirm_crash(address, now_us, "restarted", actions);
+                    self.confirm_crash(address, now_us, EndSign::Restarted, actions);
                 }
                 self.health.entry(address).record_slowdown(now_us, report.pace);
                 // The report names an engine once for each request that waits for it.
@@ -297,12 +364,24 @@
                 health.reset();
             }
             // An endpoint that announced its departure did not crash.
-            if !known.leaving && (restarted || successor.is_none()) {
-                ended.push((known.address, if restarted { "entry_changed" } else { "entry_removed" }));
+            let is_planned =
+                known.leaving || (!restarted && successor.is_some_and(|successor| successor.leaving));
+            if is_planned {
+                self.crashes.forget_sends(known.address);
+            } else if restarted || successor.is_none() {
+                let sign = if restarted { EndSign::EntryChanged } else { EndSign::EntryRemoved };
+                ended.push((known.address, sign));
             }
         }
-        for (address, cause) in ended {
-            self.confirm_crash(address, now_us, cause, actions);
+        // The entry of an endpoint that crashed may expire before the one of its next start arrives.
+        let returned = self.crashes.suspected().filter(|crash| {
+            find_endpoint(&self.endpoints, crash.address).is_none()
+                && find_endpoint(&endpoints, crash.address)
+                    .is_some_and(|endpoint| endpoint.born_ms != crash.born_ms)
+        });
+        ended.extend(returned.map(|crash| (crash.address, EndSign::EntryChanged)));
+        for (address, sign) in ended {
+            self.confirm_crash(address, now_us, sign, actions);
         }
         self.health
             .retain(|address, health| !health.own.is_idle() || find_endpoint(&endpoints, *address).is_some());
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -5,7 +5,7 @@
 use super::DispatchSettings;
 use super::announcements::Announcements;
 use super::budget::Budget;
-use super::crashes::{Crashes, features};
+use super::crashes::{Crashes, EndSign, features};
 use super::evidence::Peer;
 use super::health::HealthTable;
 use super::messages::{
@@ -219,6 +219,7 @@
     fn order_send(&mut self, now_us: u64, ticket_id: u64, choice: Choice, actions: &mut Vec<Action>) {
         let valid_until_us = self.valid_until_us(ticket_id);
         let (version, proof_age_ms) = (self.version(), self.proof_age_ms(now_us));
+        let later_born_ms = self.later_starts(&choice.loads);
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         let crashes = self.crashes.crash_count(ticket.request.digest);
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
@@ -230,6 +231,7 @@
             loads: choice.loads,
             endpoint: Arc::clone(&choice.endpoint),
             born_ms: choice.born_ms,
+            later_born_ms,
             sent_us: now_us,
         };
         actions.push(Action::Decide(Decision::Sent {
@@ -317,7 +319,7 @@
             }
             Ending::Unsent => {
                 if let Some((first, _)) = reservation.loads.first() {
-                    self.confirm_crash(*first, now_us, "no_connection", actions);
+                    self.confirm_crash(*first, now_us, EndSign::NoConnection, actions);
                     self.exclude(now_us, *first, "no_connection", actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
--- a/crates/banyannotch/src/gateway/dispatch/tests/crashes.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/crashes.rs
@@ -3,7 +3,7 @@
 
 use super::fixtures::{World, address, endpoints, request};
 use crate::gateway::RequestInfo;
-use crate::gateway::dispatch::crashes::{Crash, Crashes, SURVIVAL_US, features};
+use crate::gateway::dispatch::crashes::{Crash, Crashes, EndSign, SURVIVAL_US, Suspicion, features};
 use crate::gateway::dispatch::quarantine::Change;
 use crate::gateway::dispatch::{BrokenBy, Ending, Event};
 use crate::random::Random;
@@ -175,8 +175,8 @@
         engine.crash.born_ms += 1;
         for lost in std::mem::take(&mut engine.sent) {
             let known = &mut self.gateways[lost.gateway];
-            known.record_break(crash, features(&lost.request), now_us);
-            known.confirm(crash.address, now_us);
+            known.record_end(crash, Suspicion::Broken, 0, features(&lost.request), now_us);
+            known.confirm(crash.address, EndSign::NoReport, now_us);
             if !lost.is_retry && known.quarantined_feature(&features(&lost.request)).is_none() {
                 self.send(lost.gateway, lost.request, true);
             }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -154,6 +154,8 @@
     pub last_refusal: Option<Refusal>,
     /// Engines that dispatch has asked for a report.
     pub inspected: Vec<Address>,
+    /// Endpoints that dispatch has asked to probe.
+    pub probed: Vec<Address>,
     /// Log lines of the decisions.
     pub decisions: Vec<String>,
     next_ticket: u64,
@@ -179,6 +181,7 @@
             last_order: None,
             last_refusal: None,
             inspected: Vec::new(),
+            probed: Vec::new(),
             decisions: Vec::new(),
             next_ticket: 1,
         }
@@ -310,7 +313,10 @@
                 format!("{ticket}: {} {}", refusal.reason.status(), refusal.reason)
             }
             Action::Ready(ready) => format!("ready {ready}"),
-            Action::Probe(address) => format!("probe {}", address.ip()),
+            Action::Probe(address) => {
+                self.probed.push(address);
+                format!("probe {}", address.ip())
+            }
             Action::Leaving(start) => format!("{} leaves", start.id),
             Action::Inspect(address) => {
                 self.inspected.push(address);
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod chains;
 mod crashes;
+mod endings;
 pub(crate) mod fixtures;
 mod late;
 mod outcomes;
--- a/crates/banyannotch/src/gateway/dispatch/tickets.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tickets.rs
@@ -34,6 +34,8 @@
     pub endpoint: Arc<str>,
     /// Start of the incarnation of this endpoint, as Unix time in milliseconds.
     pub born_ms: u64,
+    /// Starts of the other endpoints of `loads`, in their order.
+    pub later_born_ms: Vec<u64>,
     /// Time of the send, in microseconds.
     pub sent_us: u64,
 }
--- a/crates/banyannotch/src/gateway/gossip/crash_tests.rs
+++ b/crates/banyannotch/src/gateway/gossip/crash_tests.rs
@@ -11,37 +11,37 @@
 /// Number of crashes after which the users count further sends of the same request.
 const CRASH_LIMIT: usize = 3;
 /// Number of further sends that they allow.
-const EXCESS_LIMIT: usize = 3;
+pub(super) const EXCESS_LIMIT: usize = 3;
 /// Time after the third crash from which further sends count, in rounds: the shortest `contact_ms`, 3 s.
-const CONTACT_ROUNDS: u64 = 12;
+pub(super) const CONTACT_ROUNDS: u64 = 12;
 /// Rounds in which the gateways of a new fleet find each other.
-const DISCOVERY_ROUNDS: u64 = 24;
+pub(super) const DISCOVERY_ROUNDS: u64 = 24;
 /// Time for which a crashed engine is down, in microseconds.
 const DOWN_US: u64 = 3_000_000;
 /// Time after a crash at which the entry of the engine has expired, in microseconds.
 const EXPIRED_US: u64 = 1_000_000;
 /// Number of engines, each with a whole model.
-const ENGINE_COUNT: u8 = 24;
+pub(super) const ENGINE_COUNT: u8 = 24;
 /// Number of the first engine of [`World::with_small_model`].
-const FIRST_ENGINE: u8 = 11;
+pub(super) const FIRST_ENGINE: u8 = 11;
 /// Digest of the request that crashes engines.
 const DEADLY: u64 = 900_000;
 
 /// Digest of a sound request.
-const SOUND: u64 = 800_000;
+pub(super) const SOUND: u64 = 800_000;
 
 fn deadly_request() -> RequestInfo {
     RequestInfo { digest: DEADLY, ..request("/write/x") }
 }
 
 #[derive(Clone)]
-struct Engine {
-    crashed_us: Option<u64>,
-    born_ms: u64,
+pub(super) struct Engine {
+    pub crashed_us: Option<u64>,
+    pub born_ms: u64,
 }
 
 impl Engine {
-    fn is_down(&self, now_us: u64) -> bool {
+    pub fn is_down(&self, now_us: u64) -> bool {
         self.crashed_us.is_some_and(|crashed_us| now_us < crashed_us + DOWN_US)
     }
 
@@ -56,23 +56,25 @@
 }
 
 /// A fleet before engines that crash when they begin to run a deadly request.
-struct Play {
-    fleet: Fleet,
-    engines: Vec<Engine>,
+pub(super) struct Play {
+    pub fleet: Fleet,
+    pub engines: Vec<Engine>,
     /// Starts in the entries that each gateway has read last.
     entries: Vec<Vec<Option<u64>>>,
-    round: u64,
+    pub round: u64,
     /// Gateways that neither send nor reply.
     away: Vec<usize>,
     /// Times at which engines crashed.
-    crashes_us: Vec<u64>,
+    pub crashes_us: Vec<u64>,
     /// Sends of the deadly request that the users count.
-    excess: usize,
-    random: Random,
+    pub excess: usize,
+    /// How a send of the deadly request ends.
+    pub crash_ending: Ending,
+    pub random: Random,
 }
 
 impl Play {
-    fn new(gateways: usize) -> Self {
+    pub fn new(gateways: usize) -> Self {
         let mut play = Self {
             fleet: Fleet::with_dispatch(gateways, ENGINE_COUNT),
             engines: vec![Engine { crashed_us: None, born_ms: 1 }; usize::from(ENGINE_COUNT)],
@@ -81,13 +83,14 @@
             away: Vec::new(),
             crashes_us: Vec::new(),
             excess: 0,
+            crash_ending: Ending::Broken { by: BrokenBy::Connection },
             random: Random::seeded(3),
         };
         play.rounds(DISCOVERY_ROUNDS);
         play
     }
 
-    fn rounds(&mut self, count: u64) {
+    pub fn rounds(&mut self, count: u64) {
         for _ in 0..count {
             for index in self.present() {
                 self.read_entries(index);
@@ -98,7 +101,7 @@
     }
 
     /// Returns the time between the last round and the next one.
-    fn now_us(&self) -> u64 {
+    pub fn now_us(&self) -> u64 {
         round_us(self.round, 0)
     }
 
@@ -107,7 +110,7 @@
     }
 
     /// Brings a gateway's clock, configuration and entries up to date.
-    fn read_entries(&mut self, index: usize) {
+    pub fn read_entries(&mut self, index: usize) {
         let now_us = self.now_us();
         let entries: Vec<_> = self.engines.iter().map(|engine| engine.entry_born_ms(now_us)).collect();
         let world = &mut self.fleet.worlds[index];
@@ -123,11 +126,17 @@
             world.event(Event::Endpoints(endpoints.into()));
             self.entries[index] = entries;
         }
+        self.answer_inspections(index);
     }
 
-    /// Answers the inspections of a gateway.
-    fn answer_inspections(&mut self, index: usize) {
+    /// Answers the inspections and probes of a gateway.
+    pub fn answer_inspections(&mut self, index: usize) {
         let world = &mut self.fleet.worlds[index];
+        for probed in std::mem::take(&mut world.probed) {
+            let engine = (FIRST_ENGINE..).zip(&self.engines).find(|(number, _)| address(*number) == probed);
+            let is_refused = engine.is_some_and(|(_, engine)| engine.is_down(world.now_us));
+            world.event(Event::Probed { address: probed, is_refused });
+        }
         for inspected in std::mem::take(&mut world.inspected) {
             let engine =
                 (FIRST_ENGINE..).zip(&self.engines).find(|(number, _)| address(*number) == inspected);
@@ -139,7 +148,7 @@
     }
 
     /// Sends the deadly request to a gateway. Its caller leaves after the given number of crashes.
-    fn attempt(&mut self, index: usize, crash_limit: usize) {
+    pub fn attempt(&mut self, index: usize, crash_limit: usize) {
         self.read_entries(index);
         let now_us = self.now_us();
         let counts_from_us =
@@ -158,7 +167,7 @@
                 self.excess += usize::from(counts_from_us.is_some_and(|from_us| now_us > from_us));
                 self.crashes_us.push(now_us);
                 crashes += 1;
-                Ending::Broken { by: BrokenBy::Connection }
+                self.crash_ending
             };
             self.fleet.worlds[index].end(ticket, ending);
             self.answer_inspections(index);
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -7,6 +7,8 @@
 #[cfg(test)]
 mod crash_tests;
 #[cfg(test)]
+mod ending_tests;
+#[cfg(test)]
 mod fleet;
 mod members;
 mod messages;
