--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod chains;
 mod crashes;
+mod endings;
 mod eras;
 pub(crate) mod fixtures;
 mod late;
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -9,6 +9,8 @@
 #[cfg(test)]
 mod era_tests;
 #[cfg(test)]
+mod ending_tests;
+#[cfg(test)]
 mod fleet;
 mod members;
 mod messages;
