--- a/crates/banyannotch/src/gateway/admission/classes.rs
+++ b/crates/banyannotch/src/gateway/admission/classes.rs
@@ -86,6 +86,12 @@
         self.services.get(service).is_some_and(|classes| classes.is_enabled)
     }
 
+    /// Returns the services whose requests may wait, with their numbers of ranks.
+    pub fn enabled(&self) -> impl Iterator<Item = (&ServiceId, usize)> {
+        let enabled = self.services.iter().filter(|(_, classes)| classes.is_enabled);
+        enabled.map(|(service, classes)| (service, classes.priorities.len().max(1)))
+    }
+
     /// Returns the highest number of a priority that is treated as the least urgent one, if any is.
     pub fn clamped_priority(&self) -> Option<u8> {
         self.clamped_priority
--- a/crates/banyannotch/src/gateway/admission/policy.rs
+++ b/crates/banyannotch/src/gateway/admission/policy.rs
@@ -227,6 +227,16 @@
         self.services.get(service).map_or(0, |state| state.queue.len())
     }
 
+    /// Returns the services whose requests may wait, with the number of waiting requests of each of their ranks.
+    pub fn waiting_by_rank(&self) -> Vec<(ServiceId, Vec<usize>)> {
+        let counts = |(service, ranks): (&ServiceId, usize)| {
+            let queue = self.services.get(service).map(|state| &state.queue);
+            let waiting = (0..).take(ranks).map(|rank| queue.map_or(0, |queue| queue.waiting_in(rank)));
+            (service.clone(), waiting.collect())
+        };
+        self.classes.enabled().map(counts).collect()
+    }
+
     /// Returns the services for which requests wait.
     pub fn services_with_waiting(&self) -> Vec<ServiceId> {
         let with_waiting = self.services.iter().filter(|(_, state)| !state.queue.is_empty());
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -10,7 +10,7 @@
 use super::health::Load;
 use crate::gateway::demand::DemandReport;
 use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo};
-use crate::ids::Zone;
+use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
 
 /// A request that forwarding has read and submits for a decision.
@@ -448,6 +448,19 @@
     PublishState(Box<PeerState>),
     /// Log a decision.
     Decide(Decision),
+    /// Publish the state of a service with priority admission control as metrics.
+    MeasureAdmission(Box<AdmissionState>),
+}
+
+/// State of priority admission control for one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionState {
+    /// The service.
+    pub service: ServiceId,
+    /// Share of the engines' KV cache that is free, by the known loads; none for a plain service.
+    pub room: Option<f64>,
+    /// Number of waiting requests by rank.
+    pub waiting: Vec<usize>,
 }
 
 /// A decision that is logged as one line.
@@ -495,6 +508,8 @@
         refusal: Refusal,
         /// Number of sends before the refusal.
         sends: u32,
+        /// Rank of the class of the request, if its service is classed.
+        rank: Option<u8>,
         /// Version of the configuration.
         version: u64,
         /// Time since the configuration was last confirmed, in milliseconds.
@@ -606,13 +621,22 @@
                 formatter,
                 "event=queued request={id} route={route} rank={rank} waiting={waiting} limit_ms={limit_ms}"
             ),
-            Self::Refused { id, refusal, sends, version, proof_age_ms } => write!(
-                formatter,
-                "event=refused request={id} status={} reason=\"{}\" sends={sends} version={version} \
+            Self::Refused { id, refusal, sends, rank, version, proof_age_ms } => {
+                write!(
+                    formatter,
+                    "event=refused request={id} status={} reason=\"{}\" sends={sends} version={version} \
                  proof_age_ms={proof_age_ms}",
-                refusal.reason.status(),
-                refusal.reason
-            ),
+                    refusal.reason.status(),
+                    refusal.reason
+                )?;
+                match (rank, refusal.retry_after_ms) {
+                    (Some(rank), Some(retry_ms)) => {
+                        write!(formatter, " rank={rank} retry_after_ms={retry_ms}")
+                    }
+                    (Some(rank), None) => write!(formatter, " rank={rank}"),
+                    (None, _) => Ok(()),
+                }
+            }
             Self::Ended { id, endpoint, ending, age_ms, digest } => write!(
                 formatter,
                 "event=ended request={id} endpoint={endpoint} ending=\"{ending:?}\" age_ms={age_ms} \
--- a/crates/banyannotch/src/gateway/dispatch/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/mod.rs
@@ -29,8 +29,9 @@
 pub use crashes::Crash;
 pub use health::Load;
 pub use messages::{
-    Action, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, Event, Feature, PeerState,
-    Proof, QuarantineReport, Refusal, RefusalReason, Sections, SendOrder, Submission, Verdict,
+    Action, AdmissionState, BrokenBy, CrashFindings, CrashReport, Decision, Ending, EndpointStart, Event,
+    Feature, PeerState, Proof, QuarantineReport, Refusal, RefusalReason, Sections, SendOrder, Submission,
+    Verdict,
 };
 pub use policy::Dispatch;
 pub use runtime::{Links, spawn};
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -121,6 +121,7 @@
                     id: request.id,
                     refusal,
                     sends: 0,
+                    rank: None,
                     version: self.version(),
                     proof_age_ms: self.proof_age_ms(now_us),
                 };
@@ -281,6 +282,8 @@
         } else {
             (remaining_ms, remaining_ms)
         };
+        // Plain services have no queue that the priority would order.
+        let priority = ticket.wire_priority(now_us).filter(|_| !choice.hops.is_empty());
         let order = SendOrder {
             address: choice.address,
             born_ms: choice.born_ms,
@@ -290,7 +293,7 @@
                 deadline_ms: remaining_ms,
                 path: choice.hops,
                 resume_after: ticket.request.resume_after,
-                priority: ticket.wire_priority(now_us),
+                priority,
             },
             deadline_us: ticket.deadline_us,
             valid_until_us,
@@ -440,6 +443,7 @@
                 id: ticket.request.id,
                 refusal,
                 sends: ticket.sends,
+                rank: ticket.class.map(|class| class.rank),
                 version: self.version(),
                 proof_age_ms: self.proof_age_ms(now_us),
             }));
@@ -596,6 +600,7 @@
             self.publish_state(now_us, actions);
             self.update_readiness(now_us, actions);
             self.release_waiting(now_us, actions);
+            self.measure_admission(actions);
         }
         self.update_waiting(now_us, actions);
     }
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -6,7 +6,9 @@
 
 use tokio::net::TcpStream;
 
-use super::{Action, Decision, Dispatch, DispatchSettings, Event, PeerState, RefusalReason, Verdict};
+use super::{
+    Action, AdmissionState, Decision, Dispatch, DispatchSettings, Event, PeerState, RefusalReason, Verdict,
+};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::gateway::adapter::EngineControl;
@@ -128,8 +130,21 @@
                 if let Decision::CrashCounted { cause, .. } = &decision {
                     metrics::counter!("banyannotch_gateway_crashes_total", "cause" => *cause).increment(1);
                 }
+                if let Decision::Refused { refusal, rank: Some(rank), .. } = &decision {
+                    let reason = reason_label(refusal.reason);
+                    metrics::counter!(
+                        "banyannotch_gateway_class_refusals_total",
+                        "reason" => reason, "rank" => rank.to_string()
+                    )
+                    .increment(1);
+                }
+                if let Decision::Queued { rank, .. } = &decision {
+                    metrics::counter!("banyannotch_gateway_queued_total", "rank" => rank.to_string())
+                        .increment(1);
+                }
                 log::info!("{decision}");
             }
+            Action::MeasureAdmission(state) => measure_admission(&state),
         }
     }
 
@@ -146,6 +161,20 @@
     }
 }
 
+fn measure_admission(state: &AdmissionState) {
+    let service = state.service.as_str();
+    if let Some(room) = state.room {
+        metrics::gauge!("banyannotch_gateway_room", "service" => service.to_owned()).set(room);
+    }
+    for (rank, waiting) in state.waiting.iter().enumerate() {
+        metrics::gauge!(
+            "banyannotch_gateway_waiting",
+            "service" => service.to_owned(), "rank" => rank.to_string()
+        )
+        .set(*waiting as f64);
+    }
+}
+
 fn count_verdict(verdict: &Verdict) {
     match verdict {
         Verdict::Send(_) => metrics::counter!("banyannotch_gateway_sends_total").increment(1),
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -5,8 +5,8 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::{
-    Action, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending, EndpointStart, Event,
-    Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
+    Action, AdmissionState, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending,
+    EndpointStart, Event, Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
 };
 use crate::gateway::{
     Accelerator, CallerLimits, Configuration, Credential, Endpoint, Pipeline, RequestInfo, RetryMode, Route,
@@ -156,6 +156,8 @@
     pub inspected: Vec<Address>,
     /// Log lines of the decisions.
     pub decisions: Vec<String>,
+    /// States of priority admission control that dispatch has reported.
+    pub admission_states: Vec<AdmissionState>,
     next_ticket: u64,
 }
 
@@ -180,6 +182,7 @@
             last_refusal: None,
             inspected: Vec::new(),
             decisions: Vec::new(),
+            admission_states: Vec::new(),
             next_ticket: 1,
         }
     }
@@ -319,6 +322,7 @@
             }
             Action::Decide(decision @ Decision::DecliningChosen { .. }) => panic!("{decision}"),
             Action::Decide(decision) => return self.decisions.push(decision.to_string()),
+            Action::MeasureAdmission(state) => return self.admission_states.push(*state),
             Action::PublishState(_) => return,
         };
         self.lines.push(line);
--- a/crates/banyannotch/src/gateway/dispatch/tests/waiting.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/waiting.rs
@@ -212,6 +212,19 @@
     assert_eq!((at_once, world.lines.len()), (4, 8));
 }
 
+/// Without these an operator cannot tell which class is refused, and whether engines are full or the queue is.
+#[test]
+fn the_log_and_the_metrics_show_the_class() {
+    let mut world = full_world();
+    world.configure(|settings| settings.admission.waiting_limit = 1);
+    world.decisions.clear();
+    world.submit_request(sized_request(PATHS[1]));
+    world.submit_request(sized_request(PATHS[2]));
+    world.publish_state();
+    let states: Vec<_> = world.admission_states.iter().map(|state| format!("{state:?}")).collect();
+    insta::assert_snapshot!([world.decisions, states].concat().join("\n"));
+}
+
 /// What a caller has been told, and whether its request runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
--- a/crates/banyannotch/src/gateway/dispatch/waiting.rs
+++ b/crates/banyannotch/src/gateway/dispatch/waiting.rs
@@ -5,11 +5,12 @@
 
 use std::sync::Arc;
 
-use super::messages::{Action, Decision, Ending, RefusalReason};
+use super::messages::{Action, AdmissionState, Decision, Ending, RefusalReason};
 use super::policy::Dispatch;
 use super::tickets::Ticket;
 use crate::clock::US_PER_MS;
 use crate::gateway::admission::{Offer, Waiting};
+use crate::ids::ServiceId;
 
 /// Maximum number of searches for waiting requests at one event. A search among a hundred engines is the most expensive
 /// step of a decision.
@@ -158,6 +159,30 @@
         self.admission.return_after_ms(now_us, &ticket.service, Some(class), remaining_ms, usual_ms, position)
     }
 
+    /// Reports the room and the waiting requests of the services whose requests may wait.
+    pub(super) fn measure_admission(&self, actions: &mut Vec<Action>) {
+        for (service, waiting) in self.admission.waiting_by_rank() {
+            let room = self.room(&service);
+            actions.push(Action::MeasureAdmission(Box::new(AdmissionState { service, room, waiting })));
+        }
+    }
+
+    /// Returns the share of the memory of a service's engines that is free, by the known loads.
+    fn room(&self, service: &ServiceId) -> Option<f64> {
+        let pipeline = self.configuration.as_deref()?.service(service)?.pipeline.as_deref()?;
+        let (mut size, mut used) = (0.0, 0.0);
+        for engine in self.endpoints.iter().filter(|endpoint| endpoint.service == *service) {
+            let kind = engine.accelerator.as_deref().and_then(|name| pipeline.accelerator(name));
+            if let (Some(kind), Some(layers)) = (kind, engine.layers) {
+                let engine_size = pipeline.cache_size(kind.memory_mb, layers.len());
+                let load = self.health.get(&engine.address).map_or(0.0, |health| health.load().cache);
+                size += engine_size;
+                used += load.min(engine_size);
+            }
+        }
+        (size > 0.0).then(|| 1.0 - used / size)
+    }
+
     /// Lets waiting requests use the capacity that the end of a send has freed. A rejected or broken send frees
     /// nothing that its own retry does not need.
     pub(super) fn on_capacity_freed(&mut self, now_us: u64, ending: Ending, actions: &mut Vec<Action>) {
