--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -1,5 +1,11 @@
 //! Guards against requests that wait for capacity and are forgotten: their callers must get a response or, once they have
 //! left, free their places.
+#![allow(
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::panic,
+    reason = "a failure here fails the test"
+)]
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
