--- a/crates/banyannotch/src/gateway/admission/policy.rs
+++ b/crates/banyannotch/src/gateway/admission/policy.rs
@@ -227,6 +227,16 @@
         self.services.get(service).map_or(0, |state| state.queue.len())
     }
 
+    /// Returns the services whose requests may wait, with the number of waiting requests of each of their ranks.
+    pub fn waiting_by_rank(&self) -> Vec<(ServiceId, Vec<usize>)> {
+        let counts = |(service, ranks): (&ServiceId, usize)| {
+            let queue = self.services.get(service).map(|state| &state.queue);
+            let waiting = (0..).take(ranks).map(|rank| queue.map_or(0, |queue| queue.waiting_in(rank)));
+            (service.clone(), waiting.collect())
+        };
+        self.classes.enabled().map(counts).collect()
+    }
+
     /// Returns the services for which requests wait.
     pub fn services_with_waiting(&self) -> Vec<ServiceId> {
         let with_waiting = self.services.iter().filter(|(_, state)| !state.queue.is_empty());
@@ -242,8 +252,8 @@
     }
 
     /// Returns the next request of a rank.
-    pub fn first(&self, service: &ServiceId, rank: u8) -> Option<u64> {
-        self.services.get(service)?.queue.first(rank).map(|waiting| waiting.ticket)
+    pub fn first(&self, service: &ServiceId, rank: u8) -> Option<&Waiting> {
+        self.services.get(service)?.queue.first(rank)
     }
 
     /// Returns all requests that wait.
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -48,6 +48,8 @@
     pub(super) probes: Table<Address, ()>,
     pub(super) budgets: Table<ServiceId, Budget>,
     pub(super) admission: Admission,
+    /// Number of searches for an endpoint or a path so far.
+    pub(super) searches: u64,
     /// When further waiting requests are considered, because the last event left some over.
     pub(super) search_again_us: Option<u64>,
     pub(super) crashes: Crashes,
@@ -73,6 +75,7 @@
     pub fn new(settings: DispatchSettings, seed: u64) -> Self {
         Self {
             admission: Admission::new(settings.admission.clone()),
+            searches: 0,
             search_again_us: None,
             settings,
             random: Random::seeded(seed),
@@ -125,6 +128,7 @@
                     id: request.id,
                     refusal,
                     sends: 0,
+                    rank: None,
                     version: self.version(),
                     proof_age_ms: self.proof_age_ms(now_us),
                 };
@@ -287,6 +291,8 @@
         } else {
             (remaining_ms, remaining_ms)
         };
+        // Plain services have no queue that the priority would order.
+        let priority = ticket.wire_priority(now_us).filter(|_| !choice.hops.is_empty());
         let order = SendOrder {
             address: choice.address,
             born_ms: choice.born_ms,
@@ -296,7 +302,7 @@
                 deadline_ms: remaining_ms,
                 path: choice.hops,
                 resume_after: ticket.request.resume_after,
-                priority: ticket.wire_priority(now_us),
+                priority,
             },
             deadline_us: ticket.deadline_us,
             valid_until_us,
@@ -446,6 +452,7 @@
                 id: ticket.request.id,
                 refusal,
                 sends: ticket.sends,
+                rank: ticket.class.map(|class| class.rank),
                 version: self.version(),
                 proof_age_ms: self.proof_age_ms(now_us),
             }));
@@ -612,6 +619,7 @@
             self.publish_state(now_us, actions);
             self.update_readiness(now_us, actions);
             self.release_waiting(now_us, actions);
+            self.measure_admission(actions);
         }
         self.update_waiting(now_us, actions);
     }
@@ -622,6 +630,7 @@
         gauge("banyannotch_gateway_endpoints_leaving", self.announcements.leaving() as f64);
         gauge("banyannotch_gateway_configuration_version", self.version() as f64);
         gauge("banyannotch_gateway_peers", self.peers.len() as f64);
+        gauge("banyannotch_gateway_path_searches", self.searches as f64);
         gauge("banyannotch_gateway_quarantined_features", self.crashes.quarantined_count() as f64);
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -5,8 +5,8 @@
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
 use crate::gateway::dispatch::{
-    Action, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending, EndpointStart,
-    EndpointsProof, Event, Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
+    Action, AdmissionState, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending,
+    EndpointStart, EndpointsProof, Event, Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
 };
 use crate::gateway::{
     Accelerator, CallerLimits, Configuration, Credential, Endpoint, Pipeline, RequestInfo, RetryMode, Route,
@@ -158,6 +158,8 @@
     pub probed: Vec<Address>,
     /// Log lines of the decisions.
     pub decisions: Vec<String>,
+    /// States of priority admission control that dispatch has reported.
+    pub admission_states: Vec<AdmissionState>,
     next_ticket: u64,
 }
 
@@ -183,6 +185,7 @@
             inspected: Vec::new(),
             probed: Vec::new(),
             decisions: Vec::new(),
+            admission_states: Vec::new(),
             next_ticket: 1,
         }
     }
@@ -328,6 +331,7 @@
             }
             Action::Decide(decision @ Decision::DecliningChosen { .. }) => panic!("{decision}"),
             Action::Decide(decision) => return self.decisions.push(decision.to_string()),
+            Action::MeasureAdmission(state) => return self.admission_states.push(*state),
             Action::PublishState(_) => return,
         };
         self.lines.push(line);
--- a/crates/banyannotch/src/gateway/gossip/mod.rs
+++ b/crates/banyannotch/src/gateway/gossip/mod.rs
@@ -7,10 +7,10 @@
 #[cfg(test)]
 mod crash_tests;
 #[cfg(test)]
-mod era_tests;
-#[cfg(test)]
 mod ending_tests;
 #[cfg(test)]
+mod era_tests;
+#[cfg(test)]
 mod fleet;
 mod members;
 mod messages;
