gateway soak: the store comes back from a backup

A run of its own adds three returns from copies of up to 3 s ago to the faults of a seed, so that the plans of the other runs, and the seeds that failed in them, stay as they are. The operator and the endpoints write their records again when the fault ends.

--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -65,6 +65,12 @@
     run_all(&seeds_to_run(), plan::plan);
 }
 
+/// The store comes back from a backup beside all other faults, also from before a key was revoked.
+#[test]
+fn a_run_with_rewound_stores_breaks_no_promise() {
+    run_all(&seeds_to_run(), plan::plan_with_rewinds);
+}
+
 /// Restarts and changes of the configuration overlap with endpoints that are silent for a while.
 #[test]
 fn a_run_of_planned_work_loses_no_request() {
--- a/crates/gateway/tests/soak/plan.rs
+++ b/crates/gateway/tests/soak/plan.rs
@@ -14,6 +14,13 @@
 /// Width of the range that the duration of a fault is drawn from, in milliseconds.
 const DURATION_RANGE_MS: usize = 1_500;
 
+/// Number of times that the store comes back from a backup in a run with this fault.
+const REWIND_COUNT: usize = 3;
+/// Upper bound of the age of a backup, in milliseconds.
+const REWIND_LIMIT_MS: usize = 3_000;
+/// Makes the ages of backups independent of the other faults of a seed.
+const REWIND_SEED: u64 = 0x5eed_0001;
+
 /// A fault to inject. The number is the index of a gateway or an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Injection {
@@ -27,6 +34,9 @@
     StoreFault(StoreFault),
     /// Compacts the store, which then retains only the newest record of each key.
     Compact,
+    /// Replaces the content of the store by a copy that is this many milliseconds old. The operator and the endpoints write
+    /// their records again after the duration of the fault.
+    Rewind(u64),
     /// Changes the link to an endpoint.
     Endpoint(usize, Link),
     /// Resets the connections to an endpoint.
@@ -90,6 +100,22 @@
         .collect()
 }
 
+/// Draws the faults of a seed, among which the store comes back from a backup.
+pub fn plan_with_rewinds(seed: u64, gateways: usize, endpoints: usize) -> Vec<Step> {
+    let mut random = Random::seeded(seed ^ REWIND_SEED);
+    let mut steps = plan(seed, gateways, endpoints);
+    for part in 1..=REWIND_COUNT {
+        let index = steps.len() * part / (REWIND_COUNT + 1);
+        let step = Step {
+            pause_ms: random.below(PAUSE_LIMIT_MS) as u64,
+            duration_ms: 200 + random.below(DURATION_RANGE_MS) as u64,
+            injection: Injection::Rewind(random.below(REWIND_LIMIT_MS) as u64),
+        };
+        steps.insert(index, step);
+    }
+    steps
+}
+
 /// Draws planned work, endpoints that are silent for a while, and endpoints that break off. The gateways and their
 /// callers are not disrupted.
 pub fn plan_of_planned_work(seed: u64, gateways: usize, endpoints: usize) -> Vec<Step> {
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -140,6 +140,13 @@
                 store.set_fault(StoreFault::None);
             }
             Injection::Compact => self.fleet.borrow().store.compact(),
+            Injection::Rewind(age_ms) => {
+                let store = self.fleet.borrow().store.clone();
+                store.rewind(Duration::from_millis(age_ms));
+                actix_rt::time::sleep(length).await;
+                self.write_configuration(&self.keys.borrow());
+                self.fleet.borrow_mut().write_entries();
+            }
             Injection::EndpointFault(number, fault) => {
                 self.endpoints[number].0.set_fault(fault, usize::MAX);
                 actix_rt::time::sleep(length).await;
