--- a/crates/banyannotch/src/gateway/admission/outcomes.rs
+++ b/crates/banyannotch/src/gateway/admission/outcomes.rs
@@ -1,4 +1,4 @@
-//! Admissions and refusals of each class in a sliding window, which show whether a class starves.
+//! Admissions and refusals of each class and request size in a sliding window, which show whether one of them starves.
 
 use std::collections::VecDeque;
 
@@ -7,6 +7,10 @@
 
 /// Number of slices of the window.
 const SLICES: u64 = 20;
+/// Number of sizes that are told apart; each is up to four times the one before.
+const SIZE_LIMIT: usize = 7;
+/// Number of tokens up to which requests have the smallest size.
+const SMALLEST_SIZE_TOKENS: f64 = 64.0;
 /// Number of requests of a class in the window below which its admission rate says nothing.
 const SAMPLE_LIMIT: u32 = 4;
 /// A class starves while its admission rate is below this share of that of all requests.
@@ -34,11 +38,11 @@
     }
 }
 
-/// Counts of each rank in one slice of the window.
+/// Counts of each rank and size in one slice of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Slice {
     index: u64,
-    ranks: [Counts; RANK_LIMIT],
+    ranks: [[Counts; SIZE_LIMIT]; RANK_LIMIT],
 }
 
 /// Admissions and refusals of the classes of one service within the window.
@@ -49,32 +53,46 @@
 
 impl Outcomes {
     /// Counts a request that was admitted or refused.
-    pub fn record(&mut self, now_us: u64, window_ms: u64, rank: u8, is_admitted: bool) {
+    pub fn record(&mut self, now_us: u64, window_ms: u64, rank: u8, tokens: f64, is_admitted: bool) {
         let index = slice_index(now_us, window_ms);
         self.slices.retain(|slice| slice.index + SLICES >= index);
         if self.slices.back().is_none_or(|slice| slice.index != index) {
             self.slices.push_back(Slice { index, ..Slice::default() });
         }
-        let one =
-            if is_admitted { Counts { admitted: 1, refused: 0 } } else { Counts { admitted: 0, refused: 1 } };
-        let counts = self.slices.back_mut().and_then(|slice| slice.ranks.get_mut(usize::from(rank)));
-        if let Some(counts) = counts {
-            counts.add(one);
+        let sizes = self.slices.back_mut().and_then(|slice| slice.ranks.get_mut(usize::from(rank)));
+        if let Some(counts) = sizes.and_then(|sizes| sizes.get_mut(size_of(tokens))) {
+            if is_admitted {
+                counts.admitted += 1;
+            } else {
+                counts.refused += 1;
+            }
         }
     }
 
-    /// Returns whether the admission rate of a class in the window is less than half that of all requests.
-    pub fn is_starving(&self, now_us: u64, window_ms: u64, rank: u8) -> bool {
+    /// Returns whether the admission rate of a class, or of its requests of one size if that is given, is less than half
+    /// that of all requests in the window.
+    pub fn is_starving(&self, now_us: u64, window_ms: u64, rank: u8, tokens: Option<f64>) -> bool {
         let index = slice_index(now_us, window_ms);
         let (mut own, mut all) = (Counts::default(), Counts::default());
         for slice in self.slices.iter().filter(|slice| slice.index + SLICES >= index) {
-            own.add(slice.ranks.get(usize::from(rank)).copied().unwrap_or_default());
-            slice.ranks.iter().for_each(|counts| all.add(*counts));
+            let sizes = slice.ranks.get(usize::from(rank)).into_iter().flatten();
+            for (size, counts) in sizes.enumerate() {
+                if tokens.is_none_or(|tokens| size == size_of(tokens)) {
+                    own.add(*counts);
+                }
+            }
+            slice.ranks.iter().flatten().for_each(|counts| all.add(*counts));
         }
         own.total() >= SAMPLE_LIMIT && own.admission_rate() < all.admission_rate() * STARVATION_SHARE
     }
 }
 
+/// Returns the size of a request, from 0.
+fn size_of(tokens: f64) -> usize {
+    let size = (tokens / SMALLEST_SIZE_TOKENS).max(1.0).log2() / 2.0;
+    (size.ceil() as usize).min(SIZE_LIMIT - 1)
+}
+
 fn slice_index(at_us: u64, window_ms: u64) -> u64 {
     at_us / (window_ms * US_PER_MS / SLICES).max(1)
 }
--- a/crates/banyannotch/src/gateway/admission/policy.rs
+++ b/crates/banyannotch/src/gateway/admission/policy.rs
@@ -89,39 +89,57 @@
     }
 
     /// Returns the share of an engine's memory up to which requests of a class are admitted, from the one for requests
-    /// without a class. More urgent ranks keep a reserve, which a class that starves may use as well.
+    /// without a class. More urgent ranks keep a reserve, which a class that starves, or its requests of a size that does,
+    /// may use as well.
     pub fn memory_share(
         &self,
         now_us: u64,
         service: &ServiceId,
         class: Option<Class>,
+        tokens: f64,
         unclassed_share: f64,
     ) -> f64 {
         let Some(Class { rank }) = class else { return unclassed_share };
-        let rank = if self.is_starving(now_us, service, rank) { 0 } else { rank };
+        let is_starving = self.is_starving(now_us, service, rank, None)
+            || self.is_starving(now_us, service, rank, Some(tokens));
+        let rank = if is_starving { 0 } else { rank };
         let reserve = f64::from(rank) * self.settings.class_reserve_share;
         (unclassed_share - reserve).max(unclassed_share * LEAST_MEMORY_SHARE)
     }
 
     /// Counts a request that is sent for the first time, and removes it from the queue if it waited.
-    pub fn record_sent(&mut self, now_us: u64, service: &ServiceId, class: Option<Class>, ticket: u64) {
+    pub fn record_sent(
+        &mut self,
+        now_us: u64,
+        service: &ServiceId,
+        class: Option<Class>,
+        tokens: f64,
+        ticket: u64,
+    ) {
         if let Some(state) = self.services.get_mut(service)
             && state.queue.serve(ticket).is_some()
         {
             state.served.record(now_us);
         }
-        self.record_outcome(now_us, service, class, true);
+        self.record_outcome(now_us, service, class, tokens, true);
     }
 
     /// Counts a request that was refused for lack of capacity and was never sent.
-    pub fn record_refused(&mut self, now_us: u64, service: &ServiceId, class: Option<Class>) {
-        self.record_outcome(now_us, service, class, false);
+    pub fn record_refused(&mut self, now_us: u64, service: &ServiceId, class: Option<Class>, tokens: f64) {
+        self.record_outcome(now_us, service, class, tokens, false);
     }
 
-    fn record_outcome(&mut self, now_us: u64, service: &ServiceId, class: Option<Class>, is_admitted: bool) {
+    fn record_outcome(
+        &mut self,
+        now_us: u64,
+        service: &ServiceId,
+        class: Option<Class>,
+        tokens: f64,
+        is_admitted: bool,
+    ) {
         let Some(Class { rank }) = class else { return };
         let window_ms = self.settings.starvation_window_ms;
-        self.services.entry(service.clone()).outcomes.record(now_us, window_ms, rank, is_admitted);
+        self.services.entry(service.clone()).outcomes.record(now_us, window_ms, rank, tokens, is_admitted);
     }
 
     /// Returns after which time the caller of a request that is refused for lack of capacity is to return, in
@@ -277,11 +295,13 @@
 
     /// Returns the sort key of a rank: a class that starves comes first.
     fn rank_order(&self, now_us: u64, service: &ServiceId, rank: u8) -> (bool, u8) {
-        (!self.is_starving(now_us, service, rank), rank)
+        (!self.is_starving(now_us, service, rank, None), rank)
     }
 
-    fn is_starving(&self, now_us: u64, service: &ServiceId, rank: u8) -> bool {
+    fn is_starving(&self, now_us: u64, service: &ServiceId, rank: u8, tokens: Option<f64>) -> bool {
         let window_ms = self.settings.starvation_window_ms;
-        self.services.get(service).is_some_and(|state| state.outcomes.is_starving(now_us, window_ms, rank))
+        self.services
+            .get(service)
+            .is_some_and(|state| state.outcomes.is_starving(now_us, window_ms, rank, tokens))
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/booking.rs
+++ b/crates/banyannotch/src/gateway/dispatch/booking.rs
@@ -111,6 +111,7 @@
                         now_us,
                         &ticket.service,
                         ticket.class,
+                        ticket.request.total_tokens(),
                         self.settings.cache_share,
                     ),
                     now_us,
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -248,7 +248,8 @@
         let remaining_ms = ticket.deadline_us.saturating_sub(now_us) / US_PER_MS;
         ticket.sends += 1;
         if ticket.sends == 1 {
-            self.admission.record_sent(now_us, &ticket.service, ticket.class, ticket_id);
+            let tokens = ticket.request.total_tokens();
+            self.admission.record_sent(now_us, &ticket.service, ticket.class, tokens, ticket_id);
             ticket.is_queued = false;
         }
         ticket.late_report = 0;
@@ -435,7 +436,8 @@
         let mut refusal = self.refusal(now_us, reason);
         if let Some(ticket) = self.close_ticket(ticket_id) {
             if reason == RefusalReason::NoCapacity && ticket.sends == 0 {
-                self.admission.record_refused(now_us, &ticket.service, ticket.class);
+                let tokens = ticket.request.total_tokens();
+                self.admission.record_refused(now_us, &ticket.service, ticket.class, tokens);
             }
             let capacity_ms = self.retry_after_capacity_ms(now_us, reason, &ticket);
             let hold_off_ms = self.retry_after_hold_off_ms(now_us, reason, &ticket);
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -11,4 +11,5 @@
 mod paths;
 mod random;
 mod returns;
+mod shares;
 mod waiting;
