--- a/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/admission.rs
@@ -195,3 +195,19 @@
     let is_bounded = |(load, ratio): &(f64, f64)| *ratio <= if *load < 2.0 { 2.0 } else { 1.2 };
     assert!(ratios.iter().all(is_bounded), "searches for each request: {ratios:.2?}");
 }
+
+/// A priority that is out of range must be noticed, but not once for each request.
+#[test]
+fn a_clamped_priority_is_logged_once_for_a_version() {
+    let mut world = classed_world(1);
+    world.decisions.clear();
+    for version in [8, 8, 9] {
+        let mut next = classed_configuration(version);
+        next.routes[0].priority = 12;
+        world.event(Event::Configuration(Arc::new(next)));
+        world.submit(PATHS[0]);
+    }
+    let clamped = world.decisions.iter().filter(|line| line.starts_with("event=priority_clamped"));
+    let expected = [8, 9].map(|version| format!("event=priority_clamped version={version} priority=12"));
+    assert_eq!(clamped.cloned().collect::<Vec<_>>(), expected);
+}
