--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -13,4 +13,5 @@
 mod paths;
 mod random;
 mod returns;
+mod shares;
 mod waiting;
