--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -36,6 +36,11 @@
         "Steps or calls that an endpoint did not answer in time or broke off",
     ),
     ("banyannotch_foreign_answers_total", Counter, "Answers to another step than the endpoint was asked"),
+    (
+        "banyannotch_gateway_class_refusals_total",
+        Counter,
+        "Refusals of requests of classed services, by rank and reason",
+    ),
     (
         "banyannotch_gateway_configuration_version",
         Gauge,
@@ -67,12 +72,14 @@
     ),
     ("banyannotch_gateway_log_lines_dropped_total", Counter, "Log lines dropped because the queue was full"),
     ("banyannotch_gateway_orders_total", Counter, "Orders sent to engines"),
+    ("banyannotch_gateway_path_searches", Gauge, "Searches for an endpoint or a path since the start"),
     ("banyannotch_gateway_peers", Gauge, "Other gateways that share their state"),
     (
         "banyannotch_gateway_quarantined_features",
         Gauge,
         "Parts of prompts and requests that are refused because they crashed endpoints",
     ),
+    ("banyannotch_gateway_queued_total", Counter, "Requests that had to wait for capacity, by rank"),
     ("banyannotch_gateway_refusals_total", Counter, "Requests answered with a failure of our own, by reason"),
     ("banyannotch_gateway_requests_in_flight", Gauge, "Requests of a gateway that have no final answer yet"),
     (
@@ -80,6 +87,7 @@
         Counter,
         "Responses to callers that ended before they were complete",
     ),
+    ("banyannotch_gateway_room", Gauge, "Free share of the KV cache of a service's engines"),
     (
         "banyannotch_gateway_sends_abandoned_total",
         Counter,
@@ -94,6 +102,7 @@
     ),
     ("banyannotch_gateway_store_reads_total", Counter, "Reads of the store by result"),
     ("banyannotch_gateway_store_restored_total", Counter, "Returns of the store from a backup"),
+    ("banyannotch_gateway_waiting", Gauge, "Requests that wait for capacity, by service and rank"),
     ("banyannotch_in_flight", Gauge, "Requests in flight at the last decision of admission"),
     ("banyannotch_invariant_violations_total", Counter, "Invariants that did not hold"),
     ("banyannotch_ledger_answers_total", Counter, "Answers of the ledger by verdict"),
