--- a/crates/banyannotch/src/gateway/catalog/era_tests.rs
+++ b/crates/banyannotch/src/gateway/catalog/era_tests.rs
@@ -88,6 +88,8 @@
             fleet.restart(index, start_wait_ms);
             fleet.run_ms(SPREAD_MS, |fleet| assert_refuses(fleet, "old"));
         }
+        let waiting = &fleet.nodes[count - 1];
+        assert_eq!(waiting.count("configuration_applied version=6 before=0"), 1, "{:#?}", waiting.lines);
         assert_refuses(&mut fleet, "new");
         fleet.write_configuration(with_key(6, "new"));
         fleet.run_ms(SPREAD_MS, |fleet| assert_refuses(fleet, "old"));
@@ -95,6 +97,24 @@
     }
 }
 
+/// The operator may take long to write the configuration again. Gateways that cannot prove theirs meanwhile must not read the
+/// store all the time.
+#[test]
+fn gateways_that_wait_for_the_operator_seldom_read_the_store() {
+    const WAIT_MS: u64 = 20_000;
+    let mut fleet = fleet(83);
+    fleet.write_configuration(with_key(6, "new"));
+    fleet.run_ms(SPREAD_MS, |_| {});
+    fleet.rewind(4_000);
+    let reads = fleet.store.reads;
+    fleet.run_ms(WAIT_MS, |_| {});
+    let reads = fleet.store.reads - reads;
+    assert!(reads <= 83 * 7, "{reads} reads");
+    fleet.write_configuration(with_key(6, "new"));
+    fleet.run_ms(SPREAD_MS, |_| {});
+    assert_serves(&mut fleet, "new");
+}
+
 /// An endpoint that left must not be used because a copy of the store has it, whether its departure was announced in its
 /// entry or its entry was only removed.
 #[test]
--- a/crates/banyannotch/src/gateway/catalog/eras.rs
+++ b/crates/banyannotch/src/gateway/catalog/eras.rs
@@ -49,10 +49,6 @@
                 self.schedule_first_read(now_us, feed);
             }
         }
-        if before.is_some() {
-            // Entries may be missing until they are written again, as after an outage.
-            self.endpoints_feed.recovered_us = Some(now_us);
-        }
     }
 
     /// Schedules the first read of an era. Gateways that get the proofs of others wait for these, because all of them would
--- a/crates/banyannotch/src/gateway/catalog/policy.rs
+++ b/crates/banyannotch/src/gateway/catalog/policy.rs
@@ -618,8 +618,8 @@
         }
     }
 
-    /// Records the end of an outage if the given proof is long after the previous one. Returns the gap
-    /// between them.
+    /// Records the end of an outage if the given proof is long after the previous one, or the first one since the store came
+    /// back from a backup, when entries may be missing until they are written again. Returns the gap between them.
     fn detect_outage(&mut self, now_us: u64, feed: Feed, at_us: u64) -> u64 {
         let outage_us = self.settings.outage_gap_ms * US_PER_MS;
         let is_restored = self.era != self.first_era;
