--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -8,7 +8,6 @@
 
 use super::crashes::Crash;
 use super::health::Load;
-use crate::gateway::demand::DemandReport;
 use crate::gateway::{Configuration, Endpoint, EngineReport, ForwardingInfo, RequestInfo, StorePosition};
 use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
@@ -151,8 +150,6 @@
 pub struct Sections {
     /// Era of the store that the positions in the state belong to; none from a gateway that does not know eras.
     pub store_era: Option<u64>,
-    /// Demand for services.
-    pub demand: DemandReport,
 }
 
 /// State that a gateway publishes to the other gateways.
--- a/crates/banyannotch/src/gateway/gossip/sections.rs
+++ b/crates/banyannotch/src/gateway/gossip/sections.rs
@@ -7,13 +7,10 @@
 use serde::de::DeserializeOwned;
 
 use super::Message;
-use crate::gateway::demand::DemandReport;
 use crate::gateway::dispatch::Sections;
 
 /// Tag of the section with the era of the store.
 const STORE_ERA_TAG: u8 = 1;
-/// Tag of the section with the demand for services.
-const DEMAND_TAG: u8 = 2;
 
 /// Result of encoding or decoding a datagram.
 pub type Result<T> = std::result::Result<T, postcard::Error>;
@@ -26,9 +23,6 @@
     if let Some(store_era) = sections.store_era {
         append(STORE_ERA_TAG, &store_era, out)?;
     }
-    if !sections.demand.services().is_empty() {
-        append(DEMAND_TAG, &sections.demand, out)?;
-    }
     Ok(())
 }
 
@@ -36,15 +30,8 @@
 pub fn decode_sections(mut bytes: &[u8]) -> Sections {
     let mut sections = Sections::default();
     while let Ok(((tag, content), rest)) = postcard::take_from_bytes::<(u8, &[u8])>(bytes) {
-        match tag {
-            STORE_ERA_TAG => sections.store_era = read(content).or(sections.store_era),
-            // The report is created anew, so that it is sorted and bounded whatever the sender did.
-            DEMAND_TAG => {
-                let report: Option<DemandReport> = read(content);
-                let services = report.map(|report| report.services().to_vec()).unwrap_or_default();
-                sections.demand = DemandReport::new(services);
-            }
-            _ => {}
+        if tag == STORE_ERA_TAG {
+            sections.store_era = read(content).or(sections.store_era);
         }
         bytes = rest;
     }
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -7,7 +7,6 @@
 pub mod admission;
 pub mod catalog;
 mod chain;
-pub mod demand;
 pub mod dispatch;
 mod error;
 pub mod forwarding;
