--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -32,6 +32,9 @@
 /// without the body only the connection is lost.
 const REJECTION_BODY_TIMEOUT_MS: u64 = 50;
 
+/// Memory that an event takes in relation to its size: it is buffered in memory that doubles, and copied twice when it is
+/// complete. All of it is asked for while the event arrives, because many streams can complete an event at the same time.
+const EVENT_COPIES: usize = 4;
 /// Size up to which the memory for the events of a stream is kept for the next ones.
 const KEPT_EVENTS_BYTES: usize = 16_384;
 
@@ -295,6 +298,11 @@
     ) -> Result<SendResult, TransferError> {
         let (mut events, mut out) = (Vec::new(), Vec::new());
         loop {
+            let buffered_bytes = stream.splitter.buffered_bytes() + self.upstream.reader.buffered_bytes();
+            if buffered_bytes > COVERED_BYTES {
+                let held_bytes = EVENT_COPIES * buffered_bytes + events.capacity() + out.capacity();
+                self.request.hold.set(Part::Response, held_bytes).await;
+            }
             let read = match watch.wait_for(self.upstream.reader.body(&mut stream.decoder)).await {
                 Ok(read) => read,
                 Err(abandoned) => {
@@ -341,6 +349,8 @@
                 let held_bytes = events.capacity() + out.capacity() + 2 * buffered_bytes;
                 if held_bytes > COVERED_BYTES {
                     self.request.hold.set(Part::Response, held_bytes).await;
+                } else {
+                    self.request.hold.shrink(Part::Response, held_bytes);
                 }
                 if caller_writer.write_all(&out).await.is_err() {
                     return Err(TransferError::Ended(Ending::Left));
