--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -420,7 +420,7 @@
             proof_age_ms: self.proof_age_ms(now_us),
             endpoints_change: self.endpoints_proof.position,
             endpoints_age_ms: now_us.saturating_sub(self.endpoints_proof.at_us) / US_PER_MS,
-            sections: Sections { store_era: self.store_era, ..Sections::default() },
+            sections: Sections { store_era: self.store_era },
         })));
     }
 }
