--- a/crates/banyannotch/src/gateway/dispatch/booking.rs
+++ b/crates/banyannotch/src/gateway/dispatch/booking.rs
@@ -113,6 +113,9 @@
                 } else {
                     search.sampled(&ticket.request, &ticket.tried, &mut self.random)
                 };
+                #[cfg(test)]
+                let sampled =
+                    self.candidate.choose(&search, &ticket.request, &ticket.tried, &mut self.random, sampled);
                 // Paths over parts of chains that lost an engine are used only while no whole chain has room.
                 let path = sampled.or_else(|| search.cheapest(&ticket.request, &ticket.tried))?;
                 let (address, _) = *path.hops.first()?;
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -59,6 +59,8 @@
     pub(super) started_us: Option<u64>,
     pub(super) ready: bool,
     pub(super) draining: bool,
+    #[cfg(test)]
+    pub(super) candidate: super::tests::candidates::Candidate,
 }
 
 impl Dispatch {
@@ -86,6 +88,8 @@
             started_us: None,
             ready: false,
             draining: false,
+            #[cfg(test)]
+            candidate: super::tests::candidates::Candidate::default(),
         }
     }
 
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod budgets;
+pub(super) mod candidates;
 mod chains;
 mod crashes;
 pub(crate) mod fixtures;
--- a/crates/banyannotch/src/gateway/dispatch/tests/spread.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/spread.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice of a path in a fleet of batching engines with late load reports.
 
+use super::candidates::Candidate;
 use super::fixtures::World;
 use super::fleet::{Fleet, Outcome, Run};
 use crate::duty::Duty;
@@ -94,7 +95,7 @@
     assert!(skew(&world) > 2.0, "{}", skew(&world));
 }
 
-/// Prints the figures of the choice of a path by number of gateways and load.
+/// Prints the figures of a policy (POLICY is empty or one of [`Candidate::named`]) by number of gateways and load.
 #[test]
 #[ignore = "takes minutes; prints figures for docs/design/load-spreading.md"]
 fn figures_of_the_choice_of_a_path() {
@@ -102,12 +103,13 @@
         let text = std::env::var(name).unwrap_or_else(|_| default.to_owned());
         text.split(',').filter_map(|number| number.parse().ok()).collect()
     };
+    let candidate = Candidate::named(&std::env::var("POLICY").unwrap_or_default());
     for gateways in list("GATEWAYS", "6,74,138,295,1000") {
         for load in list("LOADS", "0.5,1,1.5,2,3") {
             for seed in list("SEEDS", "1") {
                 let run = Run { gateways: gateways as usize, load, seed: seed as u64, ..Run::default() };
                 let started = std::time::Instant::now();
-                let outcome = Fleet::new(run, |_| {}).simulate();
+                let outcome = Fleet::new(run, |dispatch| dispatch.candidate = candidate).simulate();
                 println!(
                     "{gateways} gateways, load {load}, seed {seed}: {} ({:.1} s)",
                     outcome.line(),
