--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -68,6 +68,8 @@
     pub(super) started_us: Option<u64>,
     pub(super) ready: bool,
     pub(super) draining: bool,
+    #[cfg(test)]
+    pub(super) candidate: super::tests::candidates::Candidate,
 }
 
 impl Dispatch {
@@ -99,6 +101,8 @@
             started_us: None,
             ready: false,
             draining: false,
+            #[cfg(test)]
+            candidate: super::tests::candidates::Candidate::default(),
         }
     }
 
@@ -631,6 +635,7 @@
         gauge("banyannotch_gateway_endpoints", self.endpoints.len() as f64);
         gauge("banyannotch_gateway_endpoints_leaving", self.announcements.leaving() as f64);
         gauge("banyannotch_gateway_configuration_version", self.version() as f64);
+        gauge("banyannotch_gateway_load_skew", self.load_skew());
         gauge("banyannotch_gateway_peers", self.peers.len() as f64);
         gauge("banyannotch_gateway_path_searches", self.searches as f64);
         gauge("banyannotch_gateway_quarantined_features", self.crashes.quarantined_count() as f64);
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -39,7 +39,7 @@
     /// Duration of an exclusion that another gateway reports; longer than the interval at which the state is
     /// published.
     pub peer_exclusion_ms: u64,
-    /// Time for which an engine is not used after it rejected a request for lack of room.
+    /// Time for which an engine that runs no requests, as far as known, is not used after it rejected one.
     pub full_pause_ms: u64,
     /// Half-life of an endpoint's failure share.
     pub failure_half_life_ms: f64,
@@ -72,8 +72,8 @@
     pub retry_after_ms: u64,
     /// Time after which a caller may retry when another gateway may be able to serve the request at once.
     pub retry_elsewhere_after_ms: u64,
-    /// Number of gateways up to which each takes the cheapest path, because it hears of most loads of its zone in time.
-    /// More gateways draw their paths at random.
+    /// Number of gateways up to which each takes the cheapest path. More gateways draw their paths: each knows so few of
+    /// the loads that all would choose the same engines. See `docs/design/load-spreading.md`.
     pub cheapest_path_gateways: usize,
     /// Time after the start in which a gateway that has heard of no other assumes that there are many.
     pub discovery_ms: u64,
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -3,15 +3,18 @@
 mod admission;
 mod announcements;
 mod budgets;
+pub(super) mod candidates;
 mod chains;
 mod crashes;
 mod endings;
 mod eras;
 pub(crate) mod fixtures;
+mod fleet;
 mod late;
 mod outcomes;
 mod paths;
 mod random;
 mod returns;
 mod shares;
+mod spread;
 mod waiting;
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod mutation;
 mod position;
 mod settings;
+mod spread;
 mod start;
 
 pub use adapter::{
