--- a/crates/banyannotch/src/gateway/admission/policy.rs
+++ b/crates/banyannotch/src/gateway/admission/policy.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Returns whether a request with the given objective may wait.
+    pub fn may_wait(&self, service: &ServiceId, objective_ms: u64) -> bool {
+        objective_ms >= self.settings.waiting_objective_min_ms && self.is_enabled(service)
+    }
+
     /// Returns the time until which a request may wait.
     pub fn limit_us(&self, arrived_us: u64, objective_us: u64) -> u64 {
         arrived_us + (objective_us as f64 * self.settings.waiting_share) as u64
--- a/crates/banyannotch/src/gateway/admission/settings.rs
+++ b/crates/banyannotch/src/gateway/admission/settings.rs
@@ -12,6 +12,9 @@
     pub waiting_limit: usize,
     /// Share of the objective for which a request may wait.
     pub waiting_share: f64,
+    /// Shortest objective of a request that may wait. The time in the queue is lost for the first event, and callers with a
+    /// short objective leave before the answer of a request that waited.
+    pub waiting_objective_min_ms: u64,
 }
 
 impl Default for AdmissionSettings {
@@ -21,6 +24,7 @@
             starvation_window_ms: 10_000,
             waiting_limit: 64,
             waiting_share: 1.0,
+            waiting_objective_min_ms: 1_000,
         }
     }
 }
--- a/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fixtures.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
+use crate::gateway::admission::AdmissionSettings;
 use crate::gateway::dispatch::{
     Action, AdmissionState, CrashFindings, CrashReport, Decision, Dispatch, DispatchSettings, Ending,
     EndpointStart, EndpointsProof, Event, Feature, PeerState, Proof, Refusal, SendOrder, Submission, Verdict,
@@ -173,6 +174,7 @@
         let settings = DispatchSettings {
             zone: "a".to_owned(),
             instance: "own".to_owned(),
+            admission: AdmissionSettings { waiting_objective_min_ms: 0, ..AdmissionSettings::default() },
             ..DispatchSettings::default()
         };
         let dispatch = Dispatch::new(settings, 1);
--- a/crates/banyannotch/src/gateway/dispatch/waiting.rs
+++ b/crates/banyannotch/src/gateway/dispatch/waiting.rs
@@ -54,10 +54,11 @@
     }
 
     /// Returns the place of a request in the queue, or none if it must not wait: it was sent already, its service has no
-    /// queue, or the process is stopping.
+    /// queue, its objective is too short, or the process is stopping.
     fn waiting_of(&self, ticket_id: u64) -> Option<Waiting> {
         let ticket = self.tickets.get(&ticket_id)?;
-        if ticket.sends > 0 || self.draining || !self.admission.is_enabled(&ticket.service) {
+        let may_wait = self.admission.may_wait(&ticket.service, ticket.objective_ms);
+        if ticket.sends > 0 || self.draining || !may_wait {
             return None;
         }
         let pipeline = self
