--- a/crates/banyannotch/src/gateway/admission/settings.rs
+++ b/crates/banyannotch/src/gateway/admission/settings.rs
@@ -3,12 +3,13 @@
 /// Settings of priority admission control. Times are in milliseconds unless the name says otherwise.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
-    /// Share of an engine's KV cache that each rank leaves to the more urgent one before it.
+    /// Share of an engine's KV cache that each rank leaves to the more urgent one before it. The default leaves none: on the
+    /// users' bench a reserve refused more urgent and less urgent requests alike.
     pub class_reserve_share: f64,
     /// Window in which the admission rate of a class is compared with that of all requests of the service.
     pub starvation_window_ms: u64,
     /// Maximum number of requests that wait for a service. Each holds its body in memory, up to the limit of the
-    /// configuration.
+    /// configuration. By default none waits: on the users' bench fewer requests were served with a queue.
     pub waiting_limit: usize,
     /// Share of the objective for which a request may wait.
     pub waiting_share: f64,
@@ -20,9 +21,9 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            class_reserve_share: 0.12,
+            class_reserve_share: 0.0,
             starvation_window_ms: 10_000,
-            waiting_limit: 64,
+            waiting_limit: 0,
             waiting_share: 1.0,
             waiting_objective_min_ms: 1_000,
         }
--- a/crates/banyannotch/src/gateway/dispatch/booking.rs
+++ b/crates/banyannotch/src/gateway/dispatch/booking.rs
@@ -156,7 +156,7 @@
 
     /// Returns whether there are so few gateways that this one hears of most choices of the others in time. In the first
     /// second after its start a gateway that has heard of no other may be one of many.
-    pub(super) fn takes_cheapest_path(&self, now_us: u64) -> bool {
+    fn takes_cheapest_path(&self, now_us: u64) -> bool {
         let discovery_us = self.settings.discovery_ms * US_PER_MS;
         let is_discovering = self.started_us.is_some_and(|started_us| now_us < started_us + discovery_us);
         let may_be_alone = self.known_gateways > 1 || !is_discovering;
--- a/crates/banyannotch/src/gateway/dispatch/chains.rs
+++ b/crates/banyannotch/src/gateway/dispatch/chains.rs
@@ -48,13 +48,8 @@
         }
         let foreign: Vec<RatedChain<'_>> = foreign_zones.into_iter().flat_map(rated_chains).collect();
         let foreign = draw(&foreign, random);
-        let foreign_cost_ms = self.settings.foreign_zone_cost_ms;
         let chosen = match (local, foreign) {
-            (Some(local), Some(foreign))
-                if spread::prefers_foreign(&local.state, &foreign.state, foreign_cost_ms) =>
-            {
-                foreign
-            }
+            (Some(local), Some(foreign)) if spread::prefers_foreign(&local.state, &foreign.state) => foreign,
             (local, foreign) => local.or(foreign)?,
         };
         self.path_of_chain(chosen, request)
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -194,15 +194,10 @@
             self.exclude(now_us, faulty, "rejected", actions);
             return;
         }
-        let takes_cheapest = self.takes_cheapest_path(now_us);
         let (half_life_ms, pause_ms) = (self.settings.failure_half_life_ms, self.settings.full_pause_ms);
         let health = self.health.entry(faulty);
         health.record_failure(now_us, half_life_ms, 1.0);
-        // An engine that runs requests is full for the moment, and its failure share already lowers its part of the draw.
-        // If gateways paused it, its memory would stay unused as soon as the first request ends. Without a draw the same
-        // path would be the cheapest again.
-        let is_drawn = !takes_cheapest && health.load().sequences > 0;
-        if fault_at.is_some() && !is_drawn {
+        if fault_at.is_some() {
             health.pause(now_us, pause_ms);
             let cause = "full";
             actions.push(Action::Decide(Decision::Excluded { address: faulty, for_ms: pause_ms, cause }));
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -39,7 +39,7 @@
     /// Duration of an exclusion that another gateway reports; longer than the interval at which the state is
     /// published.
     pub peer_exclusion_ms: u64,
-    /// Time for which an engine that runs no requests, as far as known, is not used after it rejected one.
+    /// Time for which an engine is not used after it rejected a request for lack of room.
     pub full_pause_ms: u64,
     /// Half-life of an endpoint's failure share.
     pub failure_half_life_ms: f64,
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -69,6 +69,12 @@
     /// Share of `descriptors` that connections of callers can use.
     #[serde(default = "default_callers_connections_share")]
     pub callers_connections_share: f64,
+    /// Maximum number of requests that wait for a service whose routes have different priorities; 0 if none waits.
+    #[serde(default)]
+    pub waiting_limit: usize,
+    /// Share of an engine's KV cache that each rank of such a service leaves to the more urgent one.
+    #[serde(default)]
+    pub class_reserve_share: f64,
 }
 
 /// Returns the memory of the smallest machines that gateways run on, in megabytes.
@@ -138,6 +144,8 @@
             ("callers_reserved_share", self.callers_reserved_share, 0.0, 0.9),
             ("callers_small_kb", self.callers_small_kb as f64, 8.0, 1_024.0),
             ("callers_connections_share", self.callers_connections_share, 0.05, 0.7),
+            ("waiting_limit", self.waiting_limit as f64, 0.0, 10_000.0),
+            ("class_reserve_share", self.class_reserve_share, 0.0, 0.5),
         ];
         let not_allowed = |key, value: String, allowed: String| {
             Err(SettingsError::NotAllowed { path: path.to_owned(), key, value, allowed })
--- a/crates/banyannotch/src/gateway/spread/mod.rs
+++ b/crates/banyannotch/src/gateway/spread/mod.rs
@@ -13,9 +13,6 @@
 
 /// Highest fill of a chain of the gateway's zone up to which chains of other zones are not considered.
 const SPILL_FILL: f64 = 0.6;
-/// Fill of two chains below which the faster one is taken. Neither is about to run full, and an even load would only slow the
-/// answers down.
-const IDLE_FILL: f64 = 0.3;
 
 /// What a gateway knows of a chain of engines, for one request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -30,8 +27,7 @@
     pub is_tried: bool,
 }
 
-/// Draws two chains by their weights and returns the index of the one that is less filled, or of the faster one if both are
-/// nearly empty. Chains that were tried are drawn only if there is no other.
+/// Draws two chains by their weights and returns the index of the one that is less filled. Chains that were tried are drawn only if there is no other.
 pub fn draw(chains: &[ChainState], random: &mut Random) -> Option<usize> {
     let all_tried = chains.iter().all(|chain| chain.is_tried);
     let eligible: Vec<(usize, &ChainState)> =
@@ -46,12 +42,7 @@
         found.or(eligible.last()).copied()
     };
     let (first, second) = (draw_one()?, draw_one()?);
-    let prefers_second = if first.1.fill < IDLE_FILL && second.1.fill < IDLE_FILL {
-        second.1.cost_ms < first.1.cost_ms
-    } else {
-        second.1.fill < first.1.fill
-    };
-    Some(if prefers_second { second.0 } else { first.0 })
+    Some(if second.1.fill < first.1.fill { second.0 } else { first.0 })
 }
 
 /// Returns whether a chain of the gateway's zone is taken without a look at other zones.
@@ -59,10 +50,10 @@
     local.fill < SPILL_FILL && !local.is_tried
 }
 
-/// Returns whether a chain of another zone is preferred to one of the gateway's zone, at the given additional cost.
-pub fn prefers_foreign(local: &ChainState, foreign: &ChainState, foreign_cost_ms: f64) -> bool {
+/// Returns whether a chain of another zone is preferred to one of the gateway's zone.
+pub fn prefers_foreign(local: &ChainState, foreign: &ChainState) -> bool {
     if local.is_tried != foreign.is_tried {
         return local.is_tried;
     }
-    foreign.cost_ms + foreign_cost_ms < local.cost_ms
+    foreign.fill < local.fill
 }
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -4,6 +4,7 @@
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 
+use super::admission::AdmissionSettings;
 use super::catalog::CatalogSettings;
 use super::dispatch::DispatchSettings;
 use super::gossip::GossipSettings;
@@ -230,6 +231,11 @@
         retry_ratio: settings.retry_ratio,
         retry_window_ms: (settings.retry_window_s * MS_PER_S) as u64,
         retry_allowance: settings.retry_allowance,
+        admission: AdmissionSettings {
+            waiting_limit: settings.waiting_limit,
+            class_reserve_share: settings.class_reserve_share,
+            ..AdmissionSettings::default()
+        },
         expects_peers: settings.seeds.iter().any(|seed| *seed != own),
         // The gateway must detect a stall well before the engine itself aborts the work.
         stall_limit_min_ms: defaults.stall_limit_min_ms.min(settings.stall_ms / 2),
