--- a/crates/banyannotch/src/gateway/admission/settings.rs
+++ b/crates/banyannotch/src/gateway/admission/settings.rs
@@ -3,13 +3,13 @@
 /// Settings of priority admission control. Times are in milliseconds unless the name says otherwise.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
-    /// Share of an engine's KV cache that each rank leaves to the more urgent one before it. The default leaves none: on the
-    /// users' bench a reserve refused more urgent and less urgent requests alike.
+    /// Share of an engine's KV cache that each rank leaves to the more urgent one before it. None by default: while the known
+    /// loads are late, a reserve leaves memory unused. See `docs/design/priority-admission.md`.
     pub class_reserve_share: f64,
     /// Window in which the admission rate of a class is compared with that of all requests of the service.
     pub starvation_window_ms: u64,
     /// Maximum number of requests that wait for a service. Each holds its body in memory, up to the limit of the
-    /// configuration. By default none waits: on the users' bench fewer requests were served with a queue.
+    /// configuration. None waits by default: while the known loads are late, what waited is sent too late.
     pub waiting_limit: usize,
     /// Share of the objective for which a request may wait.
     pub waiting_share: f64,
--- a/crates/banyannotch/src/gateway/dispatch/tests/spread.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/spread.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// While each gateway avoided an engine for 0.2 s after each rejection, 6 gateways served 0.35 of the capacity in time at
+/// Each gateway avoids an engine for 0.2 s after each rejection. At 6 gateways this serves 0.35 of the capacity in time at
 /// twice the load, because engines stood half empty. The bound is lower at 74 gateways and twice the load, where the choice of
 /// a path alone does not keep 0.8.
 #[test]
