gateway, standins: tests of clients that take more than the machine has

Cause: clients that are not under control ended a process; it ran out of memory. The account of the callers' memory held in the tests, but a machine also counts the bytes that sockets have received and nobody has read, and a real one those that wait to be sent. Long responses that are read slowly were not played, nor were the heads of endpoints, the ports for checks and metrics, and the native entry as a process.

Change: fifteen crowds, ten against a gateway and five against an entry, with lowered limits. The bound is the memory of the machine (48 MB), against resident, unread and unsent bytes together, and its descriptors (1,024). The clients and the sampler are shared by both daemons.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -6,6 +6,8 @@
     reason = "a failure here fails the test"
 )]
 
+pub mod crowd;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -90,6 +90,8 @@
     CutHead(usize),
     /// Sends a head without end until the connection is closed.
     EndlessHead,
+    /// Sends a head of this many bytes without its end, and keeps the connection open.
+    UnfinishedHead(usize),
     /// Responds with a body of this many bytes.
     LargeBody(usize),
     /// Sends a body without end until the connection is closed.
@@ -505,6 +507,13 @@
         let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: ");
         return write_without_end(head.as_bytes(), b"xxxxxxxxxxxxxxxx", writer).await;
     }
+    if let Fault::UnfinishedHead(size_bytes) = fault {
+        let head = format!("HTTP/1.1 200 Any\r\n{signed}X-Filler: {}", "x".repeat(size_bytes));
+        if writer.write_all(head.as_bytes()).await.is_ok() {
+            std::future::pending::<()>().await;
+        }
+        return false;
+    }
     if fault == Fault::EndlessBody {
         let head = format!("HTTP/1.1 200 Any\r\n{signed}Transfer-Encoding: chunked\r\n\r\n");
         return write_without_end(head.as_bytes(), FILLER_CHUNK, writer).await;
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -3,10 +3,12 @@
 //! The caller passes the path of each binary, for example `env!("CARGO_BIN_EXE_banyannotch-standin")`.
 
 mod child;
+pub mod crowd;
 mod deployment;
 mod error;
 #[cfg(test)]
 mod tests;
+mod usage;
 mod wait;
 
 pub use child::{Listener, Process};
@@ -15,4 +17,5 @@
     status,
 };
 pub use error::{HarnessError, Result};
+pub use usage::{Ports, Usage, UsageSampler, usage};
 pub use wait::{wait_for, wait_until};
