gateway: small socket buffers, and large ones for few messages

What callers saw: a gateway whose machine ran out of memory ended with all the requests that it served. 150 streams that nobody read were enough.

Cause: Linux keeps up to 4 MB of unsent and 6 MB of unread bytes for each socket. The account of the callers' memory ended at the process, so that it held while the machine was lost. A stream was taken from its engine as fast as the operating system would buffer it, whatever the caller read.

Change: the connections of callers and those to endpoints have buffers of 4 to 64 KiB, a share of the machine each (`socket_buffers_share`). A large request or response passes through a buffer of 64 KiB while a share for these lasts; that of a response counts until the caller has received it. The gateway blocks on a caller that does not read, and the endpoint behind it too. Each buffer is bounded at any moment, without a system call for each write, which is why this holds where counting bytes afterwards does not.

a_stream_that_goes_on_is_not_abandoned_during_a_write relied on the operating system to buffer the first events while nobody read them, so that the gateway waited for the engines. The caller reads those events now and then pauses as before; the checks are the same.

--- a/crates/banyannotch/src/caller_memory/hold.rs
+++ b/crates/banyannotch/src/caller_memory/hold.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::Notify;
 
-use super::{Account, AccountSettings, Grant, Stage};
+use super::{Account, AccountSettings, Grant, LargeBuffer, Stage};
 
 /// Minimum time between two log lines about refusals of the same kind, so that many refusals do not flood the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -106,7 +106,13 @@
             Some(slot) => *slot = Rc::clone(&signal),
             None => signals.push(Rc::clone(&signal)),
         }
-        Some(Rc::new(Hold { memory: Rc::clone(self), id, signal, parts: Cell::default() }))
+        Some(Rc::new(Hold {
+            memory: Rc::clone(self),
+            id,
+            signal,
+            parts: Cell::default(),
+            send_buffer: RefCell::default(),
+        }))
     }
 
     /// Counts a refusal, and logs it unless one of the same kind was logged shortly before.
@@ -150,6 +156,8 @@
     id: usize,
     signal: Rc<Notify>,
     parts: Cell<[usize; PART_COUNT]>,
+    /// Large buffer through which a response was sent, until the caller has received it.
+    send_buffer: RefCell<Option<LargeBuffer>>,
 }
 
 impl Hold {
@@ -198,6 +206,16 @@
         }
     }
 
+    /// Keeps the large buffer of the connection until the response that was sent through it has been received.
+    pub fn keep_send_buffer(&self, buffer: Option<LargeBuffer>) {
+        *self.send_buffer.borrow_mut() = buffer;
+    }
+
+    /// Returns whether a response may still be in a large buffer.
+    pub fn has_send_buffer(&self) -> bool {
+        self.send_buffer.borrow().is_some()
+    }
+
     /// Returns whether the connection was dropped.
     pub fn is_dropped(&self) -> bool {
         self.memory.account.borrow().is_dropped(self.id)
--- a/crates/banyannotch/src/caller_memory/tests.rs
+++ b/crates/banyannotch/src/caller_memory/tests.rs
@@ -1,7 +1,11 @@
 //! Guards against callers that make a process hold more memory than its limit, against the loss of a request that an endpoint
 //! works on while another could be dropped, and against large requests that leave no room for small ones.
 
-use super::{Account, AccountSettings, Grant, Stage};
+use std::net::{TcpListener, TcpStream};
+
+use socket2::SockRef;
+
+use super::{Account, AccountSettings, BufferSettings, Direction, Grant, SocketBuffers, Stage, is_sent};
 use crate::random::Random;
 
 const KIB: usize = 1 << 10;
@@ -176,3 +180,33 @@
     }
     assert_eq!((account.held_bytes(), account.connections()), (0, 0));
 }
+
+/// Large buffers together stay within their limit, and each of them is small again after its message.
+#[test]
+fn large_socket_buffers_are_limited_together() {
+    let settings =
+        BufferSettings { buffer_bytes: 4 * KIB, large_buffer_bytes: 64 * KIB, large_limit_bytes: 300 * KIB };
+    let buffers = SocketBuffers::new(settings);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    buffers.limit(&listener);
+    let address = listener.local_addr().expect("an address");
+    let sockets: Vec<_> = (0..3)
+        .map(|_| {
+            let client = TcpStream::connect(address).expect("a connection");
+            (client, listener.accept().expect("a connection").0)
+        })
+        .collect();
+    let size = |socket: &TcpStream| SockRef::from(socket).send_buffer_size().expect("the size is known");
+    let mut large: Vec<_> =
+        sockets.iter().map(|(_, socket)| buffers.enlarge(socket, Direction::Send)).collect();
+    assert_eq!(large.iter().map(Option::is_some).collect::<Vec<_>>(), [true, true, false]);
+    let sizes: Vec<_> = sockets.iter().map(|(_, socket)| size(socket) / KIB).collect();
+    assert_eq!(sizes, [128, 128, 8]);
+    let first = large.remove(0).expect("the first buffer is large");
+    first.reduce(&sockets[0].1);
+    assert_eq!((size(&sockets[0].1) / KIB, is_sent(&sockets[0].1).expect("the state is known")), (8, true));
+    drop(first);
+    assert!(buffers.enlarge(&sockets[2].1, Direction::Receive).is_some());
+    drop(large);
+    assert_eq!(buffers.large_bytes(), 0);
+}
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -15,7 +15,7 @@
 use super::collect::{RequestQuota, collect_body, read_head};
 use super::context::{Context, DrainStage, InFlightGuard};
 use super::exchange::{ExchangeOutcome, OpenExchange, Progress, Request, exchange};
-use crate::caller_memory::{Hold, Part, Refused, Stage as CallerStage};
+use crate::caller_memory::{Direction, Hold, LargeBuffer, Part, Refused, Stage as CallerStage, is_sent};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
@@ -31,6 +31,8 @@
 const REPLY_TIMEOUT_MS: u64 = 1_000;
 /// Retry delay announced to a caller whose request is refused because the process is shutting down.
 const SHUTDOWN_RETRY_MS: u64 = 50;
+/// Time until the first check whether a caller has received a large response. It doubles with each check.
+const SENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What happens to the caller's connection after a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,6 +63,7 @@
                 false
             }
             is_waiting = wait_for_request(&context, &mut reader) => is_waiting,
+            () = release_when_sent(&hold, &writer) => false,
         };
         if !is_waiting {
             return;
@@ -149,7 +152,8 @@
         return Err(to_reply(HttpError::BodyTooLarge(limits.body_bytes)));
     }
     let mut quota = RequestQuota::new(limits.body_bytes);
-    let body = collect_body(reader, BodyDecoder::new(framing), framing, &mut quota, (hold, Part::Body));
+    let decoder = BodyDecoder::new(framing);
+    let body = collect_body(reader, decoder, framing, &mut quota, (hold, Part::Body), &context.buffers);
     let body = timeout(read_timeout, body).await.map_err(timed_out)?.map_err(to_reply)?;
     Ok((head, body))
 }
@@ -251,13 +255,12 @@
         Some(ServeOutcome::Deliver(response)) if !progress.head_sent => {
             let mut out = Vec::new();
             write_response_head(&context.dialect, &response, close, &mut out);
+            let large = enlarge_for(context, writer, response.body.len());
             let mut parts = Buf::chain(out.as_slice(), &*response.body);
             let written = timeout(Duration::from_millis(REPLY_TIMEOUT_MS), writer.write_all_buf(&mut parts));
-            if matches!(written.await, Ok(Ok(()))) && !close {
-                ConnectionAction::Keep
-            } else {
-                ConnectionAction::Close
-            }
+            let is_written = matches!(written.await, Ok(Ok(())));
+            reduce_after(hold, writer, large);
+            if is_written && !close { ConnectionAction::Keep } else { ConnectionAction::Close }
         }
         // The response has begun and cannot be completed. The connection is closed without the end of the
         // body, so that the caller detects the truncation.
@@ -272,6 +275,39 @@
     }
 }
 
+/// Makes the send buffer of a caller's socket large if a body of the given size needs that and there is room.
+pub(super) fn enlarge_for<D, C>(
+    context: &Context<D, C>,
+    writer: &OwnedWriteHalf,
+    body_bytes: usize,
+) -> Option<LargeBuffer> {
+    let is_large = context.buffers.is_large(body_bytes);
+    if is_large { context.buffers.enlarge(writer.as_ref(), Direction::Send) } else { None }
+}
+
+/// Makes the send buffer of a caller's socket small again. What it contains counts until the caller has received it.
+pub(super) fn reduce_after(hold: &Hold, writer: &OwnedWriteHalf, large: Option<LargeBuffer>) {
+    if let Some(large) = large {
+        large.reduce(writer.as_ref());
+        hold.keep_send_buffer(Some(large));
+    }
+}
+
+/// Releases the large buffer of an idle connection when the caller has received the response that was sent through it.
+/// Never returns, so that it can run beside the wait for the next request.
+async fn release_when_sent(hold: &Hold, writer: &OwnedWriteHalf) {
+    let mut interval = SENT_CHECK_INTERVAL;
+    while hold.has_send_buffer() {
+        tokio::time::sleep(interval).await;
+        // Without an answer of the operating system the buffer counts until the connection ends.
+        if is_sent(writer.as_ref()).unwrap_or(false) {
+            hold.keep_send_buffer(None);
+        }
+        interval *= 2;
+    }
+    std::future::pending::<()>().await;
+}
+
 /// Logs and counts a response that ends before it is complete.
 fn record_cut(id: &str, reason: RefusalReason) {
     metrics::counter!("banyannotch_gateway_responses_cut_total").increment(1);
--- a/crates/banyannotch/src/gateway/forwarding/collect.rs
+++ b/crates/banyannotch/src/gateway/forwarding/collect.rs
@@ -1,14 +1,18 @@
 //! Reads the messages of callers and the bodies of responses within the account of the callers' memory.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 
-use crate::caller_memory::{Hold, Part};
+use crate::caller_memory::{Hold, Part, SocketBuffers};
 use crate::gateway::http1::{BodyDecoder, BodyQuota, Framing, HttpError, Reader, RequestHead, Result};
 
 /// Buffer space of a connection, which the account covers by what it counts for each connection.
 pub(super) const COVERED_BYTES: usize = 4_096;
 /// Minimum growth of a body whose length is not known.
 const MIN_GROWTH_BYTES: usize = 4_096;
+/// Size from which a body without a length passes through a large buffer, which most such bodies do not need.
+const UNANNOUNCED_LARGE_BYTES: usize = 65_536;
 
 /// A limit on the body of a request.
 #[derive(Clone, Copy, Debug)]
@@ -59,7 +63,8 @@
     }
 }
 
-/// Reads a complete body. Its memory grows by a quarter at a time, so that little of it is unused.
+/// Reads a complete body. Its memory grows by a quarter at a time, so that little of it is unused. A large body passes through
+/// a large buffer of the socket if there is one.
 ///
 /// # Errors
 /// Returns the errors of [`Reader::body`] and of the quota.
@@ -69,11 +74,15 @@
     framing: Framing,
     quota: &mut Q,
     (hold, part): (&Hold, Part),
+    buffers: &Rc<SocketBuffers>,
 ) -> Result<Bytes> {
     let announced_bytes = match framing {
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         Framing::Chunked | Framing::UntilClose => usize::MAX,
     };
+    if announced_bytes != usize::MAX && buffers.is_large(announced_bytes) {
+        reader.enlarge_buffer(buffers);
+    }
     let mut collected: Vec<u8> = Vec::new();
     while let Some(data) = reader.body(&mut decoder).await? {
         quota.take(data.len())?;
@@ -83,8 +92,12 @@
             let capacity_bytes = (size_bytes + growth_bytes).min(announced_bytes).max(size_bytes);
             hold.set(part, capacity_bytes).await;
             collected.reserve_exact(capacity_bytes - collected.len());
+            if size_bytes > UNANNOUNCED_LARGE_BYTES {
+                reader.enlarge_buffer(buffers);
+            }
         }
         collected.extend_from_slice(&data);
     }
+    reader.reduce_buffer();
     Ok(collected.into())
 }
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -9,7 +9,7 @@
 use super::budget::BodyBudget;
 use super::pool::Pool;
 use super::watch::Abandonment;
-use crate::caller_memory::CallerMemory;
+use crate::caller_memory::{CallerMemory, SocketBuffers};
 use crate::clock::Clock;
 use crate::duty::Supervisor;
 use crate::gateway::dispatch::{self, Ending, Refusal, RefusalReason, SendOrder, Submission, Verdict};
@@ -28,6 +28,8 @@
     pub bodies: BodyBudget,
     /// Limits what all callers together can make the gateway hold, and their connections.
     pub memory: Rc<CallerMemory>,
+    /// Limits what the operating system keeps for the connections.
+    pub buffers: Rc<SocketBuffers>,
     /// Number of connections whose remaining bytes are discarded before they are closed.
     pub lingering: Cell<usize>,
     pub limits: Cell<CallerLimits>,
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -15,7 +15,7 @@
 use crate::clock::{Clock, US_PER_MS};
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{Ending, SendOrder};
-use crate::gateway::http1::{RequestHead, connect};
+use crate::gateway::http1::{RequestHead, connect_socket, socket_for};
 
 /// The operating system closes a connection whose peer acknowledges no data for this long.
 const TCP_USER_TIMEOUT_MS: u64 = 2_000;
@@ -170,7 +170,12 @@
     if let Some(upstream) = context.pool.borrow_mut().take(order.address, excluded) {
         return Some(upstream);
     }
-    match connect(order.address, order.connect_limit_ms, TCP_USER_TIMEOUT_MS).await {
+    let connecting = async {
+        let socket = socket_for(order.address)?;
+        context.buffers.limit(&socket);
+        connect_socket(socket, order.address, order.connect_limit_ms, TCP_USER_TIMEOUT_MS).await
+    };
+    match connecting.await {
         Ok((reader, writer)) => {
             metrics::counter!("banyannotch_gateway_connections_total").increment(1);
             let number = context.pool.borrow_mut().number_connection();
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -12,7 +12,7 @@
 use super::context::{Context, DrainStage};
 use super::pool::Pool;
 use super::{Event, caller, probe};
-use crate::caller_memory::{AccountSettings, CallerMemory};
+use crate::caller_memory::{AccountSettings, BufferSettings, CallerMemory, SocketBuffers};
 use crate::clock::Clock;
 use crate::duty::Supervisor;
 use crate::gateway::{CallerLimits, Dialect, dispatch};
@@ -61,6 +61,8 @@
     pub config_apply_ms: u64,
     /// Limits of what all callers together can make the gateway hold, and of their connections.
     pub callers: AccountSettings,
+    /// Limits of what the operating system keeps for the connections of callers and to endpoints.
+    pub buffers: BufferSettings,
 }
 
 /// Time limits of a graceful shutdown, counted from its start.
@@ -104,6 +106,7 @@
             pool: RefCell::new(Pool::new(settings.idle_connections)),
             bodies: BodyBudget::default(),
             memory: CallerMemory::new(settings.callers),
+            buffers: SocketBuffers::new(settings.buffers),
             lingering: Cell::new(0),
             limits: Cell::new(CallerLimits::default()),
             config_apply_ms: settings.config_apply_ms,
@@ -121,6 +124,8 @@
             notice_period: Duration::from_millis(NOTICE_PERIOD_MS.min(settings.grace_ms / 2)),
             time_limit: Duration::from_millis(settings.grace_ms.saturating_sub(GRACE_MARGIN_MS)),
         };
+        context.buffers.limit(&listeners.callers);
+        context.buffers.limit(&listeners.readiness);
         accept_connections(&context, listeners.callers, "callers", caller::serve);
         accept_connections(&context, listeners.readiness, "readiness", probe::serve);
         actix_rt::spawn(sweep_pool(Rc::clone(&context)));
--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -11,13 +11,14 @@
     ConnectionUse, Response, ResponseKind, classify, describes_endpoint, is_interim, requested_hold_off_ms,
     write_response_head, write_stream_head,
 };
+use super::caller::{enlarge_for, reduce_after};
 use super::collect::{COVERED_BYTES, collect_body};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::exchange::{OpenExchange, Progress, Request};
 use super::pool::Upstream;
 use super::watch::{Abandoned, Watch};
-use crate::caller_memory::{Part, Stage as CallerStage};
+use crate::caller_memory::{Direction, Part, Stage as CallerStage};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{BrokenBy, Ending, SendOrder};
@@ -165,8 +166,11 @@
                 let mut out = Vec::new();
                 write_response_head(&self.context.dialect, &response, self.request.close, &mut out);
                 progress.head_sent = true;
+                let large = enlarge_for(self.context, caller_writer, response.body.len());
                 let mut parts = Buf::chain(out.as_slice(), &*response.body);
-                let ending = match caller_writer.write_all_buf(&mut parts).await {
+                let written = caller_writer.write_all_buf(&mut parts).await;
+                reduce_after(&self.request.hold, caller_writer, large);
+                let ending = match written {
                     Ok(()) => Ending::Completed { first_ms: self.elapsed_ms() },
                     Err(_) => Ending::Left,
                 };
@@ -202,9 +206,13 @@
     ) -> Result<(ResponseHead, ResponseKind, Option<Address>), TransferError> {
         let mut early_head = None;
         let mut write_failed = false;
+        let mut large = None;
         {
             let (reader, writer) = (&mut self.upstream.reader, &mut self.upstream.writer);
             let (head, body) = request_head.map_or((&[][..], &[][..]), |head| (head, &*self.request.body));
+            if self.context.buffers.is_large(body.len()) {
+                large = self.context.buffers.enlarge(writer.as_ref(), Direction::Send);
+            }
             let mut parts = Buf::chain(head, body);
             let mut write = std::pin::pin!(writer.write_all_buf(&mut parts));
             loop {
@@ -224,6 +232,10 @@
                 break;
             }
         }
+        if let Some(large) = large {
+            // What the endpoint has not read yet is a part of the body, which the account counts.
+            large.reduce(self.upstream.writer.as_ref());
+        }
         if write_failed {
             self.may_reuse = false;
             self.upstream.reader.record_failed_write();
@@ -282,6 +294,7 @@
             framing,
             &mut share,
             (&self.request.hold, Part::Response),
+            &self.context.buffers,
         )
         .await;
         if let Err(error @ (HttpError::BodyTooLarge(_) | HttpError::BuffersFull(_))) = &read {
--- a/crates/banyannotch/src/gateway/http1/connection.rs
+++ b/crates/banyannotch/src/gateway/http1/connection.rs
@@ -1,15 +1,17 @@
 //! Buffered reading from TCP connections, and opening them with time limits.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::body::{BodyDecoder, BodyQuota, Decoded, FixedQuota};
 use super::{HttpError, RequestHead, ResponseHead, Result, parse_request, parse_response};
+use crate::caller_memory::{Direction, LargeBuffer, SocketBuffers};
 use crate::pipeline::Address;
 
 /// Buffer space reserved for one read, enough for a few events of a stream and for most heads.
@@ -33,6 +35,8 @@
     buffer: BytesMut,
     /// Whether a write on the connection has failed.
     write_failed: bool,
+    /// Large buffer of the socket for a large message that is being read.
+    large_buffer: Option<LargeBuffer>,
 }
 
 impl Reader {
@@ -75,6 +79,20 @@
         self.buffer = BytesMut::new();
     }
 
+    /// Makes the receive buffer of the socket large for a large message, if there is room for that.
+    pub fn enlarge_buffer(&mut self, buffers: &Rc<SocketBuffers>) {
+        if self.large_buffer.is_none() {
+            self.large_buffer = buffers.enlarge(self.read_half.as_ref(), Direction::Receive);
+        }
+    }
+
+    /// Makes the receive buffer of the socket small again after a large message.
+    pub fn reduce_buffer(&mut self) {
+        if let Some(buffer) = self.large_buffer.take() {
+            buffer.reduce(self.read_half.as_ref());
+        }
+    }
+
     /// Returns the number of bytes that are buffered and have not been decoded.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
@@ -247,7 +265,7 @@
     socket.set_tcp_keepalive(&keep_alive)?;
     socket.set_tcp_user_timeout(Some(Duration::from_millis(user_timeout_ms)))?;
     let (read_half, writer) = stream.into_split();
-    Ok((Reader { read_half, buffer: BytesMut::new(), write_failed: false }, writer))
+    Ok((Reader { read_half, buffer: BytesMut::new(), write_failed: false, large_buffer: None }, writer))
 }
 
 /// Opens a connection within `timeout_ms` and splits it as [`split`] does.
@@ -259,7 +277,28 @@
     timeout_ms: u64,
     user_timeout_ms: u64,
 ) -> io::Result<(Reader, OwnedWriteHalf)> {
-    let connecting = TcpStream::connect(address);
+    connect_socket(socket_for(address)?, address, timeout_ms, user_timeout_ms).await
+}
+
+/// Creates a socket that can be connected to an address.
+///
+/// # Errors
+/// Returns the error of the operating system.
+pub fn socket_for(address: Address) -> io::Result<TcpSocket> {
+    if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }
+}
+
+/// Connects a socket within `timeout_ms` and splits the connection as [`split`] does.
+///
+/// # Errors
+/// Returns the error of the operating system, or [`io::ErrorKind::TimedOut`] when the time limit has passed.
+pub async fn connect_socket(
+    socket: TcpSocket,
+    address: Address,
+    timeout_ms: u64,
+    user_timeout_ms: u64,
+) -> io::Result<(Reader, OwnedWriteHalf)> {
+    let connecting = socket.connect(address);
     let stream = tokio::time::timeout(Duration::from_millis(timeout_ms), connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -69,6 +69,10 @@
     /// Share of `descriptors` that connections of callers can use.
     #[serde(default = "default_callers_connections_share")]
     pub callers_connections_share: f64,
+    /// Share of `memory_mb` that the operating system can take for the connections of callers, and again for those to
+    /// endpoints.
+    #[serde(default = "default_socket_buffers_share")]
+    pub socket_buffers_share: f64,
     /// Maximum number of requests that wait for a service whose routes have different priorities; 0 if none waits.
     #[serde(default)]
     pub waiting_limit: usize,
@@ -102,6 +106,11 @@
     0.625
 }
 
+/// Callers, the connections of callers, those to endpoints and the process itself get a quarter each.
+fn default_socket_buffers_share() -> f64 {
+    0.25
+}
+
 impl GatewaySettings {
     /// Reads and validates a settings file.
     ///
@@ -144,6 +153,7 @@
             ("callers_reserved_share", self.callers_reserved_share, 0.0, 0.9),
             ("callers_small_kb", self.callers_small_kb as f64, 8.0, 1_024.0),
             ("callers_connections_share", self.callers_connections_share, 0.05, 0.7),
+            ("socket_buffers_share", self.socket_buffers_share, 0.05, 0.5),
             ("waiting_limit", self.waiting_limit as f64, 0.0, 10_000.0),
             ("class_reserve_share", self.class_reserve_share, 0.0, 0.5),
         ];
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -529,8 +529,11 @@
 /// goes on by then and must not be abandoned any more.
 #[actix_rt::test]
 async fn a_stream_that_goes_on_is_not_abandoned_during_a_write() {
-    /// Time after which the caller reads on; by then the gateway has given up the report.
+    /// Time for which the caller does not read; the gateway has given up the report by its end.
     const READING_PAUSE: Duration = Duration::from_millis(1_500);
+    /// Size of the events before the pause of the engines. The caller reads them first, because the gateway waits for the
+    /// engines only when it has passed on what it has.
+    const EARLY_BYTES: usize = 3 * 60_000;
     let mut fleet = Fleet::start();
     let gateway = Gateway::start(fleet.store.address, &[]);
     fleet.wait_placed().await;
@@ -546,13 +549,17 @@
     let request = "POST /write/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: slow\r\nKey: secret\r\nDeadline-Ms: 6000\r\n\
                    Token-Usage: 10,20\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     writer.write_all(request.as_bytes()).await.expect("the request is written");
-    actix_rt::time::sleep(READING_PAUSE).await;
     let mut body = Vec::new();
     let end = tokio::time::timeout(LIMIT, async {
         let head = reader.response_head(4_096).await?;
         let mut decoder = BodyDecoder::new(head.framing()?);
+        let mut has_paused = false;
         while let Some(data) = reader.body(&mut decoder).await? {
             body.extend_from_slice(&data);
+            if body.len() >= EARLY_BYTES && !has_paused {
+                has_paused = true;
+                actix_rt::time::sleep(READING_PAUSE).await;
+            }
         }
         Ok::<_, HttpError>(reader.has_buffered())
     });
--- a/crates/gateway/tests/machine_memory.rs
+++ b/crates/gateway/tests/machine_memory.rs
@@ -11,6 +11,9 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
 use banyannotch_standins::fleet::{Fault, call};
 use banyannotch_standins::harness::crowd::{HOLD, read_slowly, send_parts};
 use banyannotch_standins::harness::{UsageSampler, wait_until};
@@ -19,6 +22,8 @@
     BODY_LIMIT_BYTES, DESCRIPTORS, HEAD_LIMIT_BYTES, IDLE_ALLOWANCE_KB, KB, MB, MEMORY_MB, SERIAL, Scene,
     head, unfinished_body,
 };
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Memory of the machine.
 const MACHINE_KB: u64 = MEMORY_MB * 1_024;
@@ -190,6 +195,51 @@
     drop(open);
 }
 
+/// Reads what arrives until the end, or until the given number of bytes, in steps of one round trip: what the buffer of the
+/// socket cannot hold has to wait for the next one.
+async fn read_at_a_distance(stream: TcpStream, limit_bytes: usize) -> Vec<u8> {
+    const ROUND_TRIP: Duration = Duration::from_millis(3);
+    let (mut received, mut piece) = (Vec::new(), vec![0; 256 * KB]);
+    while received.len() < limit_bytes {
+        stream.readable().await.expect("the connection is open");
+        actix_rt::time::sleep(ROUND_TRIP).await;
+        loop {
+            match stream.try_read(&mut piece) {
+                Ok(0) => return received,
+                Ok(size_bytes) => received.extend_from_slice(&piece[..size_bytes]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => panic!("the connection failed: {error}"),
+            }
+        }
+    }
+    received
+}
+
+/// Small buffers make a response wait for one round trip after the other. The times are printed, not checked.
+#[actix_rt::test]
+async fn callers_at_a_distance_get_large_responses_and_streams() {
+    let _serial = SERIAL.lock().await;
+    let scene = Scene::start().await;
+    let cases = [
+        ("response", Fault::LargeBody(BODY_LIMIT_BYTES - MB), call_request("far"), BODY_LIMIT_BYTES - MB),
+        ("stream of large events", Fault::Flood, stream_request("far"), MB),
+        ("stream", Fault::None, stream_request("near"), KB / 4),
+    ];
+    for (name, fault, request, size_bytes) in cases {
+        set_fault(&scene, fault);
+        let mut stream =
+            TcpStream::connect(scene.gateway.callers).await.expect("the gateway accepts connections");
+        let started = Instant::now();
+        stream.write_all(&request).await.expect("the gateway reads the request");
+        let received = read_at_a_distance(stream, size_bytes).await;
+        println!("{name}: {} bytes in {} ms", received.len(), started.elapsed().as_millis());
+        assert!(
+            received.starts_with(b"HTTP/1.1 200 ") && received.len() >= size_bytes,
+            "{name} is incomplete"
+        );
+    }
+}
+
 /// What a crowd made the gateway hold is free again when the crowd has left; else the next one ends the process.
 #[actix_rt::test]
 async fn memory_is_released_after_each_of_ten_crowds() {
