forwarding: memory of events is counted by its capacity and given back

What callers saw: 600 streams of which each caller read 16 kB ten times a second took a gateway past the memory of its machine, while streams that nobody read did not.

Cause: when a stream moved on, the account was told the length of the incomplete event, which was small, and not the capacity of the buffer that the events before it had left, 64 to 128 KiB for each stream. The event was also copied once more for its chunk. A stream whose caller did not read was protected as one that an endpoint works on.

Change: the splitter reports its capacity and gives back what is above 16 KiB after each event. The chunk is written from where its events are. Buffers of 64 KiB or more have pages of their own (memmap2), which are returned when they are released. While a caller does not read, the work of its endpoint does not protect the stream.

--- a/crates/banyannotch/src/caller_memory/mod.rs
+++ b/crates/banyannotch/src/caller_memory/mod.rs
@@ -6,6 +6,7 @@
 mod account;
 mod buffers;
 mod hold;
+mod pages;
 mod settings;
 #[cfg(test)]
 mod tests;
@@ -13,4 +14,5 @@
 pub use account::{Account, Grant, Stage};
 pub use buffers::{BufferSettings, Direction, LargeBuffer, SocketBuffers, is_sent};
 pub use hold::{CallerMemory, Hold, Part, Refused};
+pub use pages::PageBuffer;
 pub use settings::AccountSettings;
--- a/crates/banyannotch/src/caller_memory/tests.rs
+++ b/crates/banyannotch/src/caller_memory/tests.rs
@@ -5,7 +5,9 @@
 
 use socket2::SockRef;
 
-use super::{Account, AccountSettings, BufferSettings, Direction, Grant, SocketBuffers, Stage, is_sent};
+use super::{
+    Account, AccountSettings, BufferSettings, Direction, Grant, PageBuffer, SocketBuffers, Stage, is_sent,
+};
 use crate::random::Random;
 
 const KIB: usize = 1 << 10;
@@ -210,3 +212,32 @@
     drop(large);
     assert_eq!(buffers.large_bytes(), 0);
 }
+
+/// The bytes must be the same whether or not the buffer has pages of its own.
+#[test]
+fn page_buffers_hold_what_was_appended() {
+    let mut random = Random::seeded(11);
+    let (mut buffer, mut expected) = (PageBuffer::default(), Vec::new());
+    for number in 0..2_000 {
+        match random.below(6) {
+            0 => {
+                let size_bytes = random.below(expected.len() + 1);
+                buffer.discard_front(size_bytes);
+                expected.drain(..size_bytes);
+            }
+            1 => buffer.set_capacity(random.below(200 * KIB)),
+            2 if number % 50 == 0 => {
+                buffer.clear(16 * KIB);
+                expected.clear();
+            }
+            _ => {
+                let piece = vec![(number % 251) as u8; random.below(8 * KIB)];
+                buffer.extend_from_slice(&piece);
+                expected.extend_from_slice(&piece);
+            }
+        }
+        assert!(buffer.as_slice() == expected, "after change {number}");
+        assert!(buffer.capacity() >= expected.len());
+    }
+    assert!(*bytes::Bytes::from(buffer) == *expected);
+}
--- a/crates/banyannotch/src/gateway/forwarding/tests.rs
+++ b/crates/banyannotch/src/gateway/forwarding/tests.rs
@@ -7,19 +7,20 @@
 use super::budget::BodyBudget;
 use super::events::EventSplitter;
 use super::watch::WatchLimits;
+use crate::caller_memory::PageBuffer;
 use crate::gateway::ResponseInfo;
 use crate::gateway::http1::{BodyQuota, ResponseHead};
 
 fn split(last_id: Option<u64>, pieces: &[&str]) -> String {
     let mut splitter = EventSplitter::new(last_id);
-    let mut out = Vec::new();
+    let mut out = PageBuffer::default();
     for piece in pieces {
         if let Err(error) = splitter.push(piece.as_bytes(), &mut out) {
-            return format!("{:?} then: {error}", String::from_utf8_lossy(&out));
+            return format!("{:?} then: {error}", String::from_utf8_lossy(out.as_slice()));
         }
     }
     let inside = if splitter.is_inside_event() { ", inside an event" } else { "" };
-    format!("{:?} last {:?}{inside}", String::from_utf8_lossy(&out), splitter.last_id())
+    format!("{:?} last {:?}{inside}", String::from_utf8_lossy(out.as_slice()), splitter.last_id())
 }
 
 #[test]
--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -18,11 +18,11 @@
 use super::exchange::{OpenExchange, Progress, Request};
 use super::pool::Upstream;
 use super::watch::{Abandoned, Watch};
-use crate::caller_memory::{Direction, Part, Stage as CallerStage};
+use crate::caller_memory::{Direction, PageBuffer, Part, Stage as CallerStage};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{BrokenBy, Ending, SendOrder};
-use crate::gateway::http1::{BodyDecoder, Decoded, Framing, HttpError, ResponseHead, write_chunk};
+use crate::gateway::http1::{BodyDecoder, Decoded, Framing, HttpError, ResponseHead, write_chunk_size};
 use crate::pipeline::Address;
 
 /// Maximum number of bytes buffered of an incomplete response head.
@@ -33,9 +33,10 @@
 /// without the body only the connection is lost.
 const REJECTION_BODY_TIMEOUT_MS: u64 = 50;
 
-/// Memory that an event takes in relation to its size: it is buffered in memory that doubles, and copied twice when it is
-/// complete. All of it is asked for while the event arrives, because many streams can complete an event at the same time.
-const EVENT_COPIES: usize = 4;
+/// Memory that an incomplete event will take beside its buffer, in relation to its size: the buffer doubles, and the event is
+/// copied when it is complete. All of it is asked for while the event arrives, because many streams can complete an event at
+/// the same time.
+const EVENT_COPIES: usize = 3;
 /// Size up to which the memory for the events of a stream is kept for the next ones.
 const KEPT_EVENTS_BYTES: usize = 16_384;
 
@@ -319,11 +320,12 @@
         progress: &mut Progress,
         caller_writer: &mut OwnedWriteHalf,
     ) -> Result<SendResult, TransferError> {
-        let (mut events, mut out) = (Vec::new(), Vec::new());
+        let (mut events, mut out) = (PageBuffer::default(), Vec::new());
         loop {
             let buffered_bytes = stream.splitter.buffered_bytes() + self.upstream.reader.buffered_bytes();
             if buffered_bytes > COVERED_BYTES {
-                let held_bytes = EVENT_COPIES * buffered_bytes + events.capacity() + out.capacity();
+                let held_bytes =
+                    stream.splitter.held_bytes() + EVENT_COPIES * buffered_bytes + events.capacity();
                 self.request.hold.set(Part::Response, held_bytes).await;
             }
             let read = match watch.wait_for(self.upstream.reader.body(&mut stream.decoder)).await {
@@ -362,29 +364,38 @@
                 self.open = None;
                 self.write_head_once(&stream.head, progress, &mut out);
                 if !events.is_empty() {
-                    write_chunk(&events, &mut out);
-                }
-                if ended {
-                    out.extend_from_slice(b"0\r\n\r\n");
+                    write_chunk_size(events.len(), &mut out);
                 }
+                let rest: &[u8] = match (events.is_empty(), ended) {
+                    (false, false) => b"\r\n",
+                    (false, true) => b"\r\n0\r\n\r\n",
+                    (true, _) => b"0\r\n\r\n",
+                };
                 progress.last_event_id = stream.splitter.last_id();
-                let buffered_bytes = stream.splitter.buffered_bytes() + self.upstream.reader.buffered_bytes();
-                let held_bytes = events.capacity() + out.capacity() + 2 * buffered_bytes;
+                let incomplete_bytes =
+                    stream.splitter.held_bytes() + 2 * self.upstream.reader.buffered_bytes();
+                let held_bytes = events.capacity() + out.capacity() + incomplete_bytes;
                 if held_bytes > COVERED_BYTES {
                     self.request.hold.set(Part::Response, held_bytes).await;
                 } else {
                     self.request.hold.shrink(Part::Response, held_bytes);
                 }
-                if caller_writer.write_all(&out).await.is_err() {
+                if held_bytes > COVERED_BYTES {
+                    // The endpoint waits for the caller, so that its work does not protect the connection.
+                    self.request.hold.set_stage(CallerStage::Answered);
+                }
+                let mut parts = Buf::chain(Buf::chain(out.as_slice(), events.as_slice()), rest);
+                if caller_writer.write_all_buf(&mut parts).await.is_err() {
                     return Err(TransferError::Ended(Ending::Left));
                 }
+                if held_bytes > COVERED_BYTES {
+                    self.request.hold.set_stage(CallerStage::Working);
+                }
                 watch.await_next_event();
-                events.clear();
+                events.clear(KEPT_EVENTS_BYTES);
                 out.clear();
                 if held_bytes > KEPT_EVENTS_BYTES {
-                    events.shrink_to_fit();
-                    out.shrink_to_fit();
-                    self.request.hold.shrink(Part::Response, 0);
+                    self.request.hold.shrink(Part::Response, events.capacity() + incomplete_bytes);
                 }
             }
             if ended {
@@ -400,7 +411,7 @@
         &self,
         splitter: &mut EventSplitter,
         data: &[u8],
-        events: &mut Vec<u8>,
+        events: &mut PageBuffer,
     ) -> Result<(), TransferError> {
         splitter.push(data, events).map(|_| ()).map_err(|error| {
             log::warn!(
--- a/crates/banyannotch/src/gateway/http1/head.rs
+++ b/crates/banyannotch/src/gateway/http1/head.rs
@@ -198,7 +198,12 @@
 
 /// Writes one chunk of a chunked body. `data` must not be empty, since an empty chunk would end the body.
 pub fn write_chunk(data: &[u8], out: &mut Vec<u8>) {
-    out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    write_chunk_size(data.len(), out);
     out.extend_from_slice(data);
     out.extend_from_slice(b"\r\n");
 }
+
+/// Writes the line before a chunk of a chunked body, whose data and empty line follow.
+pub fn write_chunk_size(size_bytes: usize, out: &mut Vec<u8>) {
+    out.extend_from_slice(format!("{size_bytes:x}\r\n").as_bytes());
+}
--- a/crates/banyannotch/src/gateway/http1/mod.rs
+++ b/crates/banyannotch/src/gateway/http1/mod.rs
@@ -12,4 +12,6 @@
 pub use body::{BodyDecoder, BodyQuota, Decoded, Framing};
 pub use connection::{Reader, connect, connect_socket, socket_for, split};
 pub use error::{HttpError, Result};
-pub use head::{Headers, RequestHead, ResponseHead, parse_request, parse_response, write_chunk};
+pub use head::{
+    Headers, RequestHead, ResponseHead, parse_request, parse_response, write_chunk, write_chunk_size,
+};
