forwarding: heads are counted for all that is held of them

What callers saw: a gateway could be ended by complete heads of 60 kB on requests that endpoints worked on, and by endpoints that did not end their heads.

Cause: a head counted its size once when it was complete. Its text, the path in the request that dispatch has and the head that is sent to the endpoint are three copies. Heads of responses were in no account, nor the buffer that a large one left on an idle connection, nor the bodies of rejections and of responses to other requests.

Change: a request head counts three times, a response head twice, both before they are read on. An idle connection to an endpoint keeps no buffer. Bodies that are not used are discarded as they arrive.

--- a/crates/banyannotch/src/caller_memory/hold.rs
+++ b/crates/banyannotch/src/caller_memory/hold.rs
@@ -20,11 +20,13 @@
     Body,
     /// Bytes that follow the request.
     Ahead,
+    /// The head of the response.
+    ResponseHead,
     /// A response, or a part of a stream, that the caller has not read.
     Response,
 }
 
-const PART_COUNT: usize = 4;
+const PART_COUNT: usize = 5;
 
 /// Why a caller does not get a response, or not the whole response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -168,7 +170,7 @@
 
     /// Records that the request has ended and its memory is released. Bytes that follow it are still held.
     pub fn end_request(&self) {
-        for part in [Part::Head, Part::Body, Part::Response] {
+        for part in [Part::Head, Part::Body, Part::ResponseHead, Part::Response] {
             self.shrink(part, 0);
         }
         self.set_stage(Stage::Idle);
--- a/crates/banyannotch/src/gateway/forwarding/collect.rs
+++ b/crates/banyannotch/src/gateway/forwarding/collect.rs
@@ -5,10 +5,15 @@
 use bytes::Bytes;
 
 use crate::caller_memory::{Hold, Part, SocketBuffers};
-use crate::gateway::http1::{BodyDecoder, BodyQuota, Framing, HttpError, Reader, RequestHead, Result};
+use crate::gateway::http1::{
+    BodyDecoder, BodyQuota, Framing, HttpError, Reader, RequestHead, ResponseHead, Result,
+};
 
 /// Buffer space of a connection, which the account covers by what it counts for each connection.
 pub(super) const COVERED_BYTES: usize = 4_096;
+/// Memory that a request head takes in relation to its size: while it arrives, its buffer doubles, and then its strings, those
+/// of the request that is submitted to dispatch, and the head that is sent to the endpoint take about as much as its text.
+const HEAD_COPIES: usize = 3;
 /// Minimum growth of a body whose length is not known.
 const MIN_GROWTH_BYTES: usize = 4_096;
 /// Size from which a body without a length passes through a large buffer, which most such bodies do not need.
@@ -46,18 +51,43 @@
     loop {
         let buffered_bytes = reader.buffered_bytes();
         if let Some(head) = reader.buffered_request_head(limit_bytes)? {
-            // The strings of the head take about as much as its text.
             let head_bytes = buffered_bytes - reader.buffered_bytes();
             if head_bytes > COVERED_BYTES {
-                hold.set(Part::Head, head_bytes).await;
+                hold.set(Part::Head, HEAD_COPIES * head_bytes).await;
             }
             let ahead_bytes = reader.buffered_bytes();
             hold.shrink(Part::Ahead, if ahead_bytes > COVERED_BYTES { 2 * ahead_bytes } else { 0 });
             return Ok(head);
         }
+        if buffered_bytes >= COVERED_BYTES {
+            hold.set(Part::Head, HEAD_COPIES * (buffered_bytes + COVERED_BYTES)).await;
+        }
+        reader.fill_within_head().await?;
+    }
+}
+
+/// Reads a response head.
+///
+/// # Errors
+/// Returns the errors of [`Reader::response_head`].
+pub(super) async fn read_response_head(
+    reader: &mut Reader,
+    limit_bytes: usize,
+    hold: &Hold,
+) -> Result<ResponseHead> {
+    loop {
+        let buffered_bytes = reader.buffered_bytes();
+        if let Some(head) = reader.buffered_response_head(limit_bytes)? {
+            // The strings of the head take about as much as its text, and so does the head that the caller gets.
+            let head_bytes = buffered_bytes - reader.buffered_bytes();
+            if head_bytes > COVERED_BYTES {
+                hold.set(Part::ResponseHead, 2 * head_bytes).await;
+            }
+            return Ok(head);
+        }
         if buffered_bytes >= COVERED_BYTES {
             // The buffer doubles when it is full.
-            hold.set(Part::Head, 2 * (buffered_bytes + COVERED_BYTES)).await;
+            hold.set(Part::ResponseHead, 2 * (buffered_bytes + COVERED_BYTES)).await;
         }
         reader.fill_within_head().await?;
     }
--- a/crates/banyannotch/src/gateway/forwarding/pool.rs
+++ b/crates/banyannotch/src/gateway/forwarding/pool.rs
@@ -87,7 +87,9 @@
             return;
         }
         self.count += 1;
-        let upstream = Upstream { connection_use: ConnectionUse::Shared, ..upstream };
+        let mut upstream = Upstream { connection_use: ConnectionUse::Shared, ..upstream };
+        // It may have grown with the last response.
+        upstream.reader.release_buffer();
         stack.push(Idle { upstream, expires_at: Instant::now() + Duration::from_millis(keep_ms) });
     }
 
--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -12,7 +12,7 @@
     write_response_head, write_stream_head,
 };
 use super::caller::{enlarge_for, reduce_after};
-use super::collect::{COVERED_BYTES, collect_body};
+use super::collect::{COVERED_BYTES, collect_body, read_response_head};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::exchange::{OpenExchange, Progress, Request};
@@ -180,9 +180,9 @@
             ResponseKind::NotRun => {
                 let status = head.status;
                 // The endpoint did not run the request, even if the body of its response cannot be read.
-                let body = self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES);
+                let body = self.upstream.reader.skip_body(decoder, UNUSED_BODY_LIMIT_BYTES);
                 let limit = Duration::from_millis(REJECTION_BODY_TIMEOUT_MS);
-                if matches!(timeout(limit, body).await, Ok(Ok(_))) {
+                if matches!(timeout(limit, body).await, Ok(Ok(()))) {
                     self.may_reuse &= framing != Framing::UntilClose && head.keeps_alive();
                     self.allow_pooling(&head);
                 }
@@ -210,6 +210,7 @@
         let mut large = None;
         {
             let (reader, writer) = (&mut self.upstream.reader, &mut self.upstream.writer);
+            let hold = &self.request.hold;
             let (head, body) = request_head.map_or((&[][..], &[][..]), |head| (head, &*self.request.body));
             if self.context.buffers.is_large(body.len()) {
                 large = self.context.buffers.enlarge(writer.as_ref(), Direction::Send);
@@ -221,7 +222,7 @@
                     biased;
                     // An endpoint may respond and then reset the connection; the response is still read.
                     write_result = &mut write => write_failed = write_result.is_err(),
-                    head = reader.response_head(HEAD_LIMIT_BYTES) => {
+                    head = read_response_head(reader, HEAD_LIMIT_BYTES, hold) => {
                         let head = head?;
                         // After an interim response the endpoint still expects the rest of the request.
                         if is_interim(&head) {
@@ -249,7 +250,10 @@
             self.stage = Stage::AwaitingHead;
             let head = match early_head.take() {
                 Some(head) => head,
-                None => self.upstream.reader.response_head(HEAD_LIMIT_BYTES).await?,
+                None => {
+                    read_response_head(&mut self.upstream.reader, HEAD_LIMIT_BYTES, &self.request.hold)
+                        .await?
+                }
             };
             let response_info = self.context.dialect.response_info(&head);
             let kind = classify(&head, &response_info, &self.request.id, self.upstream.connection_use);
@@ -275,7 +279,7 @@
                     self.stage = Stage::Unsettled;
                     self.upstream.connection_use = ConnectionUse::Shared;
                     let decoder = BodyDecoder::new(head.framing()?);
-                    self.upstream.reader.whole_body(decoder, UNUSED_BODY_LIMIT_BYTES).await?;
+                    self.upstream.reader.skip_body(decoder, UNUSED_BODY_LIMIT_BYTES).await?;
                 }
                 kind => return Ok((head, kind, response_info.fault_at)),
             }
--- a/crates/banyannotch/src/gateway/http1/connection.rs
+++ b/crates/banyannotch/src/gateway/http1/connection.rs
@@ -163,6 +163,19 @@
         }
     }
 
+    /// Decodes a response head from the buffer, without reading from the connection. Returns `None` while it is incomplete.
+    ///
+    /// # Errors
+    /// Returns the errors of [`parse_response`].
+    pub fn buffered_response_head(&mut self, limit_bytes: usize) -> Result<Option<ResponseHead>> {
+        let buffered_bytes = self.buffer.len();
+        let head = parse_response(&mut self.buffer, limit_bytes)?;
+        if head.is_some() && buffered_bytes > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::from(&*self.buffer);
+        }
+        Ok(head)
+    }
+
     /// Reads the next bytes of a body. Returns `None` at its end.
     ///
     /// # Errors
@@ -200,6 +213,18 @@
         self.whole_body_within(decoder, &mut FixedQuota::new(limit_bytes)).await
     }
 
+    /// Reads a complete body and discards it.
+    ///
+    /// # Errors
+    /// Returns [`HttpError::BodyTooLarge`] when it is larger than `limit_bytes`.
+    pub async fn skip_body(&mut self, mut decoder: BodyDecoder, limit_bytes: usize) -> Result<()> {
+        let mut quota = FixedQuota::new(limit_bytes);
+        while let Some(data) = self.body(&mut decoder).await? {
+            quota.take(data.len())?;
+        }
+        Ok(())
+    }
+
     /// Reads a complete body as far as the quota allows.
     ///
     /// # Errors
