forwarding: connections leave descriptors to endpoints and everything else

What callers saw: 600 streams at a time took 1,247 descriptors of 1,024. A process without descriptors accepts nobody, and reaches neither endpoints nor the store.

Cause: the connections of callers were limited to five eighths of the descriptors, and idle ones to endpoints to a quarter. Each request that an endpoint works on has a connection too, and these were not limited.

Change: connections of callers, submitted requests and idle connections to endpoints take at most seven eighths of the descriptors together. A request beyond them is refused at once with 503 and a Retry-After: it has not run, and nothing could be sent for it. That is decided before dispatch has the request, so that no endpoint is taken for unreachable. Submitted requests leave less to idle connections of callers and to endpoints.

A fixed quarter for connections to endpoints (a trial) failed bytes_behind_requests_stay_within_the_machine: 256 requests of the crowd kept the ordinary one out, although there were descriptors for it.

--- a/crates/banyannotch/src/caller_memory/account.rs
+++ b/crates/banyannotch/src/caller_memory/account.rs
@@ -102,6 +102,11 @@
         self.open_count - self.dropped_count
     }
 
+    /// Changes the maximum number of connections. Those that are open remain.
+    pub fn set_connection_limit(&mut self, connection_limit: usize) {
+        self.settings.connection_limit = connection_limit;
+    }
+
     /// Returns whether the connection was dropped.
     pub fn is_dropped(&self, id: usize) -> bool {
         self.entries.get(id).is_some_and(|entry| entry.is_dropped)
--- a/crates/banyannotch/src/caller_memory/hold.rs
+++ b/crates/banyannotch/src/caller_memory/hold.rs
@@ -96,6 +96,17 @@
         self.account.borrow().held_bytes()
     }
 
+    /// Returns the number of open connections, without those that were dropped.
+    pub fn connections(&self) -> usize {
+        self.account.borrow().connections()
+    }
+
+    /// Changes the maximum number of connections, up to that of the settings. Those that are open remain.
+    pub fn reduce_connection_limit(&self, connection_limit: usize) {
+        let connection_limit = connection_limit.min(self.settings.connection_limit);
+        self.account.borrow_mut().set_connection_limit(connection_limit);
+    }
+
     /// Opens the hold of a new connection, or returns `None` if the connection must be refused.
     pub fn open(self: &Rc<Self>) -> Option<Rc<Hold>> {
         let mut victims = Vec::new();
--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -13,7 +13,7 @@
 use super::answer::{Response, write_local_reply, write_refusal, write_response_head};
 use super::closing::{RETRY_MS, close_in_order, refuse_connection};
 use super::collect::{RequestQuota, collect_body, read_head};
-use super::context::{Context, DrainStage, InFlightGuard};
+use super::context::{Context, DrainStage, InFlightGuard, SubmittedGuard};
 use super::exchange::{ExchangeOutcome, OpenExchange, Progress, Request, exchange};
 use crate::caller_memory::{Direction, Hold, LargeBuffer, Part, Refused, Stage as CallerStage, is_sent};
 use crate::clock::Clock;
@@ -31,6 +31,8 @@
 const REPLY_TIMEOUT_MS: u64 = 1_000;
 /// Retry delay announced to a caller whose request is refused because the process is shutting down.
 const SHUTDOWN_RETRY_MS: u64 = 50;
+/// Retry delay announced to a caller whose request is refused because all connections to endpoints are in use.
+const NO_CONNECTION_RETRY_MS: u64 = 200;
 /// Time until the first check whether a caller has received a large response. It doubles with each check.
 const SENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -48,6 +50,7 @@
     let Some(hold) = context.memory.open() else {
         return refuse_connection(&context, stream).await;
     };
+    context.pool.borrow_mut().reduce_to(context.idle_connection_limit());
     let (mut reader, mut writer) = match split(stream, TCP_USER_TIMEOUT_MS) {
         Ok(halves) => halves,
         Err(error) => {
@@ -199,6 +202,12 @@
         let refusal = Refusal { reason: RefusalReason::NoCapacity, retry_after_ms: Some(SHUTDOWN_RETRY_MS) };
         return reply_refusal(writer, &refusal, true).await;
     }
+    let Some(_submitted) = SubmittedGuard::begin(context) else {
+        hold.record(Refused::Request);
+        let refusal =
+            Refusal { reason: RefusalReason::NoCapacity, retry_after_ms: Some(NO_CONNECTION_RETRY_MS) };
+        return reply_refusal(writer, &refusal, close).await;
+    };
     let time_limit_ms =
         request_info.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).saturating_sub(RESPONSE_MARGIN_MS);
     let id = request_info.id.clone();
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -42,6 +42,10 @@
     /// Notified when the time limit of a shutdown has passed, and requests in flight must get their responses at once.
     pub must_end: Notify,
     pub in_flight: Cell<usize>,
+    /// Number of requests that were submitted to dispatch and have not ended. Each may have a connection to an endpoint.
+    pub submitted: Cell<usize>,
+    /// Maximum numbers of connections.
+    pub connection_limits: ConnectionLimits,
     pub dispatch: RefCell<Sender<dispatch::Event>>,
     /// Requests that wait for a verdict, by number.
     pub pending_verdicts: RefCell<Table<u64, oneshot::Sender<Verdict>>>,
@@ -50,6 +54,15 @@
     pub next_ticket: Cell<u64>,
 }
 
+/// Maximum numbers of connections of the forwarding thread, so that descriptors are left for everything else.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionLimits {
+    /// Connections of callers and those to endpoints together.
+    pub shared: usize,
+    /// Idle connections to endpoints.
+    pub idle: usize,
+}
+
 /// Progress of a graceful shutdown.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum DrainStage {
@@ -156,6 +169,12 @@
         }
     }
 
+    /// Returns the number of idle connections to endpoints that may be kept beside those of the submitted requests.
+    pub fn idle_connection_limit(&self) -> usize {
+        let used = self.memory.connections() + self.submitted.get();
+        self.connection_limits.shared.saturating_sub(used).min(self.connection_limits.idle)
+    }
+
     /// Returns whether responses must close their connections, because the process is shutting down.
     pub fn must_close_connections(&self) -> bool {
         self.drain_stage.get() > DrainStage::Accepting
@@ -176,6 +195,34 @@
 /// Retry delay announced to a caller whose request is refused because the ring to dispatch is full.
 const RING_FULL_RETRY_MS: u64 = 200;
 
+/// Counts a request as submitted until the guard is dropped.
+pub(super) struct SubmittedGuard<D, C>(Rc<Context<D, C>>);
+
+impl<D, C> SubmittedGuard<D, C> {
+    /// Counts a request and returns its guard, unless there is no descriptor for a connection to an endpoint.
+    pub fn begin(context: &Rc<Context<D, C>>) -> Option<Self> {
+        if context.memory.connections() + context.submitted.get() >= context.connection_limits.shared {
+            return None;
+        }
+        context.set_submitted(context.submitted.get() + 1);
+        Some(Self(Rc::clone(context)))
+    }
+}
+
+impl<D, C> Context<D, C> {
+    /// Sets the number of submitted requests, and leaves their descriptors to them when callers connect.
+    fn set_submitted(&self, submitted: usize) {
+        self.submitted.set(submitted);
+        self.memory.reduce_connection_limit(self.connection_limits.shared.saturating_sub(submitted));
+    }
+}
+
+impl<D, C> Drop for SubmittedGuard<D, C> {
+    fn drop(&mut self) {
+        self.0.set_submitted(self.0.submitted.get() - 1);
+    }
+}
+
 /// Counts a request as in flight until the guard is dropped.
 pub(super) struct InFlightGuard<D, C>(Rc<Context<D, C>>);
 
--- a/crates/banyannotch/src/gateway/forwarding/exchange.rs
+++ b/crates/banyannotch/src/gateway/forwarding/exchange.rs
@@ -156,7 +156,9 @@
         if let Some(keep_alive_ms) = pooled_keep_alive_ms
             && !upstream.reader.has_buffered()
         {
-            context.pool.borrow_mut().put(order.address, upstream, keep_alive_ms, order.idle_connections);
+            let limit = context.idle_connection_limit();
+            let mut pool = context.pool.borrow_mut();
+            pool.put(order.address, upstream, keep_alive_ms, order.idle_connections, limit);
         }
         ExchangeOutcome { ending, response, open }
     }
@@ -170,6 +172,7 @@
     if let Some(upstream) = context.pool.borrow_mut().take(order.address, excluded) {
         return Some(upstream);
     }
+    context.pool.borrow_mut().reduce_to(context.idle_connection_limit());
     let connecting = async {
         let socket = socket_for(order.address)?;
         context.buffers.limit(&socket);
--- a/crates/banyannotch/src/gateway/forwarding/mod.rs
+++ b/crates/banyannotch/src/gateway/forwarding/mod.rs
@@ -22,5 +22,6 @@
 mod transfer;
 mod watch;
 
+pub use context::ConnectionLimits;
 pub use messages::Event;
 pub use runtime::{ForwardingSettings, Links, Listeners, spawn};
--- a/crates/banyannotch/src/gateway/forwarding/pool.rs
+++ b/crates/banyannotch/src/gateway/forwarding/pool.rs
@@ -33,9 +33,8 @@
 }
 
 /// Idle connections by address. For each address, the most recently used one is taken first.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Pool {
-    limit: usize,
     idle: Table<Address, Vec<Idle>>,
     count: usize,
     /// Number of connections opened so far.
@@ -43,11 +42,6 @@
 }
 
 impl Pool {
-    /// Creates a pool of at most `limit` connections over all addresses.
-    pub fn new(limit: usize) -> Self {
-        Self { limit, idle: Table::default(), count: 0, opened: 0 }
-    }
-
     /// Returns the number of a connection that was just opened.
     pub fn number_connection(&mut self) -> u64 {
         self.opened += 1;
@@ -72,18 +66,19 @@
     /// longer than [`IDLE_MARGIN_MS`].
     ///
     /// `keep_alive_ms` is the idle timeout that the endpoint announced. At most `address_limit` connections
-    /// are kept for an address.
+    /// are kept for an address, and `limit` over all addresses.
     pub fn put(
         &mut self,
         address: Address,
         upstream: Upstream,
         keep_alive_ms: Option<u64>,
         address_limit: usize,
+        limit: usize,
     ) {
         let keep_ms =
             keep_alive_ms.unwrap_or(DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS).saturating_sub(IDLE_MARGIN_MS);
         let stack = self.idle.entry(address);
-        if keep_ms == 0 || stack.len() >= address_limit || self.count >= self.limit {
+        if keep_ms == 0 || stack.len() >= address_limit || self.count >= limit {
             return;
         }
         self.count += 1;
@@ -93,6 +88,19 @@
         stack.push(Idle { upstream, expires_at: Instant::now() + Duration::from_millis(keep_ms) });
     }
 
+    /// Closes idle connections until at most `limit` are left, those first that expire first.
+    pub fn reduce_to(&mut self, limit: usize) {
+        while self.count > limit {
+            let stacks = self.idle.iter_mut().map(|(_, stack)| stack).filter(|stack| !stack.is_empty());
+            // The most recently used connection of a stack is its last one.
+            let Some(stack) = stacks.min_by_key(|stack| stack.first().map(|idle| idle.expires_at)) else {
+                return;
+            };
+            stack.remove(0);
+            self.count -= 1;
+        }
+    }
+
     /// Closes expired connections.
     pub fn remove_expired(&mut self) {
         let now = Instant::now();
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use super::budget::BodyBudget;
-use super::context::{Context, DrainStage};
+use super::context::{ConnectionLimits, Context, DrainStage};
 use super::pool::Pool;
 use super::{Event, caller, probe};
 use crate::caller_memory::{AccountSettings, BufferSettings, CallerMemory, SocketBuffers};
@@ -55,8 +55,8 @@
 pub struct ForwardingSettings {
     /// Grace period between SIGTERM and SIGKILL, in milliseconds.
     pub grace_ms: u64,
-    /// Maximum number of idle connections over all endpoints.
-    pub idle_connections: usize,
+    /// Maximum numbers of connections of callers and to endpoints.
+    pub connections: ConnectionLimits,
     /// Time until a configuration has reached all gateways, in milliseconds.
     pub config_apply_ms: u64,
     /// Limits of what all callers together can make the gateway hold, and of their connections.
@@ -103,7 +103,7 @@
             dialect,
             clock,
             supervisor: thread_supervisor.clone(),
-            pool: RefCell::new(Pool::new(settings.idle_connections)),
+            pool: RefCell::new(Pool::default()),
             bodies: BodyBudget::default(),
             memory: CallerMemory::new(settings.callers),
             buffers: SocketBuffers::new(settings.buffers),
@@ -115,6 +115,8 @@
             became_idle: tokio::sync::Notify::new(),
             must_end: tokio::sync::Notify::new(),
             in_flight: Cell::new(0),
+            submitted: Cell::new(0),
+            connection_limits: settings.connections,
             dispatch: RefCell::new(dispatch),
             pending_verdicts: RefCell::new(Table::default()),
             sends: RefCell::new(Table::default()),
--- a/crates/banyannotch/src/gateway/settings.rs
+++ b/crates/banyannotch/src/gateway/settings.rs
@@ -100,8 +100,7 @@
     64
 }
 
-/// Idle connections to endpoints get a quarter of the descriptors. An eighth remains for more connections to endpoints, for
-/// other gateways and for the store.
+/// At least a quarter of the descriptors remains for connections to endpoints, and an eighth for everything else.
 fn default_callers_connections_share() -> f64 {
     0.625
 }
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -20,6 +20,9 @@
 
 /// Idle connections to endpoints may use one in this many file descriptors; callers need the rest.
 const IDLE_CONNECTION_DIVISOR: usize = 4;
+/// One in this many file descriptors is for other things than connections of callers and to endpoints: the other ports, other
+/// gateways, the store, and files.
+const OTHER_DESCRIPTORS_DIVISOR: usize = 8;
 const MS_PER_S: f64 = 1_000.0;
 /// Capacity of a ring, in items. It covers everything that a gateway has in flight.
 const RING_CAPACITY: usize = 1_024;
@@ -188,7 +191,10 @@
             dialect,
             forwarding::ForwardingSettings {
                 grace_ms: (settings.grace_s * MS_PER_S) as u64,
-                idle_connections: settings.descriptors / IDLE_CONNECTION_DIVISOR,
+                connections: forwarding::ConnectionLimits {
+                    shared: settings.descriptors - settings.descriptors / OTHER_DESCRIPTORS_DIVISOR,
+                    idle: settings.descriptors / IDLE_CONNECTION_DIVISOR,
+                },
                 config_apply_ms: settings.config_apply_ms,
                 callers: caller_limits(settings),
                 buffers: buffer_limits(settings),
