http, intake: connections of the native entry are counted with all they hold

What callers saw: an entry could be ended by unfinished heads, by bytes behind requests, by calls with large answers and by idle connections, all of which the account did not know.

Cause: the HTTP library limits each connection by itself, to 128 KiB of a head and 32 KiB of a body, and 4,096 connections were allowed. The account held bodies until the response began. A call is held up to five times on its way through the duties, and a response until its caller has read it. Socket buffers had no limit. With a full buffer behind a request, the library asked for the next turn at once, so that the thread did not sleep (from reading it, not measured).

Change: a connection is in the account from its start, with 24 KiB for the library's buffers and its tasks. The stream below the library counts what was received and not processed, and asks for memory before it reads on. Requests count five times while they are worked on, responses until they are written. 64 KiB are read behind a request. Socket buffers have 8 KiB. `intake.callers_limit_mb` must be 8 or more, because the largest request takes 5 MB.

--- a/crates/banyannotch/src/caller_memory/hold.rs
+++ b/crates/banyannotch/src/caller_memory/hold.rs
@@ -65,6 +65,8 @@
 pub struct CallerMemory {
     account: RefCell<Account>,
     settings: AccountSettings,
+    /// Name of the port in logs and metrics.
+    port: &'static str,
     /// Signals of the connections by their number in the account.
     signals: RefCell<Vec<Rc<Notify>>>,
     /// Notified when a connection that was dropped has released memory.
@@ -74,11 +76,12 @@
 }
 
 impl CallerMemory {
-    /// Creates an account without connections.
-    pub fn new(settings: AccountSettings) -> Rc<Self> {
+    /// Creates an account without connections, for a port with the given name.
+    pub fn new(settings: AccountSettings, port: &'static str) -> Rc<Self> {
         Rc::new(Self {
             account: RefCell::new(Account::new(settings)),
             settings,
+            port,
             signals: RefCell::default(),
             released: Notify::new(),
             logs: Default::default(),
@@ -131,7 +134,8 @@
     /// Counts a refusal, and logs it unless one of the same kind was logged shortly before.
     pub fn record(&self, refused: Refused) {
         let kind = refused.label();
-        metrics::counter!("banyannotch_callers_refused_total", "kind" => kind).increment(1);
+        let port = self.port;
+        metrics::counter!("banyannotch_callers_refused_total", "kind" => kind, "port" => port).increment(1);
         let Some(log) = self.logs.get(refused as usize) else { return };
         let LogState { last, unlogged } = log.get();
         if last.is_some_and(|last| last.elapsed() < LOG_INTERVAL) {
@@ -141,7 +145,7 @@
         log.set(LogState { last: Some(Instant::now()), unlogged: 0 });
         let account = self.account.borrow();
         log::warn!(
-            "event=caller_refused kind={kind} held_bytes={} limit_bytes={} connections={} connection_limit={} \
+            "event=caller_refused kind={kind} port={port} held_bytes={} limit_bytes={} connections={} connection_limit={} \
              unlogged={unlogged}",
             account.held_bytes(),
             self.settings.limit_bytes,
@@ -157,7 +161,7 @@
     fn signal(&self, victims: &[usize]) {
         let signals = self.signals.borrow();
         for signal in victims.iter().filter_map(|victim| signals.get(*victim)) {
-            signal.notify_one();
+            signal.notify_waiters();
         }
     }
 }
@@ -190,7 +194,7 @@
     /// Sets the size of a part, before the memory is used. Waits until connections that are dropped for it have released
     /// their memory. If there is none, the connection is dropped itself, and this does not return.
     pub async fn set(&self, part: Part, size_bytes: usize) {
-        while !self.ask(part, size_bytes) {
+        while !self.try_set(part, size_bytes) {
             if self.is_dropped() {
                 std::future::pending::<()>().await;
             }
@@ -212,7 +216,7 @@
     /// Reduces the size of a part after its memory was released.
     pub fn shrink(&self, part: Part, size_bytes: usize) {
         if self.parts.get().get(part as usize).is_some_and(|now_bytes| *now_bytes > size_bytes) {
-            self.ask(part, size_bytes);
+            self.try_set(part, size_bytes);
             if self.is_dropped() {
                 self.memory.released.notify_waiters();
             }
@@ -246,7 +250,9 @@
         self.memory.record(refused);
     }
 
-    fn ask(&self, part: Part, size_bytes: usize) -> bool {
+    /// Sets the size of a part if there is memory for it now. Otherwise other connections are being dropped for it, or this one
+    /// is dropped.
+    pub fn try_set(&self, part: Part, size_bytes: usize) -> bool {
         let (parts, held_bytes) = self.with(part, size_bytes);
         let mut victims = Vec::new();
         let grant =
@@ -255,7 +261,7 @@
         match grant {
             Grant::Granted => self.parts.set(parts),
             Grant::Wait => {}
-            Grant::Dropped => self.signal.notify_one(),
+            Grant::Dropped => self.signal.notify_waiters(),
         }
         grant == Grant::Granted
     }
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -105,7 +105,7 @@
             supervisor: thread_supervisor.clone(),
             pool: RefCell::new(Pool::default()),
             bodies: BodyBudget::default(),
-            memory: CallerMemory::new(settings.callers),
+            memory: CallerMemory::new(settings.callers, "callers"),
             buffers: SocketBuffers::new(settings.buffers),
             lingering: Cell::new(0),
             limits: Cell::new(CallerLimits::default()),
--- a/crates/banyannotch/src/http/body.rs
+++ b/crates/banyannotch/src/http/body.rs
@@ -2,12 +2,15 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
+use super::ConnectionMemory;
+
 /// Body of a response.
 #[derive(Debug)]
 pub enum Body {
@@ -24,6 +27,8 @@
     parts: mpsc::UnboundedReceiver<Bytes>,
     guard: Option<StreamGuard>,
     taken: mpsc::UnboundedSender<u32>,
+    /// The connection that sends the stream.
+    connection: Option<Rc<ConnectionMemory>>,
 }
 
 /// Guard that is dropped when the stream ends or its connection is closed, which notifies the producer of the parts.
@@ -45,7 +50,20 @@
         guard: StreamGuard,
         taken: mpsc::UnboundedSender<u32>,
     ) -> Self {
-        Self { parts, guard: Some(guard), taken }
+        Self { parts, guard: Some(guard), taken, connection: None }
+    }
+
+    /// Reports the end of the stream to the connection that sends it.
+    pub(super) fn send_on(&mut self, connection: Rc<ConnectionMemory>) {
+        self.connection = Some(connection);
+    }
+}
+
+impl Drop for EventStream {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.end_stream();
+        }
     }
 }
 
--- a/crates/banyannotch/src/http/mod.rs
+++ b/crates/banyannotch/src/http/mod.rs
@@ -4,6 +4,7 @@
 
 mod body;
 mod client;
+mod counted;
 mod error;
 mod server;
 #[cfg(test)]
@@ -11,8 +12,9 @@
 
 pub use body::{Body, EventStream, StreamGuard};
 pub use client::{Answer, Client, ClientSettings};
+pub use counted::{CONNECTION_BYTES, ConnectionMemory};
 pub use error::{CallError, InputError, Result};
 pub use server::{
     Handler, Request, Response, ServerSettings, closing, empty, events, json, listener_from_std, read_body,
-    read_json, read_json_within, serve, text,
+    read_json, read_json_within, serve, serve_within, text,
 };
--- a/crates/banyannotch/src/http/server.rs
+++ b/crates/banyannotch/src/http/server.rs
@@ -2,10 +2,11 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
-use actix_http::{HttpService, StatusCode};
+use actix_http::{Extensions, HttpService, StatusCode};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -13,8 +14,9 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 
-use super::{Body, EventStream, InputError, Result};
-use crate::caller_memory::{Hold, Part};
+use super::counted::CountedStream;
+use super::{Body, CONNECTION_BYTES, ConnectionMemory, EventStream, InputError, Result};
+use crate::caller_memory::{AccountSettings, CallerMemory, Part, Refused};
 
 /// Request that a listener received.
 pub type Request = actix_http::Request;
@@ -52,23 +54,42 @@
     fn handle(&self, request: Request) -> impl Future<Output = Response>;
 }
 
-/// Accepts and serves connections until the task is dropped.
+/// Accepts and serves connections until the task is dropped. What the callers make the process hold is limited only for each
+/// connection, and by the number of connections.
 pub async fn serve<H: Handler>(listener: TcpListener, settings: ServerSettings, handler: H) {
-    let factory = HttpService::<tokio::net::TcpStream, _, _>::build()
+    let limits = AccountSettings {
+        limit_bytes: usize::MAX,
+        reserved_bytes: 0,
+        connection_bytes: CONNECTION_BYTES,
+        connection_limit: settings.connection_limit,
+        ..AccountSettings::default()
+    };
+    serve_within(listener, settings, CallerMemory::new(limits, "http"), handler).await;
+}
+
+/// Accepts and serves connections until the task is dropped, within the account of what callers make the process hold.
+pub async fn serve_within<H: Handler>(
+    listener: TcpListener,
+    settings: ServerSettings,
+    memory: Rc<CallerMemory>,
+    handler: H,
+) {
+    let factory = HttpService::<CountedStream, _, _>::build()
         .keep_alive(Duration::from_millis(settings.keep_alive_ms))
         .client_request_timeout(Duration::from_millis(settings.read_timeout_ms))
+        .on_connect_ext(|stream: &CountedStream, data: &mut Extensions| {
+            data.insert(Rc::clone(stream.memory()));
+        })
         .h1(fn_service(move |request: Request| {
             let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            async move { Ok::<_, Infallible>(handle(&handler, request).await) }
         })
-        .into_factory())
-        .tcp();
+        .into_factory());
     let Ok(service) = factory.new_service(()).await else {
         log::error!("event=listener_failed reason=service_not_created");
         return;
     };
-    let service = std::rc::Rc::new(service);
-    let open_connections = std::rc::Rc::new(());
+    let service = Rc::new(service);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -79,27 +100,42 @@
                 continue;
             }
         };
-        if std::rc::Rc::strong_count(&open_connections) > settings.connection_limit {
-            log::warn!(
-                "event=connection_refused reason=connection_limit limit={}",
-                settings.connection_limit
-            );
+        let Some(hold) = memory.open() else {
+            memory.record(Refused::Connection);
             continue;
-        }
+        };
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("event=nodelay_failed error={error:?}");
         }
-        let connection = service.call(stream);
-        let open_connections = std::rc::Rc::clone(&open_connections);
+        let connection_memory = ConnectionMemory::new(hold);
+        let connection = service.call((CountedStream::new(stream, Rc::clone(&connection_memory)), None));
         actix_rt::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("event=connection_ended error={error:?}");
+            tokio::select! {
+                result = connection => {
+                    if let Err(error) = result {
+                        log::debug!("event=connection_ended error={error:?}");
+                    }
+                }
+                () = connection_memory.closed() => connection_memory.hold().record(Refused::IdleConnection),
             }
-            drop(open_connections);
         });
     }
 }
 
+/// Handles a request, and counts what is held for it.
+async fn handle<H: Handler>(handler: &H, request: Request) -> Response {
+    let Some(memory) = ConnectionMemory::of(&request) else { return handler.handle(request).await };
+    memory.begin_request(&request);
+    let response = handler.handle(request).await;
+    response.map_body(|_, mut body| {
+        match &mut body {
+            Body::Full(bytes) => memory.begin_response(bytes.len()),
+            Body::Events(stream) => stream.send_on(memory),
+        }
+        body
+    })
+}
+
 /// Reads the whole body of a request within the size limit and the timeout.
 ///
 /// # Errors
@@ -133,30 +169,37 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
-/// Reads and decodes a JSON body as [`read_json`] does. Its memory is counted in the hold; this does not return when there is
-/// none for it, and the hold is dropped.
+/// Reads and decodes a JSON body as [`read_json`] does. Its memory is counted for the connection, and `copies` times when it is
+/// decoded. This does not return when there is no memory for it, and the connection is dropped.
 ///
 /// # Errors
 /// Returns [`InputError`] when the body cannot be read or is not the expected JSON.
 pub async fn read_json_within<T: DeserializeOwned>(
     request: &mut Request,
     settings: &ServerSettings,
-    hold: &Hold,
+    memory: &ConnectionMemory,
+    copies: usize,
 ) -> Result<T> {
-    let limit_ms = settings.read_timeout_ms;
-    let reading = collect_within(request, settings.body_limit_bytes, hold);
+    let (limit_ms, hold) = (settings.read_timeout_ms, memory.hold());
+    let reading = collect_within(request, settings.body_limit_bytes, memory);
     let body = actix_rt::time::timeout(Duration::from_millis(limit_ms), reading)
         .await
         .map_err(|_| InputError::TooSlow { limit_ms })??;
     // The decoded text takes as much again, and the text of the body is dropped after it.
     hold.set(Part::Head, body.len()).await;
     let value = serde_json::from_slice(&body)?;
+    let size_bytes = body.len();
     drop(body);
     hold.shrink(Part::Head, 0);
+    hold.set(Part::Body, copies * size_bytes).await;
     Ok(value)
 }
 
-async fn collect_within(request: &mut Request, limit_bytes: usize, hold: &Hold) -> Result<Vec<u8>> {
+async fn collect_within(
+    request: &mut Request,
+    limit_bytes: usize,
+    memory: &ConnectionMemory,
+) -> Result<Vec<u8>> {
     let mut payload = request.take_payload();
     let mut body: Vec<u8> = Vec::new();
     while let Some(part) = payload.next().await {
@@ -167,10 +210,11 @@
         }
         if size_bytes > body.capacity() {
             let capacity_bytes = (size_bytes + size_bytes / 4).min(limit_bytes);
-            hold.set(Part::Body, capacity_bytes).await;
+            memory.hold().set(Part::Body, capacity_bytes).await;
             body.reserve_exact(capacity_bytes - body.len());
         }
         body.extend_from_slice(&part);
+        memory.processed(part.len());
     }
     Ok(body)
 }
--- a/crates/banyannotch/src/intake/front.rs
+++ b/crates/banyannotch/src/intake/front.rs
@@ -13,12 +13,12 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{CallerRequest, CallerWork, Event, Rejection};
-use crate::caller_memory::{CallerMemory, Hold, Refused, Stage};
+use crate::caller_memory::{Hold, Refused};
 use crate::clock::Clock;
 use crate::duty::Mailbox;
 use crate::http::{
-    EventStream, Handler, InputError, Request, Response, ServerSettings, StreamGuard, closing, events,
-    json as json_response, read_json_within,
+    ConnectionMemory, EventStream, Handler, InputError, Request, Response, ServerSettings, StreamGuard,
+    closing, events, json as json_response, read_json_within,
 };
 use crate::ids::RequestId;
 use crate::request::{Completion, Failure, NotRun, Outcome};
@@ -76,10 +76,11 @@
     pub front_end: Rc<FrontEnd>,
     pub settings: ServerSettings,
     pub clock: C,
-    /// Limits what the requests of all callers take together.
-    pub memory: Rc<CallerMemory>,
 }
 
+/// Copies of a request that the duties hold at a time until its response begins: its decoded text, the message to the endpoint,
+/// and the answer on its way to the caller.
+const REQUEST_COPIES: usize = 5;
 /// Time after which a caller that was refused for lack of memory may come back, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
@@ -92,9 +93,9 @@
                 let ready = self.front_end.ready.get();
                 json_response(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
             }
-            ("POST", "/v1/generate" | "/v1/call") => match self.memory.open() {
-                Some(hold) => self.serve_request(&path, &mut request, &hold).await,
-                None => self.refuse(Refused::Connection),
+            ("POST", "/v1/generate" | "/v1/call") => match ConnectionMemory::of(&request) {
+                Some(memory) => self.serve_request(&path, &mut request, &memory).await,
+                None => json_response(500, &rejected("internal", "the connection is not counted")),
             },
             _ => json_response(404, &rejected("unknown_path", "allowed: POST /v1/generate, POST /v1/call")),
         }
@@ -103,17 +104,17 @@
 
 impl<C: Clock> CallerHandler<C> {
     /// Decodes a request and passes it to the policy, unless there is no memory for it.
-    async fn serve_request(&self, path: &str, request: &mut Request, hold: &Hold) -> Response {
-        hold.set_stage(Stage::Arriving);
+    async fn serve_request(&self, path: &str, request: &mut Request, memory: &ConnectionMemory) -> Response {
+        let hold = memory.hold();
         let token_sha256 = token_hash(request);
         let decoded = tokio::select! {
             biased;
             () = hold.dropped() => None,
-            decoded = self.decode(path, request, token_sha256, hold) => Some(decoded),
+            decoded = self.decode(path, request, token_sha256, memory) => Some(decoded),
         };
         match decoded {
             Some(Ok(arrived)) => {
-                hold.set_stage(Stage::Working);
+                memory.begin_work();
                 tokio::select! {
                     biased;
                     response = self.front_end.submit(arrived) => response,
@@ -130,29 +131,21 @@
                 log::info!("event=rejected path={path} reason=\"{error}\"");
                 json_response(error.status(), &rejected("malformed", &error.to_string()))
             }
-            None => self.refuse(Refused::Request),
+            None => refuse(hold, Refused::Request),
         }
     }
 
-    /// Responds that a request was not run because there is no memory for it.
-    fn refuse(&self, refused: Refused) -> Response {
-        self.memory.record(refused);
-        let mut response =
-            closing(json_response(503, &rejected("no_memory", "callers hold too much memory")));
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
-        response
-    }
-
     async fn decode(
         &self,
         path: &str,
         request: &mut Request,
         token_sha256: String,
-        hold: &Hold,
+        memory: &ConnectionMemory,
     ) -> std::result::Result<CallerRequest, InputError> {
         let id = self.front_end.new_id();
         if path == "/v1/generate" {
-            let body: GenerateBody = read_json_within(request, &self.settings, hold).await?;
+            let body: GenerateBody =
+                read_json_within(request, &self.settings, memory, REQUEST_COPIES).await?;
             return Ok(CallerRequest {
                 request: id,
                 token_sha256,
@@ -167,7 +160,7 @@
                 },
             });
         }
-        let body: CallBody = read_json_within(request, &self.settings, hold).await?;
+        let body: CallBody = read_json_within(request, &self.settings, memory, REQUEST_COPIES).await?;
         Ok(CallerRequest {
             request: id,
             token_sha256,
@@ -187,6 +180,14 @@
     }
 }
 
+/// Responds that a request was not run because there is no memory for it.
+fn refuse(hold: &Hold, refused: Refused) -> Response {
+    hold.record(refused);
+    let mut response = closing(json_response(503, &rejected("no_memory", "callers hold too much memory")));
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    response
+}
+
 impl FrontEnd {
     /// Creates the front end. The prefix makes request identifiers unique across all entries.
     pub fn new(mailbox: Mailbox<Event>, id_prefix: u64) -> Self {
--- a/crates/banyannotch/src/intake/front_tests.rs
+++ b/crates/banyannotch/src/intake/front_tests.rs
@@ -11,7 +11,7 @@
 use crate::caller_memory::{AccountSettings, CallerMemory};
 use crate::clock::SystemClock;
 use crate::duty::Mailbox;
-use crate::http::{ServerSettings, serve};
+use crate::http::{ServerSettings, serve_within};
 use crate::ring::Doorbell;
 
 const MIB: usize = 1 << 20;
@@ -27,9 +27,8 @@
         front_end: Rc::new(FrontEnd::new(Mailbox::new(&Doorbell::default()), 1)),
         settings,
         clock: SystemClock::start(),
-        memory: Rc::clone(memory),
     };
-    actix_rt::spawn(serve(listener, settings, handler));
+    actix_rt::spawn(serve_within(listener, settings, Rc::clone(memory), handler));
     address
 }
 
@@ -49,11 +48,12 @@
 fn unfinished_bodies_stay_within_the_memory_of_all_callers() {
     const CLIENTS: usize = 16;
     actix_rt::System::new().block_on(async {
-        let memory = CallerMemory::new(AccountSettings {
+        let limits = AccountSettings {
             limit_bytes: LIMIT_BYTES,
             reserved_bytes: LIMIT_BYTES / 4,
             ..AccountSettings::default()
-        });
+        };
+        let memory = CallerMemory::new(limits, "callers");
         let address = listen(&memory).await;
         let mut streams = Vec::new();
         for _ in 0..CLIENTS {
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -7,11 +7,11 @@
 use super::front::{CallerHandler, FrontEnd};
 use super::{Action, Event, Intake, IntakeSettings};
 use crate::admission;
-use crate::caller_memory::{AccountSettings, CallerMemory};
+use crate::caller_memory::{AccountSettings, BufferSettings, CallerMemory, SocketBuffers};
 use crate::clock::Clock;
 use crate::duty::{self, Mailbox, Ports, Supervisor};
 use crate::execution;
-use crate::http::{ServerSettings, listener_from_std, serve};
+use crate::http::{CONNECTION_BYTES, ServerSettings, listener_from_std, serve_within};
 use crate::request::{NotRun, Outcome, Reply};
 use crate::ring::{Doorbell, Full, Receiver, Sender, receive_batch};
 use crate::telemetry::Note;
@@ -54,11 +54,16 @@
             front_end: Rc::clone(&front_end),
             settings: ServerSettings::default(),
             clock: clock.clone(),
-            memory: CallerMemory::new(caller_limits(&settings)),
         };
         match listener_from_std(listener) {
             Ok(listener) => {
-                actix_rt::spawn(serve(listener, handler.settings, handler));
+                let memory = CallerMemory::new(caller_limits(&settings), "callers");
+                SocketBuffers::new(BufferSettings {
+                    buffer_bytes: SOCKET_BUFFER_BYTES,
+                    ..BufferSettings::default()
+                })
+                .limit(&listener);
+                actix_rt::spawn(serve_within(listener, handler.settings, memory, handler));
             }
             Err(error) => {
                 log::error!("event=listener_failed port=callers error={error}");
@@ -76,7 +81,10 @@
     })
 }
 
-/// Returns the limits of what the requests of all callers take together. The server limits the connections by itself.
+/// Size of each of the two socket buffers of a caller's connection.
+const SOCKET_BUFFER_BYTES: usize = 8 << 10;
+
+/// Returns the limits of what all callers take together.
 fn caller_limits(settings: &IntakeSettings) -> AccountSettings {
     const BYTES_PER_MB: usize = 1 << 20;
     /// One part in this many is reserved for small requests.
@@ -85,6 +93,7 @@
     AccountSettings {
         limit_bytes,
         reserved_bytes: limit_bytes / RESERVED_DIVISOR,
+        connection_bytes: CONNECTION_BYTES,
         connection_limit: ServerSettings::default().connection_limit,
         ..AccountSettings::default()
     }
--- a/crates/banyannotch/src/settings/check.rs
+++ b/crates/banyannotch/src/settings/check.rs
@@ -52,7 +52,7 @@
     range("exchange.observation_memory_ms", 1_000, DAY_MS),
     range("exchange.suspicion_memory_ms", 1_000, DAY_MS),
     // Less has no room for two bodies of the largest size beside the reserved part.
-    range("intake.callers_limit_mb", 4, ITEMS_MAX),
+    range("intake.callers_limit_mb", 8, ITEMS_MAX),
     range("intake.credit_batch_tokens", 1, 10_000),
     range("intake.drain_notice_ms", 0, 600_000),
     range("execution.step_timeout_ms", 1, MINUTE_MS),
