gateway, telemetry: ports for checks, metrics and operators limit their connections

What callers saw: 1,500 connections with unfinished checks took 1,547 descriptors of 1,024, and the balancer's checks were not answered after some hundred of them.

Cause: these ports accepted any number of connections, without a limit of time or memory.

Change: each of them has an account of 32 connections. A further one takes the place of the one that has been idle for the longest time, one that never had a request before others, so that the balancer and the operators get in. Their sockets have small buffers, and the port for other gateways, which reads nothing, receives into a small one.

--- a/crates/banyannotch/src/caller_memory/settings.rs
+++ b/crates/banyannotch/src/caller_memory/settings.rs
@@ -15,6 +15,14 @@
     pub connection_limit: usize,
 }
 
+impl AccountSettings {
+    /// Returns the limits of a port for the platform and its operators, which a few of them use at a time. Strangers who
+    /// reach it take neither the descriptors of the process nor the place of a caller whose requests were served.
+    pub fn for_operators() -> Self {
+        Self { limit_bytes: 4 << 20, reserved_bytes: 0, connection_limit: 32, ..Self::default() }
+    }
+}
+
 impl Default for AccountSettings {
     /// Returns the limits for the smallest machines that gateways run on.
     fn default() -> Self {
--- a/crates/banyannotch/src/gateway/forwarding/context.rs
+++ b/crates/banyannotch/src/gateway/forwarding/context.rs
@@ -28,6 +28,8 @@
     pub bodies: BodyBudget,
     /// Limits what all callers together can make the gateway hold, and their connections.
     pub memory: Rc<CallerMemory>,
+    /// Limits the connections for readiness checks.
+    pub checks: Rc<CallerMemory>,
     /// Limits what the operating system keeps for the connections.
     pub buffers: Rc<SocketBuffers>,
     /// Number of connections whose remaining bytes are discarded before they are closed.
--- a/crates/banyannotch/src/gateway/forwarding/probe.rs
+++ b/crates/banyannotch/src/gateway/forwarding/probe.rs
@@ -7,6 +7,7 @@
 
 use super::answer::write_local_reply;
 use super::context::Context;
+use crate::caller_memory::{Hold, Refused, Stage};
 use crate::gateway::Dialect;
 use crate::gateway::http1::{BodyDecoder, Reader, split};
 
@@ -19,8 +20,21 @@
 
 /// Serves the checks of one connection one after another.
 pub(super) async fn serve<D: Dialect, C>(context: Rc<Context<D, C>>, stream: TcpStream) {
+    let Some(hold) = context.checks.open() else {
+        context.checks.record(Refused::Connection);
+        return;
+    };
+    tokio::select! {
+        biased;
+        () = hold.dropped() => hold.record(Refused::IdleConnection),
+        () = serve_checks(&context, stream, &hold) => {}
+    }
+}
+
+async fn serve_checks<D: Dialect, C>(context: &Context<D, C>, stream: TcpStream, hold: &Hold) {
     let Ok((mut reader, mut writer)) = split(stream, TCP_USER_TIMEOUT_MS) else { return };
     while let Some((path, keep_alive)) = read_check(&mut reader).await {
+        hold.set_stage(Stage::Answered);
         let path_matches = path == context.dialect.readiness_path();
         let mut out = Vec::new();
         match (path_matches, context.ready.get()) {
@@ -31,6 +45,7 @@
         if writer.write_all(&out).await.is_err() || !keep_alive {
             return;
         }
+        hold.set_stage(Stage::Idle);
     }
 }
 
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -106,6 +106,7 @@
             pool: RefCell::new(Pool::default()),
             bodies: BodyBudget::default(),
             memory: CallerMemory::new(settings.callers, "callers"),
+            checks: CallerMemory::new(AccountSettings::for_operators(), "readiness"),
             buffers: SocketBuffers::new(settings.buffers),
             lingering: Cell::new(0),
             limits: Cell::new(CallerLimits::default()),
--- a/crates/banyannotch/src/gateway/start.rs
+++ b/crates/banyannotch/src/gateway/start.rs
@@ -11,7 +11,7 @@
 use super::layout::LayoutSettings;
 use super::{Dialect, EngineControl, GatewayError, GatewaySettings, Result, Store};
 use super::{catalog, dispatch, forwarding, gossip, journal, layout};
-use crate::caller_memory::{AccountSettings, BufferSettings};
+use crate::caller_memory::{AccountSettings, BufferSettings, SocketBuffers};
 use crate::clock::{BootClock, Clock};
 use crate::duty::Supervisor;
 use crate::pipeline::Address;
@@ -82,6 +82,7 @@
         };
         let metrics_listener = listen("metrics", settings.metrics)?;
         let (socket, exchange_listener) = bind_peers(settings.peers)?;
+        SocketBuffers::new(buffer_limits(settings)).limit_receive(&exchange_listener);
         let peers = socket.local_addr()?;
         log::info!(
             "event=listening callers={} readiness={} peers={peers} metrics={}",
--- a/crates/banyannotch/src/telemetry/runtime.rs
+++ b/crates/banyannotch/src/telemetry/runtime.rs
@@ -10,9 +10,10 @@
 use super::operators::Operators;
 use super::state::{LoggedDecision, RecordVerdict, State};
 use super::{Decision, Note};
+use crate::caller_memory::{AccountSettings, CallerMemory};
 use crate::clock::Clock;
 use crate::duty::{EVENT_BATCH, Supervisor};
-use crate::http::{ServerSettings, listener_from_std, serve};
+use crate::http::{ServerSettings, listener_from_std, serve_within};
 use crate::ids::Zone;
 use crate::ring::{Doorbell, Receiver, Sender};
 use crate::{configuration, intake};
@@ -54,7 +55,8 @@
         };
         match listener_from_std(listener) {
             Ok(listener) => {
-                actix_rt::spawn(serve(listener, ServerSettings::default(), operators));
+                let memory = CallerMemory::new(AccountSettings::for_operators(), "operators");
+                actix_rt::spawn(serve_within(listener, ServerSettings::default(), memory, operators));
             }
             Err(error) => {
                 log::error!("event=listener_failed port=operators error={error}");
