--- a/crates/banyannotch/src/gateway/forwarding/collect.rs
+++ b/crates/banyannotch/src/gateway/forwarding/collect.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::caller_memory::{Hold, Part, SocketBuffers};
+use crate::caller_memory::{Hold, PageBuffer, Part, SocketBuffers};
 use crate::gateway::http1::{
     BodyDecoder, BodyQuota, Framing, HttpError, Reader, RequestHead, ResponseHead, Result,
 };
@@ -113,7 +113,7 @@
     if announced_bytes != usize::MAX && buffers.is_large(announced_bytes) {
         reader.enlarge_buffer(buffers);
     }
-    let mut collected: Vec<u8> = Vec::new();
+    let mut collected = PageBuffer::default();
     while let Some(data) = reader.body(&mut decoder).await? {
         quota.take(data.len())?;
         let size_bytes = collected.len() + data.len();
@@ -121,7 +121,7 @@
             let growth_bytes = (size_bytes / 4).max(MIN_GROWTH_BYTES);
             let capacity_bytes = (size_bytes + growth_bytes).min(announced_bytes).max(size_bytes);
             hold.set(part, capacity_bytes).await;
-            collected.reserve_exact(capacity_bytes - collected.len());
+            collected.set_capacity(capacity_bytes);
             if size_bytes > UNANNOUNCED_LARGE_BYTES {
                 reader.enlarge_buffer(buffers);
             }
