gateway, forwarding: limits and large send buffers in modules of their own

Cause: reading the diff, the limits of a machine stood between the functions that start a gateway, and the transfer to an endpoint used a function of the module above it.

Change: `gateway/limits.rs` derives all limits from the settings, `forwarding/send_buffer.rs` has the large buffers of responses. No logic changed.

--- a/crates/banyannotch/src/gateway/forwarding/caller.rs
+++ b/crates/banyannotch/src/gateway/forwarding/caller.rs
@@ -15,7 +15,8 @@
 use super::collect::{RequestQuota, collect_body, read_head};
 use super::context::{Context, DrainStage, InFlightGuard, SubmittedGuard};
 use super::exchange::{ExchangeOutcome, OpenExchange, Progress, Request, exchange};
-use crate::caller_memory::{Direction, Hold, LargeBuffer, Part, Refused, Stage as CallerStage, is_sent};
+use super::send_buffer::{enlarge_for, reduce_after, release_when_sent};
+use crate::caller_memory::{Hold, Part, Refused, Stage as CallerStage};
 use crate::clock::Clock;
 use crate::gateway::Dialect;
 use crate::gateway::dispatch::{Ending, Refusal, RefusalReason, Verdict};
@@ -33,8 +34,6 @@
 const SHUTDOWN_RETRY_MS: u64 = 50;
 /// Retry delay announced to a caller whose request is refused because all connections to endpoints are in use.
 const NO_CONNECTION_RETRY_MS: u64 = 200;
-/// Time until the first check whether a caller has received a large response. It doubles with each check.
-const SENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What happens to the caller's connection after a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -284,39 +283,6 @@
     }
 }
 
-/// Makes the send buffer of a caller's socket large if a body of the given size needs that and there is room.
-pub(super) fn enlarge_for<D, C>(
-    context: &Context<D, C>,
-    writer: &OwnedWriteHalf,
-    body_bytes: usize,
-) -> Option<LargeBuffer> {
-    let is_large = context.buffers.is_large(body_bytes);
-    if is_large { context.buffers.enlarge(writer.as_ref(), Direction::Send) } else { None }
-}
-
-/// Makes the send buffer of a caller's socket small again. What it contains counts until the caller has received it.
-pub(super) fn reduce_after(hold: &Hold, writer: &OwnedWriteHalf, large: Option<LargeBuffer>) {
-    if let Some(large) = large {
-        large.reduce(writer.as_ref());
-        hold.keep_send_buffer(Some(large));
-    }
-}
-
-/// Releases the large buffer of an idle connection when the caller has received the response that was sent through it.
-/// Never returns, so that it can run beside the wait for the next request.
-async fn release_when_sent(hold: &Hold, writer: &OwnedWriteHalf) {
-    let mut interval = SENT_CHECK_INTERVAL;
-    while hold.has_send_buffer() {
-        tokio::time::sleep(interval).await;
-        // Without an answer of the operating system the buffer counts until the connection ends.
-        if is_sent(writer.as_ref()).unwrap_or(false) {
-            hold.keep_send_buffer(None);
-        }
-        interval *= 2;
-    }
-    std::future::pending::<()>().await;
-}
-
 /// Logs and counts a response that ends before it is complete.
 fn record_cut(id: &str, reason: RefusalReason) {
     metrics::counter!("banyannotch_gateway_responses_cut_total").increment(1);
--- a/crates/banyannotch/src/gateway/forwarding/mod.rs
+++ b/crates/banyannotch/src/gateway/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod probe;
 mod runtime;
+mod send_buffer;
 #[cfg(test)]
 mod tests;
 mod transfer;
--- a/crates/banyannotch/src/gateway/forwarding/transfer.rs
+++ b/crates/banyannotch/src/gateway/forwarding/transfer.rs
@@ -11,12 +11,12 @@
     ConnectionUse, Response, ResponseKind, classify, describes_endpoint, is_interim, requested_hold_off_ms,
     write_response_head, write_stream_head,
 };
-use super::caller::{enlarge_for, reduce_after};
 use super::collect::{COVERED_BYTES, collect_body, read_response_head};
 use super::context::Context;
 use super::events::EventSplitter;
 use super::exchange::{OpenExchange, Progress, Request};
 use super::pool::Upstream;
+use super::send_buffer::{enlarge_for, reduce_after};
 use super::watch::{Abandoned, Watch};
 use crate::caller_memory::{Direction, PageBuffer, Part, Stage as CallerStage};
 use crate::clock::Clock;
--- a/crates/banyannotch/src/gateway/mod.rs
+++ b/crates/banyannotch/src/gateway/mod.rs
@@ -14,6 +14,9 @@
 pub mod http1;
 pub mod journal;
 pub mod layout;
+mod limits;
+#[cfg(test)]
+mod limits_tests;
 mod model;
 #[cfg(test)]
 mod mutation;
