--- a/crates/banyannotch/src/http/counted.rs
+++ b/crates/banyannotch/src/http/counted.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 
 use super::Request;
-use crate::caller_memory::{Hold, Part, Stage};
+use crate::caller_memory::{Hold, Part, Refused, Stage};
 
 /// Bytes that a connection takes by itself: the buffers of the library, its task and that of the request.
 pub const CONNECTION_BYTES: usize = 24 << 10;
@@ -115,14 +115,18 @@
         self.wake_reader();
     }
 
-    /// Waits until the connection must be closed: it was dropped, and has had the time to write its response.
-    pub(super) async fn closed(&self) {
+    /// Waits until the connection must be closed: it was dropped, and has had the time to write its response. Returns what
+    /// its caller does not get, unless the handler has said so.
+    pub(super) async fn closed(&self) -> Option<Refused> {
         /// Time for the response of a connection that was dropped.
         const RESPONSE_TIME: Duration = Duration::from_millis(500);
         self.hold.dropped().await;
         if self.is_serving.get() {
             tokio::time::sleep(RESPONSE_TIME).await;
+            return None;
         }
+        let is_answered = self.unwritten_bytes.get() > 0;
+        Some(if is_answered { Refused::Response } else { Refused::IdleConnection })
     }
 
     fn end_handler(&self) {
--- a/crates/banyannotch/src/http/server.rs
+++ b/crates/banyannotch/src/http/server.rs
@@ -116,7 +116,11 @@
                         log::debug!("event=connection_ended error={error:?}");
                     }
                 }
-                () = connection_memory.closed() => connection_memory.hold().record(Refused::IdleConnection),
+                refused = connection_memory.closed() => {
+                    if let Some(refused) = refused {
+                        connection_memory.hold().record(refused);
+                    }
+                }
             }
         });
     }
