standins: the sampler does not count sockets that are connecting

A socket in state SYN_SENT shows the difference of two sequence numbers that the kernel sets one after the other. With connections opened in a loop, 42 of 11,549 such sockets showed more than 16 MB, and none of 16,173 in state ESTABLISHED.

Change: sockets in state SYN_SENT are left out. They hold no bytes of the process, because nothing is written before a connection is open, so that the bound is as strict as before.

--- a/crates/standins/src/harness/usage.rs
+++ b/crates/standins/src/harness/usage.rs
@@ -12,8 +12,9 @@
 
 /// Interval between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
-/// State of a listening socket in `/proc/net/tcp`, whose queues are those of the connections that were not accepted.
-const LISTENING: &str = "0A";
+/// States in `/proc/net/tcp` whose queues do not contain bytes: of a listening socket they count connections, and of one that
+/// connects the kernel reads the two ends of the queue while it sets them, which gives any number up to 4 GB.
+const STATES_WITHOUT_BYTES: [&str; 2] = ["0A", "02"];
 
 /// What a process uses.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -79,7 +80,7 @@
     if !ports.listening.contains(&local) && !ports.connected.contains(&remote) {
         return None;
     }
-    if fields.next()? == LISTENING {
+    if STATES_WITHOUT_BYTES.contains(&fields.next()?) {
         return None;
     }
     let (unsent, unread) = fields.next()?.split_once(':')?;
