http: a response waits for its memory, and is not left uncounted

What callers could see: nothing measured; found while reading the diff. A response of an entry that was granted its memory only after others were dropped was written without being counted, so that many such responses at a time were in no account.

Cause: the memory was asked for once, and the answer "wait" was not looked at.

Change: the response waits for its memory as requests do; without any, its connection is closed. A test sends the largest request that an entry accepts while it is calm, which had none. Comments name what two estimates stand for.

--- a/crates/banyannotch/src/caller_memory/mod.rs
+++ b/crates/banyannotch/src/caller_memory/mod.rs
@@ -1,7 +1,8 @@
 //! The account of all memory that callers can make a process hold, and the bound on their connections.
 //!
 //! [`Account`] decides what is granted and whose connection is dropped; it has no clock, socket or log. [`CallerMemory`]
-//! shares one account among the connections of a thread. [`SocketBuffers`] limits what the operating system keeps for them. See `docs/design/caller-memory.md`.
+//! shares one account among the connections of a thread. [`SocketBuffers`] limits what the operating system keeps for
+//! them, and [`PageBuffer`] holds large messages. See `docs/design/caller-memory.md`.
 
 mod account;
 mod buffers;
--- a/crates/banyannotch/src/gateway/limits.rs
+++ b/crates/banyannotch/src/gateway/limits.rs
@@ -9,6 +9,7 @@
 /// One in this many file descriptors is for other things than connections of callers and to endpoints: the other ports, other
 /// gateways, the store, and files.
 const OTHER_DESCRIPTORS_DIVISOR: usize = 8;
+/// Bytes of a megabyte of the settings.
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// Part of the socket buffers that is for large ones.
--- a/crates/banyannotch/src/http/counted.rs
+++ b/crates/banyannotch/src/http/counted.rs
@@ -27,8 +27,9 @@
 const READ_AHEAD_LIMIT_BYTES: usize = 64 << 10;
 /// Memory of a buffer in relation to its content: it doubles when it is full.
 const BUFFER_FACTOR: usize = 2;
-/// Estimate of what separates the parts of a head: spaces, line ends and the version.
+/// What separates a header's name, its value and the next header.
 const HEADER_SEPARATORS_BYTES: usize = 4;
+/// Estimate of what the first line of a head takes beside the target: the method, spaces, the version and the line end.
 const REQUEST_LINE_BYTES: usize = 32;
 /// Interval at which a connection asks again for memory that others are about to release.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -90,15 +91,15 @@
         self.hold.set_stage(Stage::Working);
     }
 
-    /// Records that a complete response of the given size is handed to the library, which copies it.
-    pub fn begin_response(&self, size_bytes: usize) {
+    /// Records that a complete response of the given size is handed to the library, which copies it. Waits until there is
+    /// memory for it; without any, the connection is closed and this does not return.
+    pub async fn begin_response(&self, size_bytes: usize) {
         self.end_handler();
         self.hold.set_stage(Stage::Answered);
         self.unwritten_bytes.set(size_bytes);
         self.hold.shrink(Part::Body, 0);
         if size_bytes > COVERED_BYTES {
-            // Without memory for it the connection is closed.
-            self.hold.try_set(Part::Response, BUFFER_FACTOR * size_bytes);
+            self.hold.set(Part::Response, BUFFER_FACTOR * size_bytes).await;
         }
     }
 
--- a/crates/banyannotch/src/http/server.rs
+++ b/crates/banyannotch/src/http/server.rs
@@ -131,10 +131,12 @@
     let Some(memory) = ConnectionMemory::of(&request) else { return handler.handle(request).await };
     memory.begin_request(&request);
     let response = handler.handle(request).await;
+    if let Body::Full(bytes) = response.body() {
+        memory.begin_response(bytes.len()).await;
+    }
     response.map_body(|_, mut body| {
-        match &mut body {
-            Body::Full(bytes) => memory.begin_response(bytes.len()),
-            Body::Events(stream) => stream.send_on(memory),
+        if let Body::Events(stream) = &mut body {
+            stream.send_on(memory);
         }
         body
     })
--- a/crates/standins/tests/untrusted.rs
+++ b/crates/standins/tests/untrusted.rs
@@ -11,7 +11,9 @@
 mod common;
 
 use banyannotch_standins::caller::Caller;
-use banyannotch_standins::harness::crowd::{HOLD, chunks, read_slowly, send_parts};
+use banyannotch_standins::harness::crowd::{
+    HOLD, chunks, connect, read_response, read_slowly, send_parts, write_as_far_as_read,
+};
 use banyannotch_standins::harness::{Deployment, Ports, TOKEN, UsageSampler, wait_until};
 use common::{
     PROMPTS, TIMEOUT, add_entries, add_replicas, body, check_answer, check_no_violations, serialize_tests,
@@ -154,3 +156,24 @@
         drop(open);
     });
 }
+
+/// A limit for all callers together must not refuse the largest request that an entry accepts.
+#[test]
+fn the_largest_request_is_served_while_the_entry_is_calm() {
+    /// Maximum size of the body of a request, without that of the call around its payload.
+    const PAYLOAD_BYTES: usize = 1_024 * KB - 128;
+    let _guard = serialize_tests();
+    actix_rt::System::new().block_on(async {
+        let (deployment, _sampler) = start().await;
+        let mut stream = connect(deployment.entries[0].callers).await;
+        write_as_far_as_read(&mut stream, &call(PAYLOAD_BYTES)).await;
+        let response = read_response(&mut stream).await;
+        let head = response.lines().next().unwrap_or_default();
+        assert!(response.starts_with("HTTP/1.1 200 "), "{head} {}", response.len());
+        assert!(
+            response.contains(&"x".repeat(PAYLOAD_BYTES)),
+            "the response is incomplete: {}",
+            response.len()
+        );
+    });
+}
