standins: a test of what an entry keeps after a crowd

That memory is given back was tested for a gateway only.

Change: ten crowds against an entry, with the same bound as for a gateway: the account is empty and the process has at most 20,000 kB after each.

--- a/crates/standins/tests/untrusted.rs
+++ b/crates/standins/tests/untrusted.rs
@@ -14,7 +14,7 @@
 use banyannotch_standins::harness::crowd::{
     HOLD, chunks, connect, read_response, read_slowly, send_parts, write_as_far_as_read,
 };
-use banyannotch_standins::harness::{Deployment, Ports, TOKEN, UsageSampler, wait_until};
+use banyannotch_standins::harness::{Deployment, Ports, TOKEN, UsageSampler, metric, usage, wait_until};
 use common::{
     PROMPTS, TIMEOUT, add_entries, add_replicas, body, check_answer, check_no_violations, serialize_tests,
     start_platform,
@@ -24,6 +24,8 @@
 
 /// Memory of the machine: four times what callers can take, as on the machines of a gateway.
 const MACHINE_KB: u64 = 48 * 1_024;
+/// Memory of the process without callers, in kilobytes, with a margin for what its allocator and its threads keep.
+const IDLE_ALLOWANCE_KB: u64 = 20_000;
 /// Settings of the entry.
 const SETTINGS: &str = "[intake]\ncallers_limit_mb = 12\n";
 /// File descriptors that a machine of this size allows.
@@ -177,3 +179,49 @@
         );
     });
 }
+
+/// What a crowd made the entry hold is free again when the crowd has left; else the next one ends the process.
+#[test]
+fn memory_is_released_after_each_of_ten_crowds_of_an_entry() {
+    const CROWDS: usize = 10;
+    let _guard = serialize_tests();
+    actix_rt::System::new().block_on(async {
+        let (deployment, sampler) = start().await;
+        let entry = &deployment.entries[0];
+        let process = entry.process.id();
+        let resident_kb = || usage(process, &Ports::default()).expect("the entry runs").resident_kb;
+        println!("before the clients: {} kB resident", resident_kb());
+        for crowd in 0..CROWDS {
+            let part = |client: usize, _| match client % 3 {
+                0 => {
+                    let head = format!("{}transfer-encoding: chunked\r\n\r\n", head("/v1/call"));
+                    [head.into_bytes(), chunks(960 * KB, 64 * KB)].concat()
+                }
+                1 => format!("{}x-filler: {}", head("/v1/call"), "x".repeat(100 * KB)).into_bytes(),
+                _ => call(300 * KB),
+            };
+            let open = send_parts(entry.callers, 180, 1, part).await;
+            let open = read_slowly(open, 512, 5).await;
+            let mut held = metric(entry.operators, "banyannotch_callers_held_bytes").await;
+            assert!(
+                held.is_some_and(|bytes| bytes > 0.0),
+                "during crowd {crowd}: {held:?} bytes in the account"
+            );
+            drop(open);
+            let released = wait_until(TIMEOUT, async || {
+                held = metric(entry.operators, "banyannotch_callers_held_bytes").await;
+                held == Some(0.0)
+            });
+            let is_released = released.await.is_ok();
+            let resident_kb =
+                usage(entry.process.id(), &Ports::default()).expect("the entry runs").resident_kb;
+            println!("after crowd {crowd}: {resident_kb} kB resident, {held:?} bytes in the account");
+            assert!(
+                resident_kb <= IDLE_ALLOWANCE_KB,
+                "after crowd {crowd}: {resident_kb} of {IDLE_ALLOWANCE_KB} kB"
+            );
+            assert!(is_released, "after crowd {crowd}: {held:?} bytes in the account");
+        }
+        check_machine(deployment, sampler, "ten crowds").await;
+    });
+}
