intake: metrics of the account, and request bodies in pages of their own

What operators saw: nothing showed what the account of an entry holds.

Cause: only a gateway set the gauges of its account.

Change: intake sets them each 2 s. The bodies of requests have pages of their own, as at a gateway. The test waits for the gauge, which follows by up to 2 s.

Evidence: memory_is_released_after_each_of_ten_crowds_of_an_entry finds the account full during a crowd and empty after it; before, there was no gauge. The entry's six other tests pass.

--- a/crates/banyannotch/src/caller_memory/hold.rs
+++ b/crates/banyannotch/src/caller_memory/hold.rs
@@ -110,6 +110,12 @@
         self.account.borrow_mut().set_connection_limit(connection_limit);
     }
 
+    /// Sets the gauges of the account, which a process has one of.
+    pub fn publish(&self) {
+        metrics::gauge!("banyannotch_callers_held_bytes").set(self.held_bytes() as f64);
+        metrics::gauge!("banyannotch_callers_connections").set(self.connections() as f64);
+    }
+
     /// Opens the hold of a new connection, or returns `None` if the connection must be refused.
     pub fn open(self: &Rc<Self>) -> Option<Rc<Hold>> {
         let mut victims = Vec::new();
--- a/crates/banyannotch/src/caller_memory/settings.rs
+++ b/crates/banyannotch/src/caller_memory/settings.rs
@@ -15,11 +15,21 @@
     pub connection_limit: usize,
 }
 
+/// Maximum number of bytes that the connections of a port for operators make the process hold.
+const OPERATORS_LIMIT_BYTES: usize = 4 << 20;
+/// Maximum number of connections of a port for operators.
+const OPERATORS_CONNECTION_LIMIT: usize = 32;
+
 impl AccountSettings {
     /// Returns the limits of a port for the platform and its operators, which a few of them use at a time. Strangers who
     /// reach it take neither the descriptors of the process nor the place of a caller whose requests were served.
     pub fn for_operators() -> Self {
-        Self { limit_bytes: 4 << 20, reserved_bytes: 0, connection_limit: 32, ..Self::default() }
+        Self {
+            limit_bytes: OPERATORS_LIMIT_BYTES,
+            reserved_bytes: 0,
+            connection_limit: OPERATORS_CONNECTION_LIMIT,
+            ..Self::default()
+        }
     }
 }
 
--- a/crates/banyannotch/src/gateway/forwarding/runtime.rs
+++ b/crates/banyannotch/src/gateway/forwarding/runtime.rs
@@ -205,8 +205,7 @@
     loop {
         actix_rt::time::sleep(POOL_SWEEP_INTERVAL).await;
         context.pool.borrow_mut().remove_expired();
-        metrics::gauge!("banyannotch_callers_held_bytes").set(context.memory.held_bytes() as f64);
-        metrics::gauge!("banyannotch_callers_connections").set(context.memory.connections() as f64);
+        context.memory.publish();
     }
 }
 
--- a/crates/banyannotch/src/http/server.rs
+++ b/crates/banyannotch/src/http/server.rs
@@ -16,7 +16,7 @@
 
 use super::counted::CountedStream;
 use super::{Body, CONNECTION_BYTES, ConnectionMemory, EventStream, InputError, Result};
-use crate::caller_memory::{AccountSettings, CallerMemory, Part, Refused};
+use crate::caller_memory::{AccountSettings, CallerMemory, PageBuffer, Part, Refused};
 
 /// Request that a listener received.
 pub type Request = actix_http::Request;
@@ -193,7 +193,7 @@
         .map_err(|_| InputError::TooSlow { limit_ms })??;
     // The decoded text takes as much again, and the text of the body is dropped after it.
     hold.set(Part::Head, body.len()).await;
-    let value = serde_json::from_slice(&body)?;
+    let value = serde_json::from_slice(body.as_slice())?;
     let size_bytes = body.len();
     drop(body);
     hold.shrink(Part::Head, 0);
@@ -205,9 +205,9 @@
     request: &mut Request,
     limit_bytes: usize,
     memory: &ConnectionMemory,
-) -> Result<Vec<u8>> {
+) -> Result<PageBuffer> {
     let mut payload = request.take_payload();
-    let mut body: Vec<u8> = Vec::new();
+    let mut body = PageBuffer::default();
     while let Some(part) = payload.next().await {
         let part = part.map_err(|_| InputError::Truncated)?;
         let size_bytes = body.len() + part.len();
@@ -217,7 +217,7 @@
         if size_bytes > body.capacity() {
             let capacity_bytes = (size_bytes + size_bytes / 4).min(limit_bytes);
             memory.hold().set(Part::Body, capacity_bytes).await;
-            body.reserve_exact(capacity_bytes - body.len());
+            body.set_capacity(capacity_bytes);
         }
         body.extend_from_slice(&part);
         memory.processed(part.len());
--- a/crates/banyannotch/src/intake/runtime.rs
+++ b/crates/banyannotch/src/intake/runtime.rs
@@ -3,6 +3,7 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::front::{CallerHandler, FrontEnd};
 use super::{Action, Event, Intake, IntakeSettings};
@@ -63,6 +64,7 @@
                     ..BufferSettings::default()
                 })
                 .limit(&listener);
+                actix_rt::spawn(publish(Rc::clone(&memory)));
                 actix_rt::spawn(serve_within(listener, handler.settings, memory, handler));
             }
             Err(error) => {
@@ -81,6 +83,16 @@
     })
 }
 
+/// Interval at which the gauges of the account are set.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(2);
+
+async fn publish(memory: Rc<CallerMemory>) {
+    loop {
+        actix_rt::time::sleep(PUBLISH_INTERVAL).await;
+        memory.publish();
+    }
+}
+
 /// Size of each of the two socket buffers of a caller's connection.
 const SOCKET_BUFFER_BYTES: usize = 8 << 10;
 
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -20,8 +20,8 @@
 
 /// All metrics with their type and description, sorted by name.
 pub(super) const METRICS: &[(&str, Kind, &str)] = &[
-    ("banyannotch_callers_connections", Gauge, "Open connections of callers of a gateway"),
-    ("banyannotch_callers_held_bytes", Gauge, "Memory that all callers together make a gateway hold"),
+    ("banyannotch_callers_connections", Gauge, "Open connections of callers"),
+    ("banyannotch_callers_held_bytes", Gauge, "Memory that all callers together make the process hold"),
     (
         "banyannotch_callers_refused_total",
         Counter,
