dispatch: log findings of other gateways and requests without a path

The log showed which engines a gateway excluded itself, but not those that it left out because another gateway reported them, nor why no path was found.

Exclusions by reports are logged with cause=reported, and no_path counts the excluded endpoints of the service by reason.

--- a/crates/banyannotch/src/gateway/dispatch/booking.rs
+++ b/crates/banyannotch/src/gateway/dispatch/booking.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::crashes::features;
-use super::health::Load;
+use super::health::{Exclusion, Load};
 use super::messages::{Action, Decision, Feature, RefusalReason};
 use super::paths::PathSearch;
 use super::policy::Dispatch;
@@ -48,6 +48,27 @@
         Ok(choice)
     }
 
+    /// Describes why the endpoints of the request's service cannot be used.
+    pub(super) fn describe_no_path(&self, now_us: u64, ticket_id: u64) -> Option<Decision> {
+        let ticket = self.tickets.get(&ticket_id)?;
+        let (mut endpoints, mut failed, mut reported, mut full, mut declining) = (0, 0, 0, 0, 0);
+        for endpoint in self.endpoints.iter().filter(|endpoint| endpoint.service == ticket.service) {
+            endpoints += 1;
+            if endpoint.leaving || self.announcements.declines(&endpoint.address, now_us) {
+                declining += 1;
+                continue;
+            }
+            match self.health.get(&endpoint.address).and_then(|health| health.exclusion(now_us)) {
+                Some(Exclusion::Failed) => failed += 1,
+                Some(Exclusion::Reported) => reported += 1,
+                Some(Exclusion::Full) => full += 1,
+                None => {}
+            }
+        }
+        let id = Arc::clone(&ticket.request.id);
+        Some(Decision::NoPath { id, endpoints, failed, reported, full, declining })
+    }
+
     /// Returns a choice that was booked earlier, or another one if an endpoint of it has left or failed since.
     pub(super) fn confirm_booking(
         &mut self,
--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -198,7 +198,7 @@
         let health = self.health.entry(faulty);
         health.record_failure(now_us, half_life_ms, 1.0);
         if fault_at.is_some() {
-            health.pause(now_us, pause_ms);
+            health.exclude_full(now_us, pause_ms);
             let cause = "full";
             actions.push(Action::Decide(Decision::Excluded { address: faulty, for_ms: pause_ms, cause }));
         }
@@ -303,7 +303,14 @@
 
     /// Stores the state of another gateway. Its loads take effect with the next call of
     /// [`Self::update_peer_loads`], because a state arrives for each of many datagrams.
-    pub(super) fn update_peer(&mut self, now_us: u64, state: PeerState, known: usize, zone_known: usize) {
+    pub(super) fn update_peer(
+        &mut self,
+        now_us: u64,
+        state: PeerState,
+        known: usize,
+        zone_known: usize,
+        actions: &mut Vec<Action>,
+    ) {
         let PeerState { instance, zone, zone_loads, other_loads, down, crash_findings, version, .. } = state;
         if instance == self.settings.instance {
             return;
@@ -315,7 +322,10 @@
         for address in down {
             if self.endpoint_at(address).is_some() {
                 let for_ms = self.settings.peer_exclusion_ms;
-                self.health.entry(address).pause(now_us, for_ms);
+                if self.health.entry(address).exclude_reported(now_us, for_ms) {
+                    let cause = "reported";
+                    actions.push(Action::Decide(Decision::Excluded { address, for_ms, cause }));
+                }
             }
         }
         let mut loads = other_loads;
--- a/crates/banyannotch/src/gateway/dispatch/health.rs
+++ b/crates/banyannotch/src/gateway/dispatch/health.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// Why an endpoint is excluded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Exclusion {
+    /// This gateway observed failures.
+    Failed,
+    /// Another gateway reports it as down.
+    Reported,
+    /// It rejected a request for lack of room.
+    Full,
+}
+
 /// Health of one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Health {
@@ -61,9 +72,11 @@
     /// Load of the other gateways, estimated from the states that they publish.
     pub peers: Load,
     excluded_until_us: u64,
-    /// End of the exclusion that follows another gateway's or a lack of room. It is not published, or gateways would
-    /// renew each other's exclusions forever.
-    paused_until_us: u64,
+    /// End of the exclusion that follows another gateway's. It is not published, or gateways would renew each other's
+    /// exclusions forever.
+    reported_until_us: u64,
+    /// End of the exclusion that follows a lack of room, which is not published either.
+    full_until_us: u64,
     /// Exclusions since the last success.
     consecutive_exclusions: u32,
     /// Share of recent requests that failed, as of `last_result_us`.
@@ -92,7 +105,18 @@
 
     /// Returns whether the endpoint is excluded, by this or another gateway.
     pub fn is_excluded(&self, now_us: u64) -> bool {
-        self.is_down(now_us) || now_us < self.paused_until_us
+        self.exclusion(now_us).is_some()
+    }
+
+    /// Returns why the endpoint is excluded.
+    pub fn exclusion(&self, now_us: u64) -> Option<Exclusion> {
+        if self.is_down(now_us) {
+            Some(Exclusion::Failed)
+        } else if now_us < self.reported_until_us {
+            Some(Exclusion::Reported)
+        } else {
+            (now_us < self.full_until_us).then_some(Exclusion::Full)
+        }
     }
 
     /// Returns whether the endpoint is excluded because of failures that this gateway observed.
@@ -100,9 +124,17 @@
         now_us < self.excluded_until_us
     }
 
-    /// Excludes the endpoint without reporting it as down, because another gateway has reported it or it lacks room.
-    pub fn pause(&mut self, now_us: u64, for_ms: u64) {
-        self.paused_until_us = self.paused_until_us.max(now_us + for_ms * US_PER_MS);
+    /// Excludes the endpoint because another gateway has reported it as down. Returns whether it was not excluded for that
+    /// before.
+    pub fn exclude_reported(&mut self, now_us: u64, for_ms: u64) -> bool {
+        let is_new = self.reported_until_us <= now_us;
+        self.reported_until_us = self.reported_until_us.max(now_us + for_ms * US_PER_MS);
+        is_new
+    }
+
+    /// Excludes the endpoint because it lacks room.
+    pub fn exclude_full(&mut self, now_us: u64, for_ms: u64) {
+        self.full_until_us = self.full_until_us.max(now_us + for_ms * US_PER_MS);
     }
 
     /// Returns the share of recent requests that failed; it halves with each half-life without a result.
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -605,6 +605,22 @@
         /// Highest number of a priority in it.
         priority: u8,
     },
+    /// No path was found for a request: why the endpoints of its service cannot be used. The others lack room, a slot or
+    /// layers.
+    NoPath {
+        /// Id that the caller gave to the attempt.
+        id: Arc<str>,
+        /// Number of endpoints of the service.
+        endpoints: usize,
+        /// Number of these that are excluded because this gateway observed failures.
+        failed: usize,
+        /// Number of these that are excluded because another gateway reports them as down.
+        reported: usize,
+        /// Number of these that are excluded because they lacked room.
+        full: usize,
+        /// Number of these that take no requests or are leaving.
+        declining: usize,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -686,6 +702,11 @@
             Self::PriorityClamped { version, priority } => {
                 write!(formatter, "event=priority_clamped version={version} priority={priority}")
             }
+            Self::NoPath { id, endpoints, failed, reported, full, declining } => write!(
+                formatter,
+                "event=no_path request={id} endpoints={endpoints} failed={failed} reported={reported} full={full} \
+                 declining={declining}"
+            ),
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -211,6 +211,9 @@
             Ok(choice) => self.send_booked(now_us, ticket_id, choice, actions),
             Err(RefusalReason::NoCapacity) if self.wait(now_us, ticket_id, actions) => {}
             Err(reason) => {
+                if reason == RefusalReason::NoCapacity {
+                    actions.extend(self.describe_no_path(now_us, ticket_id).map(Action::Decide));
+                }
                 let reason = if self.may_have_run(ticket_id) { RefusalReason::Broken } else { reason };
                 self.refuse(now_us, ticket_id, reason, actions);
             }
@@ -597,7 +600,7 @@
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
             Event::StoreEra(era) => self.enter_era(era),
             Event::Peer { state, known, zone_known } => {
-                self.update_peer(now_us, *state, known, zone_known);
+                self.update_peer(now_us, *state, known, zone_known, actions);
             }
             Event::Report { address, report } => self.on_report(now_us, address, report.as_ref(), actions),
             Event::Probed { address, is_refused } => {
--- a/crates/banyannotch/src/gateway/dispatch/runtime.rs
+++ b/crates/banyannotch/src/gateway/dispatch/runtime.rs
@@ -130,6 +130,9 @@
                 if let Decision::CrashCounted { cause, .. } = &decision {
                     metrics::counter!("banyannotch_gateway_crashes_total", "cause" => *cause).increment(1);
                 }
+                if let Decision::Excluded { cause, .. } = &decision {
+                    metrics::counter!("banyannotch_gateway_exclusions_total", "cause" => *cause).increment(1);
+                }
                 if let Decision::Refused { refusal, rank: Some(rank), .. } = &decision {
                     let reason = reason_label(refusal.reason);
                     metrics::counter!(
--- a/crates/banyannotch/src/telemetry/metric.rs
+++ b/crates/banyannotch/src/telemetry/metric.rs
@@ -61,6 +61,11 @@
     ),
     ("banyannotch_gateway_endpoints", Gauge, "Endpoints that a gateway knows"),
     ("banyannotch_gateway_endpoints_leaving", Gauge, "Endpoints that announced their departure in an answer"),
+    (
+        "banyannotch_gateway_exclusions_total",
+        Counter,
+        "Exclusions of endpoints by a gateway, by the observation that led to them",
+    ),
     ("banyannotch_gateway_failures_delivered_total", Counter, "Failures of endpoints passed on to callers"),
     (
         "banyannotch_gateway_first_answer_seconds",
