dispatch: failing test of gateways whose findings exclude engines for others

The simulated fleet of gateways gets gateways that lose their links to the engines while they still reach the others, and reports and probes of engines. With 6 gateways, three in five of them cut, as few as 0.10 of the first attempts at the others are served, because these follow every report that an engine is down.

--- a/crates/banyannotch/src/gateway/dispatch/tests/fleet/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fleet/mod.rs
@@ -15,10 +15,10 @@
 use super::fixtures;
 use crate::clock::US_PER_MS;
 use crate::duty::Duty;
-use crate::gateway::dispatch::{Action, Event, PeerState, Proof, Submission, Verdict};
+use crate::gateway::dispatch::{Action, BrokenBy, Event, PeerState, Proof, Submission, Verdict};
 use crate::gateway::dispatch::{Dispatch, DispatchSettings, Ending, SendOrder};
 
-use crate::gateway::{Accelerator, Configuration, Endpoint, Pipeline, RequestInfo, Route};
+use crate::gateway::{Accelerator, Configuration, Endpoint, EngineReport, Pipeline, RequestInfo, Route};
 use crate::random::Random;
 
 const TICK_MS: u64 = 5;
@@ -36,6 +36,10 @@
 const OBJECTIVE_MS: u64 = 1_000;
 const DEADLINE_MS: u64 = 20_000;
 const PROMPT_TOKENS: u32 = 800;
+/// Time after which a report or a probe without an answer ends, in milliseconds.
+const REPORT_TIMEOUT_MS: u64 = 400;
+/// Time that a report or a probe takes, in milliseconds.
+const REPORT_MS: u64 = 5;
 
 /// One run of the simulation.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +55,19 @@
     pub classes: usize,
     /// Number of gateways up to which each takes the cheapest path; 0 if all draw their paths.
     pub cheapest_path_gateways: usize,
+    /// Gateways that lose their links to the engines.
+    pub cut: Option<Cut>,
+}
+
+/// Loss of the links between some gateways and all engines. These gateways still reach the other gateways.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// Share of the gateways of each zone, or of the first zone.
+    pub share: f64,
+    pub is_one_zone: bool,
+    pub from_ms: u64,
+    /// Whether connections to engines are refused at once. Otherwise they hang.
+    pub is_refused: bool,
 }
 
 impl Default for Run {
@@ -63,6 +80,7 @@
             warm_up_ms: 3_000,
             classes: 1,
             cheapest_path_gateways: 0,
+            cut: None,
         }
     }
 }
@@ -98,6 +116,8 @@
     calls: BTreeMap<u64, Call>,
     /// Calls by the time at which their next attempt is due.
     returning: BTreeMap<(u64, u64), Call>,
+    /// Events that gateways get later, by time and number.
+    due: BTreeMap<(u64, u64), (usize, Event)>,
     next_ticket: u64,
     random: Random,
     now_ms: u64,
@@ -204,6 +224,7 @@
             endpoints,
             calls: BTreeMap::new(),
             returning: BTreeMap::new(),
+            due: BTreeMap::new(),
             next_ticket: 1,
             random: Random::seeded(run.seed),
             now_ms: 0,
@@ -218,6 +239,8 @@
     pub fn simulate(mut self) -> Outcome {
         let mut next_arrival_ms = 0.0;
         while self.now_ms < self.run.length_ms {
+            self.begin_cut();
+            self.deliver_due();
             self.exchange_states();
             while next_arrival_ms < self.now_ms as f64 {
                 next_arrival_ms -=
@@ -241,6 +264,48 @@
         self.finish()
     }
 
+    /// Returns whether a gateway has lost its links to the engines.
+    fn is_cut(&self, gateway: usize) -> bool {
+        let Some(cut) = self.run.cut.filter(|cut| self.now_ms >= cut.from_ms) else { return false };
+        let zone = self.gateways[gateway].zone;
+        // Gateways are assigned to the zones in turn.
+        let number = gateway / ZONES.len();
+        let is_in_share = (number as f64) < (cut.share * self.gateways_in(zone) as f64).round();
+        is_in_share && (!cut.is_one_zone || zone == 0)
+    }
+
+    /// Breaks the sends of the gateways that lose their links.
+    fn begin_cut(&mut self) {
+        if self.run.cut.is_none_or(|cut| cut.from_ms != self.now_ms) {
+            return;
+        }
+        let at_engines: Vec<(u64, usize)> =
+            self.calls.iter().map(|(ticket, call)| (*ticket, call.gateway)).collect();
+        for (ticket, gateway) in at_engines {
+            if !self.is_cut(gateway) {
+                continue;
+            }
+            self.engines.cancel(gateway, ticket);
+            let ending = Ending::Broken { by: BrokenBy::Connection };
+            self.deliver_later(0, gateway, Event::Ended { ticket, ending });
+        }
+    }
+
+    fn deliver_later(&mut self, after_ms: u64, gateway: usize, event: Event) {
+        self.next_ticket += 1;
+        self.due.insert((self.now_ms + after_ms, self.next_ticket), (gateway, event));
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now_ms) {
+            let (gateway, event) = entry.remove();
+            let is_over = matches!(event, Event::Ended { ticket, .. } if !self.calls.contains_key(&ticket));
+            if !is_over {
+                self.event(gateway, event);
+            }
+        }
+    }
+
     fn finish(mut self) -> Outcome {
         let utilizations = self.engines.utilizations();
         let mean = utilizations.iter().sum::<f64>() / utilizations.len() as f64;
@@ -293,12 +358,15 @@
             sent_ms: 0,
             attempts: 0,
         };
-        if self.counts(&call) {
-            self.outcome.classes[class].arrived += 1;
-        }
         self.submit(call);
     }
 
+    /// Counts of the first attempts at the gateways that lose their links, or at the others.
+    fn first_tries(&mut self, gateway: usize) -> &mut Counts {
+        let is_cut = self.is_cut(gateway);
+        if is_cut { &mut self.outcome.cut_first_tries } else { &mut self.outcome.other_first_tries }
+    }
+
     fn counts(&self, call: &Call) -> bool {
         // Requests that arrive shortly before the end could not be judged.
         let end_ms = self.run.length_ms - OBJECTIVE_MS - EXCHANGE_MS * 2;
@@ -310,6 +378,10 @@
         let in_zone = self.gateways_in(call.zone);
         call.gateway = call.zone + ZONES.len() * self.random.below(in_zone);
         call.attempts += 1;
+        if call.attempts == 1 && self.counts(&call) {
+            self.outcome.classes[call.class].arrived += 1;
+            self.first_tries(call.gateway).arrived += 1;
+        }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let (gateway, request) = (call.gateway, call.request.clone());
@@ -338,6 +410,19 @@
                     }
                 }
                 Action::PublishState(state) => self.gateways[gateway].published.push((self.now_ms, *state)),
+                Action::Inspect(address) => {
+                    let is_cut = self.is_cut(gateway);
+                    let report =
+                        (!is_cut).then(|| EngineReport { born_ms: 1, pace: 1.0, ..EngineReport::default() });
+                    let after_ms = if is_cut { REPORT_TIMEOUT_MS } else { REPORT_MS };
+                    self.deliver_later(after_ms, gateway, Event::Report { address, report });
+                }
+                Action::Probe(address) => {
+                    let is_cut = self.is_cut(gateway);
+                    let is_refused = is_cut && self.run.cut.is_some_and(|cut| cut.is_refused);
+                    let after_ms = if is_cut && !is_refused { REPORT_TIMEOUT_MS } else { REPORT_MS };
+                    self.deliver_later(after_ms, gateway, Event::Probed { address, is_refused });
+                }
                 _ => {}
             }
         }
@@ -346,6 +431,12 @@
     fn send(&mut self, gateway: usize, ticket: u64, order: &SendOrder) {
         let Some(call) = self.calls.get_mut(&ticket) else { return };
         call.sent_ms = self.now_ms;
+        if self.is_cut(gateway) {
+            let is_refused = self.run.cut.is_some_and(|cut| cut.is_refused);
+            let after_ms = if is_refused { 0 } else { order.connect_limit_ms };
+            return self.deliver_later(after_ms, gateway, Event::Ended { ticket, ending: Ending::Unsent });
+        }
+        let Some(call) = self.calls.get_mut(&ticket) else { return };
         let hops = self.engines.hops(&order.forwarding_info.path);
         let (prompt, answer) = (f64::from(call.request.prompt_tokens), call.answer_tokens);
         let zone = ZONES[self.gateways[gateway].zone];
@@ -368,7 +459,10 @@
                     let call = call.clone();
                     if self.counts(&call) {
                         let counts = &mut self.outcome.classes[call.class];
-                        if first_ms <= OBJECTIVE_MS { counts.in_time += 1 } else { counts.late += 1 }
+                        counts.record_answer(first_ms);
+                        if call.attempts == 1 {
+                            self.first_tries(gateway).record_answer(first_ms);
+                        }
                     }
                 }
                 self.event(gateway, Event::StreamStarted { ticket });
--- a/crates/banyannotch/src/gateway/dispatch/tests/fleet/outcome.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/fleet/outcome.rs
@@ -1,5 +1,7 @@
 //! Figures of a run.
 
+use super::OBJECTIVE_MS;
+
 /// Counts of the requests of one class that arrived in the measured time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -14,6 +16,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     pub classes: Vec<Counts>,
+    /// First attempts at gateways that lost their links to the engines.
+    pub cut_first_tries: Counts,
+    /// First attempts at the other gateways.
+    pub other_first_tries: Counts,
     pub sends: u64,
     /// Sends whose path uses engines outside the gateway's zone.
     pub foreign_sends: u64,
@@ -31,6 +37,22 @@
     pub mean_answer_ms: f64,
 }
 
+impl Counts {
+    /// Counts an answer that began after the given time.
+    pub fn record_answer(&mut self, first_ms: u64) {
+        if first_ms <= OBJECTIVE_MS {
+            self.in_time += 1;
+        } else {
+            self.late += 1;
+        }
+    }
+
+    /// Share of the requests whose answer began.
+    pub fn served_share(&self) -> f64 {
+        (self.in_time + self.late) as f64 / self.arrived.max(1) as f64
+    }
+}
+
 impl Outcome {
     pub fn total(&self) -> Counts {
         let add = |sum: Counts, counts: &Counts| Counts {
--- a/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/mod.rs
@@ -17,4 +17,5 @@
 mod returns;
 mod shares;
 mod spread;
+mod suspicion;
 mod waiting;
