dispatch: a suspicion excludes an engine at one gateway and is verified

One gateway's suspicion of an engine excluded it at all gateways, and each further observation of the same failure prolonged that. Engines that were silent for 2.4 s stayed excluded after their return.

A suspicion now excludes an engine at the gateway that has it, is not prolonged, and leads to a request for a report. An engine that gives none is down until it answers, and is asked every 0.5 s. Only that is reported to others, and a report counts if two gateways agree, if there was no answer of the engine for a second, and if half of the service remains.

--- a/crates/banyannotch/src/gateway/dispatch/evidence.rs
+++ b/crates/banyannotch/src/gateway/dispatch/evidence.rs
@@ -8,7 +8,7 @@
 use super::tickets::Reservation;
 use crate::clock::US_PER_MS;
 use crate::gateway::{Endpoint, EngineReport};
-use crate::ids::Zone;
+use crate::ids::{ServiceId, Zone};
 use crate::pipeline::Address;
 use crate::table::Table;
 
@@ -16,6 +16,9 @@
 /// link caused it.
 const TIMEOUT_FAILURE_WEIGHT: f64 = 0.5;
 
+/// Number of gateways that must report an endpoint as down, or all if fewer are heard of.
+const REPORTER_MIN: usize = 2;
+
 /// Last state received from another gateway.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peer {
@@ -23,20 +26,26 @@
     pub version: u64,
     pub zone: Zone,
     pub loads: Vec<(Address, Load)>,
+    pub down: Vec<Address>,
 }
 
 impl Dispatch {
     /// Subtracts the prompt of a request from the load of its engines, which have processed it.
-    pub(super) fn on_stream_start(&mut self, now_us: u64, ticket_id: u64) {
+    pub(super) fn on_stream_start(&mut self, now_us: u64, ticket_id: u64, actions: &mut Vec<Action>) {
         let Some(ticket) = self.tickets.get_mut(&ticket_id) else { return };
         ticket.begun_us = Some(now_us);
         ticket.has_begun = true;
+        let mut answered = Vec::new();
         for (address, load) in &mut ticket.reservation.loads {
+            answered.push(*address);
             let processed = Load { reading: std::mem::take(&mut load.reading), ..Load::default() };
             if let Some(health) = self.health.get_mut(address) {
                 health.own.remove(&processed);
             }
         }
+        for address in answered {
+            self.record_answer(now_us, address, actions);
+        }
     }
 
     /// Records the run of a send that ends, or else that the request may have crashed its endpoint.
@@ -174,9 +183,9 @@
         }
     }
 
-    /// Records a rejection. An engine that does not hold its layers, and one that a rejection names after the time in
-    /// which engines find others dead, is excluded. A quick rejection that names an engine shows that it lacks room, and
-    /// if gateways excluded it for each other, its whole chain would stand idle while others are overloaded.
+    /// Records a rejection. An engine that does not hold its layers is excluded. A rejection that names another engine shows
+    /// that this one lacks room or, after the time in which engines find others dead, that it may be dead. If gateways
+    /// excluded an engine that only lacks room for each other, its whole chain would stand idle while others are overloaded.
     pub(super) fn record_rejection(
         &mut self,
         now_us: u64,
@@ -189,11 +198,13 @@
         const MISDIRECTED_STATUS: u16 = 421;
         let Some((first, _)) = reservation.loads.first() else { return };
         let faulty = fault_at.unwrap_or(*first);
-        let is_slow = fault_at.is_some() && self.has_waited_for_path(now_us, reservation);
-        if is_slow || status == MISDIRECTED_STATUS {
-            self.exclude(now_us, faulty, "rejected", actions);
+        if status == MISDIRECTED_STATUS {
+            self.suspect(now_us, faulty, "rejected", actions);
             return;
         }
+        if fault_at.is_some() && self.has_waited_for_path(now_us, reservation) {
+            self.ask_for_report(now_us, faulty, actions);
+        }
         let (half_life_ms, pause_ms) = (self.settings.failure_half_life_ms, self.settings.full_pause_ms);
         let health = self.health.entry(faulty);
         health.record_failure(now_us, half_life_ms, 1.0);
@@ -251,11 +262,12 @@
         self.probes.remove(&address);
         if is_refused {
             self.confirm_crash(address, now_us, EndSign::Refused, actions);
-            self.exclude(now_us, address, "refused", actions);
+            self.suspect(now_us, address, "refused", actions);
         }
     }
 
-    pub(super) fn exclude(
+    /// Excludes an endpoint that may have failed, and asks it for a sign of life if it is an engine.
+    pub(super) fn suspect(
         &mut self,
         now_us: u64,
         address: Address,
@@ -265,8 +277,42 @@
         let settings = &self.settings;
         let health = self.health.entry(address);
         health.record_failure(now_us, settings.failure_half_life_ms, 1.0);
-        let for_ms = health.exclude(now_us, settings.exclusion_initial_ms, settings.exclusion_max_ms);
+        let Some(for_ms) = health.suspect(now_us, settings.exclusion_initial_ms, settings.exclusion_max_ms)
+        else {
+            return;
+        };
         actions.push(Action::Decide(Decision::Excluded { address, for_ms, cause }));
+        self.ask_for_report(now_us, address, actions);
+    }
+
+    /// Requests a report of an engine, unless one is awaited.
+    fn ask_for_report(&mut self, now_us: u64, address: Address, actions: &mut Vec<Action>) {
+        let is_engine = self.endpoint_at(address).is_some_and(|endpoint| endpoint.accelerator.is_some());
+        let is_held_off = self.announcements.hold_off_end_us(&address, now_us).is_some();
+        if is_engine && !is_held_off && !self.inspections.contains(&address) {
+            self.inspections.insert(address, ());
+            actions.push(Action::Inspect(address));
+        }
+    }
+
+    /// Asks the engines that are down for a sign of life again.
+    pub(super) fn check_down(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let interval_ms = self.settings.down_check_interval_ms;
+        let due: Vec<Address> = self
+            .health
+            .iter_mut()
+            .filter_map(|(address, health)| health.take_due_check(now_us, interval_ms).then_some(*address))
+            .collect();
+        for address in due {
+            self.ask_for_report(now_us, address, actions);
+        }
+    }
+
+    /// Records a sign of life of an endpoint.
+    pub(super) fn record_answer(&mut self, now_us: u64, address: Address, actions: &mut Vec<Action>) {
+        if self.health.entry(address).record_answer(now_us) {
+            actions.push(Action::Decide(Decision::Readmitted { address }));
+        }
     }
 
     pub(super) fn on_report(
@@ -280,9 +326,16 @@
         match report {
             None => {
                 self.confirm_crash(address, now_us, EndSign::NoReport, actions);
-                self.exclude(now_us, address, "no_report", actions);
+                let for_ms = self.settings.exclusion_max_ms;
+                let health = self.health.entry(address);
+                health.record_failure(now_us, self.settings.failure_half_life_ms, 1.0);
+                if health.record_no_answer(now_us, self.settings.down_check_interval_ms, for_ms) {
+                    let cause = "no_report";
+                    actions.push(Action::Decide(Decision::Excluded { address, for_ms, cause }));
+                }
             }
             Some(report) => {
+                self.record_answer(now_us, address, actions);
                 let known = self.endpoint_at(address);
                 // A report without a start time says nothing about a restart.
                 if report.born_ms != 0 && known.is_some_and(|endpoint| endpoint.born_ms != report.born_ms) {
@@ -294,7 +347,7 @@
                 stalled.sort_unstable();
                 stalled.dedup();
                 for engine in stalled {
-                    self.exclude(now_us, engine, "stalled", actions);
+                    self.suspect(now_us, engine, "stalled", actions);
                 }
             }
         }
@@ -303,14 +356,7 @@
 
     /// Stores the state of another gateway. Its loads take effect with the next call of
     /// [`Self::update_peer_loads`], because a state arrives for each of many datagrams.
-    pub(super) fn update_peer(
-        &mut self,
-        now_us: u64,
-        state: PeerState,
-        known: usize,
-        zone_known: usize,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn update_peer(&mut self, now_us: u64, state: PeerState, known: usize, zone_known: usize) {
         let PeerState { instance, zone, zone_loads, other_loads, down, crash_findings, version, .. } = state;
         if instance == self.settings.instance {
             return;
@@ -319,18 +365,9 @@
         self.has_heard_of_peers |= version > 0;
         self.zone_gateways.insert(zone.clone(), zone_known);
         self.crashes.update(&crash_findings, now_us, known, &mut self.random);
-        for address in down {
-            if self.endpoint_at(address).is_some() {
-                let for_ms = self.settings.peer_exclusion_ms;
-                if self.health.entry(address).exclude_reported(now_us, for_ms) {
-                    let cause = "reported";
-                    actions.push(Action::Decide(Decision::Excluded { address, for_ms, cause }));
-                }
-            }
-        }
         let mut loads = other_loads;
         loads.extend(zone_loads);
-        self.peers.insert(instance, Peer { last_contact_us: now_us, version, zone, loads });
+        self.peers.insert(instance, Peer { last_contact_us: now_us, version, zone, loads, down });
     }
 
     /// Recomputes the load of the other gateways at each endpoint, without gateways that had no recent contact. The
@@ -358,6 +395,49 @@
         }
     }
 
+    /// Excludes the endpoints that several other gateways report as down. One gateway may be mistaken, or have lost its own
+    /// links, and reports count for less than what this gateway observes. Reports that would exclude most endpoints of a
+    /// service exclude none.
+    pub(super) fn exclude_reported(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let timeout_us = self.settings.peer_timeout_ms * US_PER_MS;
+        let recent: Vec<&Peer> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.last_contact_us + timeout_us >= now_us)
+            .map(|(_, peer)| peer)
+            .collect();
+        let mut reports: Table<Address, usize> = Table::default();
+        for address in recent.iter().flat_map(|peer| &peer.down) {
+            *reports.entry(*address) += 1;
+        }
+        let reporter_min = REPORTER_MIN.min(recent.len());
+        let mut agreed: Vec<Address> = reports
+            .iter()
+            .filter(|(_, reporters)| **reporters >= reporter_min)
+            .map(|(address, _)| *address)
+            .collect();
+        let mut services: Table<&ServiceId, (usize, usize)> = Table::default();
+        for endpoint in self.endpoints.iter() {
+            let (known, reported) = services.entry(&endpoint.service);
+            *known += 1;
+            *reported += usize::from(agreed.contains(&endpoint.address));
+        }
+        agreed.retain(|address| {
+            let service = self.endpoint_at(*address).and_then(|endpoint| services.get(&&endpoint.service));
+            service.is_some_and(|(known, reported)| reported * 2 <= *known)
+        });
+        let for_ms = self.settings.peer_exclusion_ms;
+        for address in agreed {
+            let health = self.health.entry(address);
+            if !health.has_answered_within(now_us, self.settings.sign_of_life_ms)
+                && health.exclude_reported(now_us, for_ms)
+            {
+                let cause = "reported";
+                actions.push(Action::Decide(Decision::Excluded { address, for_ms, cause }));
+            }
+        }
+    }
+
     pub(super) fn update_endpoints(
         &mut self,
         now_us: u64,
--- a/crates/banyannotch/src/gateway/dispatch/health.rs
+++ b/crates/banyannotch/src/gateway/dispatch/health.rs
@@ -71,14 +71,22 @@
     pub own: Load,
     /// Load of the other gateways, estimated from the states that they publish.
     pub peers: Load,
-    excluded_until_us: u64,
+    /// End of the exclusion that follows a suspicion, while the endpoint is asked for a sign of life.
+    suspected_until_us: u64,
+    /// Until when the endpoint counts as down, because it was asked for a sign of life and has not given one since. It is
+    /// tried again after that time, because it may answer requests although it gives no reports.
+    down_until_us: u64,
+    /// When an endpoint that is down is asked again.
+    next_check_us: u64,
+    /// Last sign of life that this gateway observed.
+    last_answer_us: Option<u64>,
     /// End of the exclusion that follows another gateway's. It is not published, or gateways would renew each other's
     /// exclusions forever.
     reported_until_us: u64,
     /// End of the exclusion that follows a lack of room, which is not published either.
     full_until_us: u64,
-    /// Exclusions since the last success.
-    consecutive_exclusions: u32,
+    /// Suspicions since the last complete answer.
+    consecutive_suspicions: u32,
     /// Share of recent requests that failed, as of `last_result_us`.
     last_failure_share: f64,
     last_result_us: u64,
@@ -110,7 +118,7 @@
 
     /// Returns why the endpoint is excluded.
     pub fn exclusion(&self, now_us: u64) -> Option<Exclusion> {
-        if self.is_down(now_us) {
+        if self.is_down(now_us) || now_us < self.suspected_until_us {
             Some(Exclusion::Failed)
         } else if now_us < self.reported_until_us {
             Some(Exclusion::Reported)
@@ -119,9 +127,40 @@
         }
     }
 
-    /// Returns whether the endpoint is excluded because of failures that this gateway observed.
+    /// Returns whether the endpoint gave no sign of life when this gateway asked for one.
     pub fn is_down(&self, now_us: u64) -> bool {
-        now_us < self.excluded_until_us
+        now_us < self.down_until_us
+    }
+
+    /// Returns whether this gateway observed a sign of life of the endpoint within the given time.
+    pub fn has_answered_within(&self, now_us: u64, within_ms: u64) -> bool {
+        self.last_answer_us.is_some_and(|answer_us| now_us < answer_us + within_ms * US_PER_MS)
+    }
+
+    /// Records a sign of life. Returns whether the endpoint was down.
+    pub fn record_answer(&mut self, now_us: u64) -> bool {
+        self.last_answer_us = Some(now_us);
+        std::mem::take(&mut self.down_until_us) > now_us
+    }
+
+    /// Records that the endpoint gave no sign of life when it was asked for one. It is asked again after `interval_ms`, and
+    /// counts as down for `limit_ms`. Returns whether that is new.
+    pub fn record_no_answer(&mut self, now_us: u64, interval_ms: u64, limit_ms: u64) -> bool {
+        self.next_check_us = now_us + interval_ms * US_PER_MS;
+        let is_new = !self.is_down(now_us);
+        if is_new {
+            self.down_until_us = now_us + limit_ms * US_PER_MS;
+        }
+        is_new
+    }
+
+    /// Returns whether an endpoint that is down must be asked again, and notes that it is.
+    pub fn take_due_check(&mut self, now_us: u64, interval_ms: u64) -> bool {
+        let is_due = self.is_down(now_us) && now_us >= self.next_check_us;
+        if is_due {
+            self.next_check_us = now_us + interval_ms * US_PER_MS;
+        }
+        is_due
     }
 
     /// Excludes the endpoint because another gateway has reported it as down. Returns whether it was not excluded for that
@@ -158,7 +197,7 @@
     pub fn record_success(&mut self, now_us: u64, half_life_ms: f64) {
         self.last_failure_share = self.failure_share(now_us, half_life_ms) * (1.0 - FAILURE_SHARE_SMOOTHING);
         self.last_result_us = now_us;
-        self.consecutive_exclusions = 0;
+        self.consecutive_suspicions = 0;
     }
 
     /// Records a failure. The weight is below 1 when the endpoint may not be the cause.
@@ -168,15 +207,17 @@
         self.last_result_us = now_us;
     }
 
-    /// Excludes the endpoint and returns for how long, in milliseconds. The time doubles with each exclusion
-    /// in a row.
-    pub fn exclude(&mut self, now_us: u64, initial_ms: u64, max_ms: u64) -> u64 {
-        let for_ms = (initial_ms << self.consecutive_exclusions.min(MAX_EXCLUSION_DOUBLINGS)).min(max_ms);
-        if !self.is_down(now_us) {
-            self.consecutive_exclusions += 1;
+    /// Excludes the endpoint because of a suspicion and returns for how long, in milliseconds, or none if it is excluded for
+    /// one already: many requests observe the same failure, and together they must not prolong the exclusion. The time
+    /// doubles with each suspicion in a row.
+    pub fn suspect(&mut self, now_us: u64, initial_ms: u64, max_ms: u64) -> Option<u64> {
+        if self.exclusion(now_us) == Some(Exclusion::Failed) {
+            return None;
         }
-        self.excluded_until_us = self.excluded_until_us.max(now_us + for_ms * US_PER_MS);
-        for_ms
+        let for_ms = (initial_ms << self.consecutive_suspicions.min(MAX_EXCLUSION_DOUBLINGS)).min(max_ms);
+        self.consecutive_suspicions += 1;
+        self.suspected_until_us = now_us + for_ms * US_PER_MS;
+        Some(for_ms)
     }
 
     /// Clears failures, exclusions and slowdown after a restart, which shows that the endpoint answers again.
--- a/crates/banyannotch/src/gateway/dispatch/messages.rs
+++ b/crates/banyannotch/src/gateway/dispatch/messages.rs
@@ -621,6 +621,11 @@
         /// Number of these that take no requests or are leaving.
         declining: usize,
     },
+    /// An endpoint that was down has given a sign of life.
+    Readmitted {
+        /// Address of the endpoint.
+        address: Address,
+    },
     /// An endpoint is excluded after a failure.
     Excluded {
         /// Address of the endpoint.
@@ -707,6 +712,9 @@
                 "event=no_path request={id} endpoints={endpoints} failed={failed} reported={reported} full={full} \
                  declining={declining}"
             ),
+            Self::Readmitted { address } => {
+                write!(formatter, "event=readmitted endpoint_address={address}")
+            }
             Self::Excluded { address, for_ms, cause } => {
                 write!(formatter, "event=excluded endpoint_address={address} for_ms={for_ms} cause={cause}")
             }
--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -355,6 +355,7 @@
             Ending::Completed { .. } => {
                 for (address, _) in &reservation.loads {
                     self.health.entry(*address).record_success(now_us, self.settings.failure_half_life_ms);
+                    self.record_answer(now_us, *address, actions);
                 }
                 self.crashes.record_answer(digest, now_us);
                 self.close_ticket(ticket_id);
@@ -369,7 +370,7 @@
             Ending::Unsent => {
                 if let Some((first, _)) = reservation.loads.first() {
                     self.confirm_crash(*first, now_us, EndSign::NoConnection, actions);
-                    self.exclude(now_us, *first, "no_connection", actions);
+                    self.suspect(now_us, *first, "no_connection", actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
             }
@@ -565,7 +566,7 @@
     fn on_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Submit(submission) => return self.submit(now_us, *submission, actions),
-            Event::StreamStarted { ticket } => return self.on_stream_start(now_us, ticket),
+            Event::StreamStarted { ticket } => return self.on_stream_start(now_us, ticket, actions),
             Event::Waiting { ticket, report, silent_ms } => {
                 return self.on_late_answer(now_us, ticket, report, silent_ms, actions);
             }
@@ -600,7 +601,7 @@
             Event::EndpointsProof(proof) => self.endpoints_proof = proof,
             Event::StoreEra(era) => self.enter_era(era),
             Event::Peer { state, known, zone_known } => {
-                self.update_peer(now_us, *state, known, zone_known, actions);
+                self.update_peer(now_us, *state, known, zone_known);
             }
             Event::Report { address, report } => self.on_report(now_us, address, report.as_ref(), actions),
             Event::Probed { address, is_refused } => {
@@ -624,6 +625,8 @@
         if now_us >= self.publish_at_us {
             self.publish_at_us = now_us + self.settings.publish_interval_ms * US_PER_MS;
             self.update_peer_loads(now_us);
+            self.exclude_reported(now_us, actions);
+            self.check_down(now_us, actions);
             self.judge_crashes(now_us, actions);
             self.publish_state(now_us, actions);
             self.update_readiness(now_us, actions);
--- a/crates/banyannotch/src/gateway/dispatch/settings.rs
+++ b/crates/banyannotch/src/gateway/dispatch/settings.rs
@@ -32,10 +32,15 @@
     pub admission: AdmissionSettings,
     /// Minimum remaining time of a request for a retry.
     pub min_remaining_ms: u64,
-    /// Duration of the first exclusion of an endpoint; doubles with each further exclusion in a row.
+    /// Duration of the first exclusion of an endpoint that may have failed; doubles with each further suspicion in a row.
     pub exclusion_initial_ms: u64,
     /// Maximum duration of an exclusion.
     pub exclusion_max_ms: u64,
+    /// Interval at which an engine that gave no report is asked for one. It is excluded until it gives one, at most for the
+    /// maximum duration.
+    pub down_check_interval_ms: u64,
+    /// Time for which a sign of life of an endpoint outweighs the reports of other gateways that it is down.
+    pub sign_of_life_ms: u64,
     /// Duration of an exclusion that another gateway reports; longer than the interval at which the state is
     /// published.
     pub peer_exclusion_ms: u64,
@@ -102,6 +107,8 @@
             min_remaining_ms: 40,
             exclusion_initial_ms: 500,
             exclusion_max_ms: 4_000,
+            down_check_interval_ms: 500,
+            sign_of_life_ms: 1_000,
             peer_exclusion_ms: 400,
             full_pause_ms: 200,
             failure_half_life_ms: 2_000.0,
