--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -71,6 +71,12 @@
     run_all(&seeds_to_run(), plan::plan_with_rewinds);
 }
 
+/// Gateways lose their links to all endpoints beside all other faults, and hand their requests on to others.
+#[test]
+fn a_run_with_stranded_gateways_breaks_no_promise() {
+    run_all(&seeds_to_run(), plan::plan_with_stranded_gateways);
+}
+
 /// Restarts and changes of the configuration overlap with endpoints that are silent for a while.
 #[test]
 fn a_run_of_planned_work_loses_no_request() {
--- a/crates/gateway/tests/soak/plan.rs
+++ b/crates/gateway/tests/soak/plan.rs
@@ -18,6 +18,10 @@
 const REWIND_COUNT: usize = 3;
 /// Upper bound of the age of a backup, in milliseconds.
 const REWIND_LIMIT_MS: usize = 3_000;
+/// Number of times that a gateway loses its links to the endpoints in a run with this fault.
+const STRAND_COUNT: usize = 4;
+/// Makes these losses independent of the other faults of a seed.
+const STRAND_SEED: u64 = 0x5eed_0002;
 /// Makes the ages of backups independent of the other faults of a seed.
 const REWIND_SEED: u64 = 0x5eed_0001;
 
@@ -65,6 +69,8 @@
     Crash(usize),
     /// Writes entries of endpoints that cannot be used.
     UnusableEntries,
+    /// Changes the links between a gateway and all endpoints; other gateways keep theirs.
+    Strand(usize, Link),
 }
 
 /// A change of the configuration.
@@ -116,6 +122,23 @@
     steps
 }
 
+/// Draws the faults of a seed, among which gateways lose their links to all endpoints.
+pub fn plan_with_stranded_gateways(seed: u64, gateways: usize, endpoints: usize) -> Vec<Step> {
+    let mut random = Random::seeded(seed ^ STRAND_SEED);
+    let mut steps = plan(seed, gateways, endpoints);
+    for part in 1..=STRAND_COUNT {
+        let index = steps.len() * part / (STRAND_COUNT + 1);
+        let link = [Link::Refusing, Link::Silent, Link::OneWay][random.below(3)];
+        let step = Step {
+            pause_ms: random.below(PAUSE_LIMIT_MS) as u64,
+            duration_ms: 200 + random.below(2 * DURATION_RANGE_MS) as u64,
+            injection: Injection::Strand(random.below(gateways), link),
+        };
+        steps.insert(index, step);
+    }
+    steps
+}
+
 /// Draws planned work, endpoints that are silent for a while, and endpoints that break off. The gateways and their
 /// callers are not disrupted.
 pub fn plan_of_planned_work(seed: u64, gateways: usize, endpoints: usize) -> Vec<Step> {
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -194,6 +194,19 @@
                 hold_link(&self.endpoints[number].1, Link::Refusing, length).await;
             }
             Injection::UnusableEntries => self.write_unusable_entries(),
+            Injection::Strand(number, link) => {
+                let process =
+                    self.members[number].gateway.borrow().as_ref().map(|gateway| gateway.child.id());
+                let Some(process) = process else { return };
+                let set_all = |link| {
+                    for (_, proxy) in &self.endpoints {
+                        proxy.set_for_process(process, link);
+                    }
+                };
+                set_all(link);
+                actix_rt::time::sleep(length).await;
+                set_all(Link::Open);
+            }
         }
     }
 
@@ -304,6 +317,7 @@
         Injection::Callers(number, _)
         | Injection::ResetCallers(number)
         | Injection::Kill(number)
+        | Injection::Strand(number, _)
         | Injection::Pause(number) => Some(Part::Gateway(number)),
         Injection::EndpointFault(_, Fault::PauseAfter(_) | Fault::Unframed) => None,
         Injection::ResetEndpoint(number)
@@ -330,7 +344,7 @@
             ("seeds", format!("[{}]", seeds.join(","))),
         ];
         let mut first_settings = settings.clone();
-        for key in ["callers", "readiness", "metrics", "peers"] {
+        for key in ["callers", "readiness", "metrics", "peers", "handoffs"] {
             first_settings.push((key, format!("\"{}:0\"", own_loopback())));
         }
         let gateway = launch(store.address, &first_settings);
@@ -339,6 +353,7 @@
             ("readiness", gateway.readiness),
             ("metrics", gateway.metrics),
             ("peers", gateway.peers),
+            ("handoffs", gateway.handoffs),
         ] {
             settings.push((key, format!("\"{address}\"")));
         }
