--- a/crates/banyannotch/src/gateway/dispatch/policy.rs
+++ b/crates/banyannotch/src/gateway/dispatch/policy.rs
@@ -408,7 +408,7 @@
                     self.confirm_crash(*first, now_us, EndSign::NoConnection, actions);
                     self.suspect(now_us, *first, "no_connection", actions);
                 }
-                if self.reachability.is_in_doubt() {
+                if reservation.helper.is_none() && self.reachability.is_in_doubt() {
                     return self.retry_when_decided(now_us, ticket_id, actions);
                 }
                 self.retry_or_refuse(now_us, ticket_id, RefusalReason::Rejected, actions);
