--- a/crates/banyannotch/src/gateway/dispatch/tests/suspicion.rs
+++ b/crates/banyannotch/src/gateway/dispatch/tests/suspicion.rs
@@ -1,5 +1,4 @@
-//! Tests of what the findings of some gateways do to the others. The load is `load` times what the engines serve without
-//! queues.
+//! Tests of what the findings of some gateways do to the others.
 
 use super::fleet::{Cut, Fleet, Outcome, Run};
 
