gateway: the soak counts a killed process as down until it runs again

By the log the process was killed at 780.2 s, the plan let it start 0.75 s later, and it ran again at 783.2 s; the request was sent at 781.5 s, when nothing ran. The check knew the planned time only.

--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -123,10 +123,12 @@
     /// Injects a fault, waits for its duration, and removes it.
     pub async fn inject(self: Rc<Self>, step: Step) {
         let length = Duration::from_millis(step.duration_ms);
-        if let Some(part) = disrupted_part(&step) {
+        let disruption = disrupted_part(&step).map(|part| {
             let from = Instant::now();
-            self.disruptions.borrow_mut().push(Disruption { part, from, until: from + length });
-        }
+            let mut disruptions = self.disruptions.borrow_mut();
+            disruptions.push(Disruption { part, from, until: from + length });
+            disruptions.len() - 1
+        });
         match step.injection {
             Injection::Callers(number, link) => hold_link(&self.members[number].callers, link, length).await,
             Injection::Store(number, link) => hold_link(&self.members[number].store, link, length).await,
@@ -152,7 +154,14 @@
                 actix_rt::time::sleep(length).await;
                 self.endpoints[number].0.set_fault(Fault::None, 0);
             }
-            Injection::Kill(number) => self.members[number].restart("-KILL", length).await,
+            Injection::Kill(number) => {
+                self.members[number].restart("-KILL", length).await;
+                // A busy machine takes longer than the pause to start the process.
+                if let Some(disruption) = disruption {
+                    let until = &mut self.disruptions.borrow_mut()[disruption].until;
+                    *until = Instant::now().max(*until);
+                }
+            }
             Injection::Stop(number) => self.members[number].restart("-TERM", Duration::ZERO).await,
             Injection::Pause(number) => {
                 self.members[number].signal("-STOP");
